--- /dev/null
+++ b/internal/conf/jsonc/memory.go
@@ -0,0 +1,36 @@
+package jsonc
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Memory is an amount of memory in megabytes, written as in "4GB" or "512MB".
+type Memory uint32
+
+var memoryUnits = []struct {
+	suffix string
+	mb     float64
+}{{"TB", 1 << 20}, {"GB", 1 << 10}, {"MB", 1}}
+
+// UnmarshalText reads m from a number with unit MB, GB or TB.
+func (m *Memory) UnmarshalText(text []byte) error {
+	for _, unit := range memoryUnits {
+		number, ok := strings.CutSuffix(string(text), unit.suffix)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseFloat(strings.TrimSpace(number), 64)
+		mb := n * unit.mb
+		if err != nil || mb < 0 || mb > 1<<31 {
+			break
+		}
+		*m = Memory(mb)
+		return nil
+	}
+	return fmt.Errorf("want an amount such as \"512MB\" or \"4GB\", got %q", text)
+}
+
+// MarshalText writes m in megabytes.
+func (m Memory) MarshalText() ([]byte, error) { return fmt.Appendf(nil, "%dMB", uint32(m)), nil }
--- /dev/null
+++ b/internal/conf/teams/kind.go
@@ -0,0 +1,34 @@
+package teams
+
+import (
+	"github.com/ebonyarch/ebonyarch/internal/conf/jsonc"
+	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
+)
+
+// Kind is one kind of batch work.
+type Kind struct {
+	CPU          CPU          `json:"cpu"`
+	Memory       jsonc.Memory `json:"memory"`
+	Accelerators uint32       `json:"accelerators"`
+	// MaxFailures is the number of failed attempts after which a task is parked.
+	MaxFailures uint32 `json:"maxFailures"`
+	// Urgent work is started first, by eviction where needed.
+	Urgent bool `json:"urgent"`
+	// Work is the expected run time of one task.
+	Work jsonc.Duration `json:"work"`
+}
+
+const defaultMaxFailures = 3
+
+// Size returns what one task takes of a VM.
+func (k *Kind) Size() *schema.Size {
+	return &schema.Size{CpuMilli: k.CPU.Milli(), MemoryMb: uint32(k.Memory), Accelerators: k.Accelerators}
+}
+
+// FailureLimit returns the failed attempts after which a task is parked.
+func (k *Kind) FailureLimit() uint32 {
+	if k.MaxFailures == 0 {
+		return defaultMaxFailures
+	}
+	return k.MaxFailures
+}
--- /dev/null
+++ b/internal/conf/teams/service.go
@@ -0,0 +1,99 @@
+package teams
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/ebonyarch/ebonyarch/internal/conf/jsonc"
+	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
+)
+
+// Service is a latency-critical service with replicas on VMs.
+type Service struct {
+	Replicas     uint32       `json:"replicas"`
+	CPU          CPU          `json:"cpu"`
+	Memory       jsonc.Memory `json:"memory"`
+	Accelerators uint32       `json:"accelerators"`
+	// Slots is the number of requests that one replica runs at a time.
+	Slots uint32 `json:"slots"`
+	// LatencyAim is the service time above which batch neighbours are throttled.
+	LatencyAim jsonc.Duration `json:"latencyAim"`
+	// Timeout is the deadline of requests that bring none.
+	Timeout jsonc.Duration `json:"timeout"`
+	// BodyLimit bounds request and answer bodies.
+	BodyLimit jsonc.Memory `json:"bodyLimit"`
+	// Kinds divide the service's requests by path prefix.
+	Kinds map[string]RequestKind `json:"kinds"`
+}
+
+// RequestKind is one kind of request to a service.
+type RequestKind struct {
+	// Prefix selects the requests by path; the longest match wins.
+	Prefix string `json:"prefix"`
+	// Share is the guaranteed share of the service's slots, in percent.
+	Share uint32 `json:"share"`
+	// Weight divides slots that no guarantee claims; 0 counts as 1.
+	Weight uint32 `json:"weight"`
+	// Timeout overrides the service's.
+	Timeout jsonc.Duration `json:"timeout"`
+}
+
+// Defaults of a service.
+const (
+	DefaultSlots     = 8
+	DefaultTimeout   = 5 * time.Second
+	DefaultBodyLimit = 4 // megabytes
+	DefaultKind      = "default"
+)
+
+// Size returns what one replica takes of a VM.
+func (s *Service) Size() *schema.Size {
+	return &schema.Size{CpuMilli: s.CPU.Milli(), MemoryMb: uint32(s.Memory), Accelerators: s.Accelerators}
+}
+
+// SlotCount returns the requests that one replica runs at a time.
+func (s *Service) SlotCount() uint32 {
+	if s.Slots == 0 {
+		return DefaultSlots
+	}
+	return s.Slots
+}
+
+// BodyBytes returns the bound on bodies, in bytes.
+func (s *Service) BodyBytes() int64 {
+	limit := int64(s.BodyLimit)
+	if limit == 0 {
+		limit = DefaultBodyLimit
+	}
+	return limit << 20
+}
+
+// KindNames returns the names of the request kinds in order, the default last.
+func (s *Service) KindNames() []string {
+	names := make([]string, 0, len(s.Kinds)+1)
+	for name := range s.Kinds {
+		if name != DefaultKind {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return append(names, DefaultKind)
+}
+
+// KindOf returns the name of the kind of a request path.
+func (s *Service) KindOf(path string) string {
+	best, length := DefaultKind, 0
+	for _, name := range s.KindNames() {
+		prefix := s.Kinds[name].Prefix
+		if len(prefix) > length && strings.HasPrefix(path, prefix) {
+			best, length = name, len(prefix)
+		}
+	}
+	return best
+}
+
+// TimeoutOf returns the deadline of requests of a kind that bring none.
+func (s *Service) TimeoutOf(kind string) time.Duration {
+	return s.Kinds[kind].Timeout.Or(s.Timeout.Or(DefaultTimeout))
+}
--- /dev/null
+++ b/internal/fake/worker/witness.go
@@ -0,0 +1,164 @@
+package worker
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ebonyarch/ebonyarch/internal/base/ident"
+	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
+)
+
+// End is how a run of an attempt ended.
+type End uint8
+
+// The ways to end.
+const (
+	Running End = iota
+	Finished
+	Failed
+	Stopped
+	Lapsed
+	Killed
+)
+
+// Run is one run of an attempt on a VM.
+type Run struct {
+	VM      string
+	Attempt ident.Attempt
+	From    time.Time
+	// To is zero while End is Running.
+	To  time.Time
+	End End
+}
+
+// Witness records what workers really did, independently of the scheduler. A
+// nil Witness records nothing. It is safe for concurrent use.
+type Witness struct {
+	mu       sync.Mutex
+	runs     []*Run
+	open     map[runKey]*Run
+	requests map[string]int
+	dead     map[string]bool
+	overfull []string
+}
+
+type runKey struct {
+	vm string
+	id ident.Attempt
+}
+
+func (w *Witness) started(vm string, id ident.Attempt, at time.Time, _, used, capacity *schema.Size) {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.open == nil {
+		w.open = map[runKey]*Run{}
+	}
+	r := &Run{VM: vm, Attempt: id, From: at}
+	w.runs = append(w.runs, r)
+	w.open[runKey{vm, id}] = r
+	if used.GetCpuMilli() > capacity.GetCpuMilli() || used.GetMemoryMb() > capacity.GetMemoryMb() ||
+		used.GetAccelerators() > capacity.GetAccelerators() {
+		w.overfull = append(w.overfull, vm+" at "+id.String())
+	}
+}
+
+func (w *Witness) ended(vm string, id ident.Attempt, at time.Time, end End) {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if r := w.open[runKey{vm, id}]; r != nil {
+		r.To, r.End = at, end
+		delete(w.open, runKey{vm, id})
+	}
+}
+
+func (w *Witness) killed(vm string) {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.dead == nil {
+		w.dead = map[string]bool{}
+	}
+	w.dead[vm] = true
+}
+
+func (w *Witness) served(_, id string) {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.requests == nil {
+		w.requests = map[string]int{}
+	}
+	w.requests[id]++
+}
+
+// Served returns how often a request with an id was run, over all VMs.
+func (w *Witness) Served(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.requests[id]
+}
+
+// Runs returns all runs of batch attempts, by task and start.
+func (w *Witness) Runs() []Run {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	runs := make([]Run, 0, len(w.runs))
+	for _, r := range w.runs {
+		if _, _, service := ident.ServiceOf(r.Attempt.Job); !service {
+			runs = append(runs, *r)
+		}
+	}
+	slices.SortStableFunc(runs, func(a, b Run) int {
+		if c := a.Attempt.Compare(b.Attempt); c != 0 {
+			return c
+		}
+		return a.From.Compare(b.From)
+	})
+	return runs
+}
+
+// Dead reports whether a VM was killed.
+func (w *Witness) Dead(vm string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.dead[vm]
+}
+
+// Overfull returns the starts that took a VM beyond its capacity.
+func (w *Witness) Overfull() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.overfull)
+}
+
+// Overlaps returns the tasks that ran in two places at a time. now ends runs
+// that still go on.
+func (w *Witness) Overlaps(now time.Time) []ident.Task {
+	var found []ident.Task
+	runs := w.Runs()
+	for i := 1; i < len(runs); i++ {
+		a, b := runs[i-1], runs[i]
+		if a.Attempt.Task != b.Attempt.Task {
+			continue
+		}
+		end := a.To
+		if a.End == Running {
+			end = now
+		}
+		if b.From.Before(end) {
+			found = append(found, b.Attempt.Task)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/front/route/upstream.go
@@ -0,0 +1,92 @@
+package route
+
+import (
+	"math"
+	"net/netip"
+	"time"
+
+	"github.com/ebonyarch/ebonyarch/internal/fleet/probe"
+)
+
+const (
+	// learnRate is the weight of one new measurement of the service time.
+	learnRate = 0.2
+	// staleAfter is the age at which half of what was measured of an upstream
+	// gives way to the average over all.
+	staleAfter = 3 * time.Second
+	// loadStaleAfter is the same for the load that other entries cause.
+	loadStaleAfter = 500 * time.Millisecond
+	// fastFailurePenalty multiplies the expected time of an upstream after each
+	// failure, so that one that fails at once does not look fast.
+	fastFailurePenalty = 2
+	maxPenaltySteps    = 6
+)
+
+// Upstream is one replica of a service as one entry sees it.
+type Upstream struct {
+	VM   string
+	Addr netip.AddrPort
+	Zone string
+	// Slots is the number of requests that it runs at a time.
+	Slots int
+	// Distance is the time that a message takes one way.
+	Distance time.Duration
+
+	// inFlight counts the requests of this entry that are not answered.
+	inFlight int
+	// service is the learned service time and learnedAt its latest measurement.
+	service   time.Duration
+	learnedAt time.Time
+	// others is the load that the upstream reported beyond this entry's own.
+	others   float64
+	othersAt time.Time
+	failed   int
+	outlier  probe.Outlier
+	index    int
+}
+
+// InFlight returns the requests of this entry that are not answered.
+func (u *Upstream) InFlight() int { return u.inFlight }
+
+// Service returns the learned service time, 0 if none.
+func (u *Upstream) Service() time.Duration { return u.service }
+
+// Ejected reports whether the upstream is out of use, probes aside.
+func (u *Upstream) Ejected() bool { return u.outlier.Ejected() }
+
+// Expected returns how long a request sent now would take. prior is the service
+// time over all upstreams, towards which old measurements fade.
+func (u *Upstream) Expected(now time.Time, prior time.Duration) time.Duration {
+	service := float64(prior)
+	if u.service > 0 {
+		weight := fade(now.Sub(u.learnedAt), staleAfter)
+		service = weight*float64(u.service) + (1-weight)*service
+	}
+	load := float64(u.inFlight) + u.others*fade(now.Sub(u.othersAt), loadStaleAfter)
+	slots := float64(max(u.Slots, 1))
+	// A request beyond the slots waits for earlier ones; below that, load still
+	// costs a little, which keeps equal upstreams evenly used.
+	wait := service * max(0, load+1-slots) / slots
+	crowd := service * load / slots / 4
+	expected := service + wait + crowd
+	if u.failed > 0 {
+		expected *= math.Pow(fastFailurePenalty, float64(min(u.failed, maxPenaltySteps)))
+	}
+	return time.Duration(expected) + 2*u.Distance
+}
+
+func fade(age, half time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
+	return float64(half) / float64(half+age)
+}
+
+func (u *Upstream) learn(now time.Time, service time.Duration) {
+	u.learnedAt = now
+	if u.service == 0 {
+		u.service = service
+		return
+	}
+	u.service += time.Duration(learnRate * float64(service-u.service))
+}
--- /dev/null
+++ b/internal/node/agent/agent.go
@@ -0,0 +1,142 @@
+// Package agent is the process beside an upstream. It announces the VM, runs
+// what the leader assigns to it, and decides which requests get a slot.
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ebonyarch/ebonyarch/internal/conf/proc"
+	"github.com/ebonyarch/ebonyarch/internal/front/gate"
+	"github.com/ebonyarch/ebonyarch/internal/front/once"
+	"github.com/ebonyarch/ebonyarch/internal/node/admin"
+	"github.com/ebonyarch/ebonyarch/internal/node/link"
+	"github.com/ebonyarch/ebonyarch/internal/plat/port"
+	"github.com/ebonyarch/ebonyarch/internal/sched/runner"
+	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
+)
+
+// Agent is a running agent. Make it with Start.
+type Agent struct {
+	cfg    proc.Agent
+	worker port.Worker
+	log    *slog.Logger
+	peers  *link.Server
+	admin  *link.Server
+	links  link.Set
+	poke   chan struct{}
+	stop   context.CancelFunc
+	done   sync.WaitGroup
+	// inFlight counts the requests that were accepted and not answered.
+	inFlight atomic.Int64
+	metrics  *metrics
+
+	mu     sync.Mutex
+	runner *runner.Runner
+	once   *once.Table
+	gates  map[string]*gate.Gate
+	// member is what was announced last; version grows with each change.
+	member      *schema.Member
+	incarnation time.Time
+	// entry is the one announced to, and entries all that are known.
+	entry   netip.AddrPort
+	entries []netip.AddrPort
+	misses  int
+	leaving bool
+	// configVersion is that of the leader's latest answer, at answeredAt.
+	configVersion uint64
+	answeredAt    time.Time
+	listedAt      time.Time
+}
+
+// Start opens the agent's addresses and begins to announce the VM.
+func Start(cfg proc.Agent, worker port.Worker, log *slog.Logger) (*Agent, error) {
+	cfg.Fill()
+	now := time.Now()
+	a := &Agent{
+		cfg: cfg, worker: worker, log: log, poke: make(chan struct{}, 1),
+		runner: runner.New(cfg.Capacity()), once: once.New(now), gates: map[string]*gate.Gate{},
+		incarnation: now, entries: cfg.Entries, entry: cfg.Entries[0], listedAt: now,
+	}
+	registry := admin.NewRegistry()
+	a.metrics = newMetrics(registry, a)
+	var err error
+	if a.peers, err = link.Listen(cfg.Peers, schema.NewAgentServer(a), cfg.Connections); err != nil {
+		return nil, err
+	}
+	if a.admin, err = link.Listen(cfg.Admin, admin.Handler(a, registry), 0); err != nil {
+		a.peers.Close()
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	a.stop = cancel
+	a.goServe(a.peers)
+	a.goServe(a.admin)
+	a.done.Go(func() { a.beats(ctx) })
+	a.done.Go(func() { a.expire(ctx) })
+	return a, nil
+}
+
+func (a *Agent) goServe(s *link.Server) {
+	a.done.Go(func() {
+		if err := s.Serve(); err != nil {
+			a.log.Error("server failed", "err", err)
+		}
+	})
+}
+
+// Addr returns the address for entries, AdminAddr the administrative one.
+func (a *Agent) Addr() netip.AddrPort { return a.peers.Addr() }
+
+// AdminAddr returns the administrative address.
+func (a *Agent) AdminAddr() netip.AddrPort { return a.admin.Addr() }
+
+// Kill breaks everything off at once, as when the VM fails.
+func (a *Agent) Kill() {
+	a.stop()
+	a.peers.Close()
+	a.admin.Close()
+	a.done.Wait()
+}
+
+// drainPoll spaces the looks at what is still to be drained.
+const drainPoll = 20 * time.Millisecond
+
+// Shutdown announces that the VM leaves, gives its batch attempts back, waits
+// for requests in flight and stops. The context bounds the wait.
+func (a *Agent) Shutdown(ctx context.Context) error {
+	a.mu.Lock()
+	a.leaving = true
+	a.runner.Leave()
+	a.mu.Unlock()
+	a.wake()
+	for !a.drained() {
+		select {
+		case <-ctx.Done():
+			a.Kill()
+			return ctx.Err()
+		case <-time.After(drainPoll):
+			a.wake()
+		}
+	}
+	err := a.peers.Shutdown(ctx)
+	a.Kill()
+	return err
+}
+
+func (a *Agent) drained() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.runner.Idle() && a.inFlight.Load() == 0 && a.member.GetLeaving()
+}
+
+func (a *Agent) wake() {
+	select {
+	case a.poke <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/node/entry/api.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/ebonyarch/ebonyarch/internal/base/codes"
+	"github.com/ebonyarch/ebonyarch/internal/node/admin"
+	"github.com/ebonyarch/ebonyarch/internal/node/link"
+	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
+)
+
+func (e *Entry) listen(registry *prometheus.Registry) error {
+	var err error
+	if e.callers, err = link.Listen(e.cfg.Callers, e.router(), 0); err != nil {
+		return err
+	}
+	if e.peers, err = link.Listen(e.cfg.Peers, schema.NewEntryServer(e), 0); err != nil {
+		e.callers.Close()
+		return err
+	}
+	if e.admin, err = link.Listen(e.cfg.Admin, admin.Handler(e, registry), 0); err != nil {
+		e.callers.Close()
+		e.peers.Close()
+	}
+	return err
+}
+
+// router serves the interface to callers and operators, as docs/API.md has it.
+func (e *Entry) router() http.Handler {
+	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	r.PathPrefix("/v1/teams/{team}/services/{service}").HandlerFunc(e.handleRequest)
+	r.HandleFunc("/v1/teams", e.listTeams).Methods(http.MethodGet)
+	r.HandleFunc("/v1/teams/{team}/jobs", e.submitJob).Methods(http.MethodPost)
+	r.HandleFunc("/v1/teams/{team}/jobs", e.listJobs).Methods(http.MethodGet)
+	r.HandleFunc("/v1/teams/{team}/jobs/{job}", e.getJob).Methods(http.MethodGet)
+	r.HandleFunc("/v1/teams/{team}/jobs/{job}", e.cancelJob).Methods(http.MethodDelete)
+	r.HandleFunc("/v1/teams/{team}/config", e.getConfig).Methods(http.MethodGet)
+	r.HandleFunc("/v1/teams/{team}/config", e.putConfig).Methods(http.MethodPut)
+	r.HandleFunc("/v1/teams/{team}/config", e.deleteConfig).Methods(http.MethodDelete)
+	r.HandleFunc("/v1/teams/{team}/config/history", e.configHistory).Methods(http.MethodGet)
+	r.HandleFunc("/v1/teams/{team}/config/rollback", e.rollbackConfig).Methods(http.MethodPost)
+	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		writeError(w, codes.New(codes.BadRequest, "no such resource: %s", r.URL.Path))
+	})
+	return r
+}
+
+// Problem is the body of every answer that is not a success.
+type Problem struct {
+	Code       codes.Code `json:"code"`
+	Name       string     `json:"name"`
+	Message    string     `json:"message"`
+	Ran        codes.Ran  `json:"ran"`
+	Retry      bool       `json:"retry"`
+	RetryAfter string     `json:"retryAfter,omitempty"`
+	// Faults lists every fault of a body that was refused.
+	Faults any `json:"faults,omitempty"`
+}
+
+func writeError(w http.ResponseWriter, err error) { writeFaults(w, err, nil) }
+
+func writeFaults(w http.ResponseWriter, err error, faults any) {
+	code := codes.Of(err)
+	info := code.Info()
+	p := Problem{Code: code, Name: info.Name, Message: err.Error(), Ran: info.Ran, Retry: info.Retry, Faults: faults}
+	w.Header().Set(headerCode, strconv.Itoa(int(code)))
+	w.Header().Set(headerRan, string(info.Ran))
+	if after := codes.RetryAfter(err); after > 0 {
+		p.RetryAfter = after.String()
+		w.Header().Set("Retry-After", strconv.Itoa(int((after+time.Second-1)/time.Second)))
+	}
+	admin.WriteJSON(w, info.Status, p)
+}
+
+const maxJobBody = 1 << 20 // bytes
+
+func decodeBody(w http.ResponseWriter, r *http.Request, v any) error {
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxJobBody))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return codes.Wrap(err, codes.BadRequest, "the body is not valid")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/node/entry/config.go
@@ -0,0 +1,237 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/ebonyarch/ebonyarch/internal/base/codes"
+	"github.com/ebonyarch/ebonyarch/internal/conf/jsonc"
+	"github.com/ebonyarch/ebonyarch/internal/conf/teams"
+	"github.com/ebonyarch/ebonyarch/internal/node/admin"
+	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
+)
+
+const (
+	maxConfigBody = 256 << 10 // bytes
+	headerAuthor  = "Author"
+)
+
+// ConfigView is one team in the list of teams.
+type ConfigView struct {
+	Team     string       `json:"team"`
+	Revision uint64       `json:"revision"`
+	Deleted  bool         `json:"deleted"`
+	Changed  time.Time    `json:"changed"`
+	Used     *schema.Size `json:"used"`
+}
+
+// ChangeView is one entry of a team's history.
+type ChangeView struct {
+	Revision   uint64    `json:"revision"`
+	Author     string    `json:"author"`
+	At         time.Time `json:"at"`
+	Deleted    bool      `json:"deleted,omitempty"`
+	RollbackOf uint64    `json:"rollbackOf,omitempty"`
+	Body       string    `json:"body"`
+}
+
+// Published is the answer to an accepted change of configuration.
+type Published struct {
+	Team     string       `json:"team"`
+	Revision uint64       `json:"revision"`
+	Warnings jsonc.Faults `json:"warnings,omitempty"`
+}
+
+func (e *Entry) listTeams(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	views := []ConfigView{}
+	for _, t := range e.core.Fold().Teams() {
+		views = append(views, ConfigView{t.Name, t.Revision, t.Deleted, t.Changed, t.Used()})
+	}
+	e.mu.Unlock()
+	admin.WriteJSON(w, http.StatusOK, struct {
+		Teams []ConfigView `json:"teams"`
+	}{views})
+}
+
+func etag(revision uint64) string { return strconv.Quote(strconv.FormatUint(revision, 10)) }
+
+// ready refuses to show configuration before the log was read once, so that no
+// older revision is seen after a newer one.
+func (e *Entry) ready() error {
+	if !e.core.Ready() {
+		return codes.New(codes.NotReady, "the entry has not caught up with the log")
+	}
+	return nil
+}
+
+func (e *Entry) getConfig(w http.ResponseWriter, r *http.Request) {
+	team := mux.Vars(r)["team"]
+	e.mu.Lock()
+	err := e.ready()
+	t := e.core.Fold().Team(team)
+	if err == nil && (t == nil || t.Deleted) {
+		err = codes.New(codes.UnknownTeam, "no configuration is in force for team %q", team)
+	}
+	var body []byte
+	var revision uint64
+	if err == nil {
+		body, revision = t.Body, t.Revision
+	}
+	e.mu.Unlock()
+	if err != nil {
+		e.reject(w, err)
+		return
+	}
+	w.Header().Set("ETag", etag(revision))
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
+
+// base returns the revision that the caller builds on.
+func base(r *http.Request) (uint64, error) {
+	if r.Header.Get("If-None-Match") == "*" {
+		return 0, nil
+	}
+	text := strings.Trim(r.Header.Get("If-Match"), `"`)
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, codes.New(codes.BadRequest, "If-Match: want the ETag of the revision to replace, or \"0\" for a new team")
+	}
+	return n, nil
+}
+
+func (e *Entry) putConfig(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxConfigBody))
+	if err != nil {
+		e.reject(w, codes.Wrap(err, codes.BodyTooLarge, "cannot read the body"))
+		return
+	}
+	n, err := base(r)
+	if err != nil {
+		e.reject(w, err)
+		return
+	}
+	e.publish(w, r, &schema.ConfigPut{Team: mux.Vars(r)["team"], Base: n, Body: body, Author: author(r)})
+}
+
+func author(r *http.Request) string {
+	if a := r.Header.Get(headerAuthor); a != "" {
+		return a
+	}
+	return "unknown"
+}
+
+func (e *Entry) publish(w http.ResponseWriter, r *http.Request, put *schema.ConfigPut) {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	if !teams.ValidName(put.Team) {
+		e.reject(w, codes.New(codes.BadRequest, "%q is no name for a team", put.Team))
+		return
+	}
+	var warnings jsonc.Faults
+	if !put.Delete {
+		var faults jsonc.Faults
+		if faults, warnings = e.checkConfig(put); len(faults) > 0 {
+			writeFaults(w, codes.New(codes.ConfigInvalid, "the configuration has %d faults", len(faults)), faults)
+			return
+		}
+	}
+	result, err := e.commit(r.Context(), &schema.Record{Body: &schema.Record_Config{Config: put}})
+	if result.Revision > 0 {
+		w.Header().Set("ETag", etag(result.Revision))
+	}
+	if err != nil {
+		e.reject(w, err)
+		return
+	}
+	admin.WriteJSON(w, http.StatusOK, Published{put.Team, result.Revision, warnings})
+}
+
+func (e *Entry) checkConfig(put *schema.ConfigPut) (faults, warnings jsonc.Faults) {
+	cfg, faults := teams.Parse(put.Team, put.Body)
+	if len(faults) > 0 {
+		return faults, nil
+	}
+	e.mu.Lock()
+	var vms []*schema.Size
+	for _, m := range e.core.Members().Present() {
+		if m.GetCell() == cfg.CellName() {
+			vms = append(vms, m.GetCapacity())
+		}
+	}
+	others := uint64(0)
+	for _, t := range e.core.Fold().Teams() {
+		if t.Name != put.Team && !t.Deleted && t.Config.CellName() == cfg.CellName() {
+			others += uint64(t.Config.Quota.CPU.Milli())
+		}
+	}
+	e.mu.Unlock()
+	return teams.Fits(put.Team, put.Body, vms, others)
+}
+
+func (e *Entry) deleteConfig(w http.ResponseWriter, r *http.Request) {
+	n, err := base(r)
+	if err != nil {
+		e.reject(w, err)
+		return
+	}
+	e.publish(w, r, &schema.ConfigPut{Team: mux.Vars(r)["team"], Base: n, Delete: true, Author: author(r)})
+}
+
+func (e *Entry) configHistory(w http.ResponseWriter, r *http.Request) {
+	team := mux.Vars(r)["team"]
+	changes := []ChangeView{}
+	for _, c := range e.history(team) {
+		changes = append(changes, ChangeView{
+			c.GetRevision(), c.GetAuthor(), time.UnixMilli(c.GetAtMs()), c.GetDeleted(), c.GetRollbackOf(), string(c.GetBody()),
+		})
+	}
+	if len(changes) == 0 {
+		writeError(w, codes.New(codes.UnknownTeam, "team %q never had a configuration", team))
+		return
+	}
+	admin.WriteJSON(w, http.StatusOK, struct {
+		Changes []ChangeView `json:"changes"`
+	}{changes})
+}
+
+func (e *Entry) history(team string) []*schema.ConfigChange {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	t := e.core.Fold().Team(team)
+	if t == nil {
+		return nil
+	}
+	return append([]*schema.ConfigChange(nil), t.History...)
+}
+
+// rollbackConfig publishes the body of an earlier revision as a new one.
+func (e *Entry) rollbackConfig(w http.ResponseWriter, r *http.Request) {
+	var spec struct {
+		Revision uint64 `json:"revision"`
+	}
+	n, err := base(r)
+	if err == nil {
+		err = decodeBody(w, r, &spec)
+	}
+	if err != nil {
+		e.reject(w, err)
+		return
+	}
+	team := mux.Vars(r)["team"]
+	for _, c := range e.history(team) {
+		if c.GetRevision() == spec.Revision && !c.GetDeleted() {
+			e.publish(w, r, &schema.ConfigPut{
+				Team: team, Base: n, Body: c.GetBody(), Author: author(r), RollbackOf: spec.Revision,
+			})
+			return
+		}
+	}
+	e.reject(w, codes.New(codes.ConfigMissing, "revision %d of team %q is not kept", spec.Revision, team))
+}
--- /dev/null
+++ b/internal/node/entry/jobs.go
@@ -0,0 +1,281 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/ebonyarch/ebonyarch/internal/base/codes"
+	"github.com/ebonyarch/ebonyarch/internal/base/ident"
+	"github.com/ebonyarch/ebonyarch/internal/conf/teams"
+	"github.com/ebonyarch/ebonyarch/internal/node/admin"
+	"github.com/ebonyarch/ebonyarch/internal/state/fold"
+	"github.com/ebonyarch/ebonyarch/internal/state/writer"
+	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
+)
+
+const (
+	// commitTimeout is how long a record may take to be read back.
+	commitTimeout = 5 * time.Second
+	// withdrawTimeout is how much longer its fate may stay open after that.
+	withdrawTimeout = 2 * time.Second
+	maxKeyBytes     = 200
+	maxInputBytes   = 64 << 10
+)
+
+// JobSpec is the body of a submission.
+type JobSpec struct {
+	Kind  string `json:"kind"`
+	Tasks uint32 `json:"tasks"`
+	// Input is handed to every task.
+	Input json.RawMessage `json:"input,omitempty"`
+	// Work overrides the kind's expected run time of one task.
+	Work string `json:"work,omitempty"`
+}
+
+// JobView is a job as callers see it.
+type JobView struct {
+	ID        string         `json:"id"`
+	Team      string         `json:"team"`
+	Kind      string         `json:"kind"`
+	Key       string         `json:"key"`
+	Urgent    bool           `json:"urgent"`
+	Cancelled bool           `json:"cancelled"`
+	Accepted  time.Time      `json:"accepted"`
+	Ended     *time.Time     `json:"ended,omitempty"`
+	Tasks     uint32         `json:"tasks"`
+	Counts    map[string]int `json:"counts"`
+	List      []TaskView     `json:"list,omitempty"`
+}
+
+// TaskView is a task as callers see it.
+type TaskView struct {
+	Index     uint32   `json:"index"`
+	State     string   `json:"state"`
+	Attempt   uint32   `json:"attempt"`
+	VM        string   `json:"vm,omitempty"`
+	Failures  uint32   `json:"failures,omitempty"`
+	Evictions uint32   `json:"evictions,omitempty"`
+	FailedOn  []string `json:"failedOn,omitempty"`
+	Reason    string   `json:"reason,omitempty"`
+}
+
+func (e *Entry) submitJob(w http.ResponseWriter, r *http.Request) {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	record, job, err := e.parseJob(w, r)
+	if err == nil {
+		_, err = e.commit(r.Context(), record)
+	}
+	if err != nil {
+		e.reject(w, err)
+		return
+	}
+	w.Header().Set("Location", "/v1/teams/"+mux.Vars(r)["team"]+"/jobs/"+job)
+	admin.WriteJSON(w, http.StatusAccepted, struct {
+		ID string `json:"id"`
+	}{job})
+}
+
+func (e *Entry) parseJob(w http.ResponseWriter, r *http.Request) (*schema.Record, string, error) {
+	team, key := mux.Vars(r)["team"], r.Header.Get(headerKey)
+	if key == "" || len(key) > maxKeyBytes {
+		return nil, "", codes.New(codes.BadRequest, "%s: want between 1 and %d bytes", headerKey, maxKeyBytes)
+	}
+	var spec JobSpec
+	if err := decodeBody(w, r, &spec); err != nil {
+		return nil, "", err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	t := e.core.Fold().Team(team)
+	if t == nil || t.Deleted {
+		return nil, "", codes.New(codes.UnknownTeam, "no configuration is in force for team %q", team)
+	}
+	kind, ok := t.Config.Batch[spec.Kind]
+	if !ok {
+		return nil, "", codes.New(codes.JobInvalid, "team %q has no batch kind %q", team, spec.Kind)
+	}
+	accept, err := spec.accept(team, key, &kind)
+	if err != nil {
+		return nil, "", err
+	}
+	if err := e.fits(t.Config.CellName(), accept.Size); err != nil {
+		return nil, "", err
+	}
+	return &schema.Record{Cell: t.Config.CellName(), Body: &schema.Record_Job{Job: accept}}, accept.Job, nil
+}
+
+func (spec *JobSpec) accept(team, key string, kind *teams.Kind) (*schema.JobAccept, error) {
+	if spec.Tasks == 0 || spec.Tasks > fold.MaxTasks {
+		return nil, codes.New(codes.JobInvalid, "tasks: want between 1 and %d, got %d", fold.MaxTasks, spec.Tasks)
+	}
+	if len(spec.Input) > maxInputBytes {
+		return nil, codes.New(codes.JobInvalid, "input: want at most %d bytes", maxInputBytes)
+	}
+	work := kind.Work.Duration
+	if spec.Work != "" {
+		d, err := time.ParseDuration(spec.Work)
+		if err != nil || d <= 0 {
+			return nil, codes.New(codes.JobInvalid, "work: want a duration such as 2s, got %q", spec.Work)
+		}
+		work = d
+	}
+	canonical, err := json.Marshal(spec)
+	if err != nil {
+		return nil, codes.Wrap(err, codes.JobInvalid, "input is not valid")
+	}
+	hash := sha256.Sum256(canonical)
+	return &schema.JobAccept{
+		Job: ident.BatchJob(team, key), Team: team, Key: key, BodyHash: hash[:16], Kind: spec.Kind,
+		Tasks: spec.Tasks, Size: kind.Size(), Urgent: kind.Urgent, MaxFailures: kind.FailureLimit(),
+		WorkMs: uint32(work.Milliseconds()), Input: spec.Input,
+	}, nil
+}
+
+// fits refuses a task that is larger than every known VM of its cell. The
+// caller holds mu.
+func (e *Entry) fits(cell string, size *schema.Size) error {
+	var vms []*schema.Size
+	for _, m := range e.core.Members().Present() {
+		if m.GetCell() == cell {
+			vms = append(vms, m.GetCapacity())
+		}
+	}
+	if len(vms) == 0 || teams.FitsAny(size, vms) {
+		return nil
+	}
+	return codes.New(codes.JobTooLarge, "a task of %d processors/1000, %d MB and %d accelerators fits on no VM of cell %q",
+		size.GetCpuMilli(), size.GetMemoryMb(), size.GetAccelerators(), cell)
+}
+
+// commit puts a record into the log and waits until it is read back. If it does
+// not get there in time the record is withdrawn; the error says what is certain.
+func (e *Entry) commit(ctx context.Context, record *schema.Record) (writer.Result, error) {
+	if e.leaving.Load() {
+		return writer.Result{}, codes.New(codes.Leaving, "the entry is shutting down")
+	}
+	fate := make(chan writer.Result, 1)
+	e.mu.Lock()
+	id, err := e.core.Queue(time.Now(), record)
+	if err == nil {
+		e.waiters[id] = fate
+	}
+	e.mu.Unlock()
+	if err != nil {
+		return writer.Result{}, err
+	}
+	wake(e.appends)
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	select {
+	case result := <-fate:
+		return result, resultError(result)
+	case <-ctx.Done():
+	}
+	return e.withdraw(id, fate)
+}
+
+func (e *Entry) withdraw(id uint64, fate chan writer.Result) (writer.Result, error) {
+	notRun := codes.After(codes.New(codes.LogDown, "the platform's log did not take it in time"), commitTimeout)
+	e.mu.Lock()
+	certain := e.core.Writer().Withdraw(id)
+	if certain {
+		delete(e.waiters, id)
+	}
+	e.mu.Unlock()
+	if certain {
+		return writer.Result{}, notRun
+	}
+	select {
+	case result := <-fate:
+		if !result.Landed && !result.Unknown {
+			return result, notRun
+		}
+		return result, resultError(result)
+	case <-time.After(withdrawTimeout):
+	}
+	e.mu.Lock()
+	delete(e.waiters, id)
+	e.mu.Unlock()
+	return writer.Result{}, codes.New(codes.FateUnknown, "the log did not answer; ask again with the same key")
+}
+
+func resultError(r writer.Result) error {
+	switch {
+	case r.Unknown:
+		return codes.New(codes.FateUnknown, "the record was not read back; ask again with the same key")
+	case r.Code != codes.OK:
+		return codes.New(r.Code, "%s", r.Code.Info().Meaning)
+	}
+	return nil
+}
+
+func (e *Entry) listJobs(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	views := []JobView{}
+	for _, j := range e.core.Fold().Jobs(mux.Vars(r)["team"]) {
+		views = append(views, viewJob(j, false))
+	}
+	e.mu.Unlock()
+	admin.WriteJSON(w, http.StatusOK, struct {
+		Jobs []JobView `json:"jobs"`
+	}{views})
+}
+
+func (e *Entry) getJob(w http.ResponseWriter, r *http.Request) {
+	vars := mux.Vars(r)
+	e.mu.Lock()
+	j := e.core.Fold().Job(vars["job"])
+	var view JobView
+	if j != nil {
+		view = viewJob(j, true)
+	}
+	e.mu.Unlock()
+	if j == nil || j.Service || j.Team != vars["team"] {
+		writeError(w, codes.New(codes.JobNotFound, "team %q has no job %q", vars["team"], vars["job"]))
+		return
+	}
+	admin.WriteJSON(w, http.StatusOK, view)
+}
+
+func (e *Entry) cancelJob(w http.ResponseWriter, r *http.Request) {
+	vars := mux.Vars(r)
+	_, err := e.commit(r.Context(), &schema.Record{Body: &schema.Record_Cancel{
+		Cancel: &schema.JobCancel{Job: vars["job"], Team: vars["team"]},
+	}})
+	if err != nil {
+		e.reject(w, err)
+		return
+	}
+	e.getJob(w, r)
+}
+
+func viewJob(j *fold.Job, tasks bool) JobView {
+	v := JobView{
+		ID: j.ID, Team: j.Team, Kind: j.Kind, Key: j.Key, Urgent: j.Urgent, Cancelled: j.Cancelled,
+		Accepted: j.Accepted, Tasks: j.Count, Counts: map[string]int{},
+	}
+	if !j.Ended.IsZero() {
+		ended := j.Ended
+		v.Ended = &ended
+	}
+	if j.Tasks == nil {
+		v.Counts[fold.Completed.String()] = int(j.Done)
+	}
+	for _, t := range j.Tasks {
+		v.Counts[t.State.String()]++
+		if tasks {
+			v.List = append(v.List, TaskView{
+				t.Index, t.State.String(), t.Epoch, t.VM, t.Failures, t.Evictions,
+				slices.Clone(t.FailedOn), t.Reason,
+			})
+		}
+	}
+	return v
+}
--- /dev/null
+++ b/internal/node/entry/metrics.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/ebonyarch/ebonyarch/internal/base/codes"
+)
+
+type metrics struct {
+	requests *prometheus.HistogramVec
+	rejected *prometheus.CounterVec
+	retries  prometheus.Counter
+}
+
+func newMetrics(r *prometheus.Registry, e *Entry) *metrics {
+	m := &metrics{
+		requests: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "ebonyarch_entry_request_seconds", Help: "Time from a request's arrival to its answer.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 16),
+		}, []string{"team", "service", "kind", "code"}),
+		rejected: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "ebonyarch_entry_rejected_total", Help: "Calls that were answered with a result code other than ok.",
+		}, []string{"code"}),
+		retries: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "ebonyarch_entry_retries_total", Help: "Requests that were sent to a further upstream.",
+		}),
+	}
+	r.MustRegister(m.requests, m.rejected, m.retries,
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "ebonyarch_entry_requests_in_flight", Help: "Callers' requests that are not answered.",
+		}, func() float64 { return float64(e.inFlight.Load()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "ebonyarch_entry_log_appends_total", Help: "Appends to the platform's log, failed ones included.",
+		}, func() float64 {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return float64(e.core.Writer().Stats().Appends)
+		}))
+	return m
+}
+
+func (m *metrics) request(req *request, started time.Time, err error) {
+	m.requests.WithLabelValues(req.msg.Team, req.msg.Service, req.msg.Kind, codes.Of(err).String()).
+		Observe(time.Since(started).Seconds())
+}
--- /dev/null
+++ b/internal/node/entry/request.go
@@ -0,0 +1,160 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/oklog/ulid/v2"
+
+	"github.com/ebonyarch/ebonyarch/internal/base/codes"
+	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
+)
+
+// Headers of the interface to callers.
+const (
+	headerTimeout    = "Request-Timeout"
+	headerIdempotent = "Idempotent"
+	headerID         = "Request-Id"
+	headerCode       = "Ebonyarch-Code"
+	headerRan        = "Ebonyarch-Ran"
+	headerKey        = "Idempotency-Key"
+)
+
+// hopHeaders concern one connection and are not passed on.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
+}
+
+// request is one caller's request on its way through the entry.
+type request struct {
+	service *service
+	msg     *schema.ForwardRequest
+	// stamp is when the caller made the id, zero if the entry made it.
+	stamp    time.Time
+	deadline time.Time
+	// tried holds the VMs that it was sent to.
+	tried []string
+}
+
+func (e *Entry) handleRequest(w http.ResponseWriter, r *http.Request) {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	started := time.Now()
+	req, err := e.parseRequest(w, r)
+	if err != nil {
+		e.reject(w, err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
+	defer cancel()
+	reply, err := e.route(ctx, req)
+	e.metrics.request(req, started, err)
+	if err != nil {
+		e.reject(w, err)
+		return
+	}
+	for _, h := range reply.GetHeaders() {
+		if !hopHeaders[h.GetName()] {
+			w.Header()[h.GetName()] = h.GetValues()
+		}
+	}
+	w.Header().Set(headerID, req.msg.Id)
+	w.WriteHeader(int(reply.GetStatus()))
+	_, _ = w.Write(reply.GetBody()) // the caller is gone
+}
+
+func (e *Entry) parseRequest(w http.ResponseWriter, r *http.Request) (*request, error) {
+	if e.leaving.Load() {
+		return nil, codes.After(codes.New(codes.Leaving, "the entry is shutting down"), time.Second)
+	}
+	vars := mux.Vars(r)
+	s, err := e.lookup(vars["team"], vars["service"])
+	if err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.BodyBytes()))
+	if err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return nil, codes.New(codes.BodyTooLarge, "the body exceeds %d bytes", tooLarge.Limit)
+		}
+		return nil, codes.Wrap(err, codes.BadRequest, "cannot read the body")
+	}
+	path := strings.TrimPrefix(r.URL.RequestURI(), "/v1/teams/"+vars["team"]+"/services/"+vars["service"])
+	req := &request{service: s, msg: &schema.ForwardRequest{
+		Team: s.team, Service: s.name, Method: r.Method, Path: path, Body: body, Kind: s.cfg.KindOf(path),
+	}}
+	if err := req.parseHeaders(r.Header); err != nil {
+		return nil, err
+	}
+	for name, values := range r.Header {
+		if !hopHeaders[name] {
+			req.msg.Headers = append(req.msg.Headers, &schema.Header{Name: name, Values: values})
+		}
+	}
+	return req, nil
+}
+
+func (e *Entry) lookup(team, name string) (*service, error) {
+	routes := e.routes.Load()
+	if s := routes.services[team+"/"+name]; s != nil {
+		return s, nil
+	}
+	if routes.teams[team] {
+		return nil, codes.New(codes.UnknownService, "team %q has no service %q", team, name)
+	}
+	return nil, codes.New(codes.UnknownTeam, "no configuration is in force for team %q", team)
+}
+
+func (req *request) parseHeaders(h http.Header) error {
+	timeout := req.service.cfg.TimeoutOf(req.msg.Kind)
+	if text := h.Get(headerTimeout); text != "" {
+		d, err := time.ParseDuration(text)
+		if err != nil || d <= 0 {
+			return codes.New(codes.BadRequest, "%s: want a duration such as 250ms, got %q", headerTimeout, text)
+		}
+		timeout = d
+	}
+	req.deadline = time.Now().Add(timeout)
+	switch text := h.Get(headerIdempotent); text {
+	case "":
+		req.msg.Idempotent = req.msg.Method != http.MethodPost && req.msg.Method != http.MethodPatch
+	case "true", "false":
+		req.msg.Idempotent = text == "true"
+	default:
+		return codes.New(codes.BadRequest, "%s: want true or false, got %q", headerIdempotent, text)
+	}
+	return req.parseID(h.Get(headerID))
+}
+
+func (req *request) parseID(text string) error {
+	if text == "" {
+		req.msg.Id = ulid.Make().String()
+		return nil
+	}
+	req.msg.Id = text
+	if req.msg.Idempotent {
+		return nil
+	}
+	id, err := ulid.ParseStrict(text)
+	if err != nil {
+		return codes.New(codes.BadRequest, "%s: the id of a non-idempotent request must be a ULID, got %q", headerID, text)
+	}
+	req.stamp = id.Timestamp()
+	req.msg.StampMs = req.stamp.UnixMilli()
+	return nil
+}
+
+// reject answers with the code that err carries.
+func (e *Entry) reject(w http.ResponseWriter, err error) {
+	code := codes.Of(err)
+	info := code.Info()
+	e.metrics.rejected.WithLabelValues(info.Name).Inc()
+	writeError(w, err)
+}
--- /dev/null
+++ b/internal/node/entry/routes.go
@@ -0,0 +1,118 @@
+package entry
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/ebonyarch/ebonyarch/internal/conf/teams"
+	"github.com/ebonyarch/ebonyarch/internal/front/retry"
+	"github.com/ebonyarch/ebonyarch/internal/front/route"
+	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
+)
+
+// routes is what the request path needs of configuration and members. It is
+// replaced as a whole when either changes.
+type routes struct {
+	// teams names those whose configuration is in force.
+	teams map[string]bool
+	// services is keyed by "team/service".
+	services map[string]*service
+}
+
+// service is one service that can be called.
+type service struct {
+	team, name string
+	cfg        teams.Service
+	retryShare float64
+	balancer   *shared
+}
+
+// shared is the part of a service that outlives changes of routes.
+type shared struct {
+	mu       sync.Mutex
+	balancer route.Balancer
+	budget   retry.Budget
+	homes    route.Homes
+}
+
+// reroute makes routes match the configuration and members, if they changed.
+func (e *Entry) reroute() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f, members := e.core.Fold(), e.core.Members()
+	if e.routedMembers == members.Version() && e.routedConfig == f.ConfigVersion() {
+		return
+	}
+	e.routedMembers, e.routedConfig = members.Version(), f.ConfigVersion()
+	old := e.routes.Load()
+	next := &routes{teams: map[string]bool{}, services: map[string]*service{}}
+	targets := e.targets(members.Present())
+	for _, t := range f.Teams() {
+		if t.Deleted {
+			continue
+		}
+		next.teams[t.Name] = true
+		for name, cfg := range t.Config.Services {
+			key := t.Name + "/" + name
+			s := &service{team: t.Name, name: name, cfg: cfg, retryShare: t.Config.Retry.Share()}
+			if was := old.services[key]; was != nil {
+				s.balancer = was.balancer
+			} else {
+				s.balancer = &shared{}
+			}
+			s.balancer.mu.Lock()
+			s.balancer.balancer.Update(targets[key])
+			s.balancer.homes.Update(time.Now(), targets[key])
+			s.balancer.mu.Unlock()
+			next.services[key] = s
+		}
+	}
+	e.routes.Store(next)
+	e.keepLinks(members.Present())
+}
+
+func (e *Entry) targets(members []*schema.Member) map[string][]route.Target {
+	targets := map[string][]route.Target{}
+	for _, m := range members {
+		addr, err := netip.ParseAddrPort(m.GetAddr())
+		if err != nil || m.GetLeaving() {
+			continue
+		}
+		var distance time.Duration
+		if m.GetZone() != e.cfg.Zone {
+			distance = e.cfg.ZoneDistance.Duration
+		}
+		for _, r := range m.GetReplicas() {
+			key := r.GetTeam() + "/" + r.GetService()
+			list := targets[key]
+			if n := len(list); n > 0 && list[n-1].VM == m.GetVm() {
+				list[n-1].Slots += int(r.GetSlots())
+				continue
+			}
+			targets[key] = append(list, route.Target{
+				VM: m.GetVm(), Addr: addr, Zone: m.GetZone(), Slots: int(r.GetSlots()), Distance: distance,
+			})
+		}
+	}
+	return targets
+}
+
+// keepLinks forgets the connections to VMs that are gone.
+func (e *Entry) keepLinks(members []*schema.Member) {
+	known := map[netip.AddrPort]bool{}
+	for _, m := range members {
+		if addr, err := netip.ParseAddrPort(m.GetAddr()); err == nil {
+			known[addr] = true
+		}
+	}
+	for _, w := range e.core.Fold().Entries() {
+		if addr, err := netip.ParseAddrPort(w.PeerAddr); err == nil {
+			known[addr] = true
+		}
+	}
+	for _, addr := range e.cfg.Entries {
+		known[addr] = true
+	}
+	e.links.Keep(func(addr netip.AddrPort) bool { return known[addr] })
+}
--- /dev/null
+++ b/internal/node/link/set.go
@@ -0,0 +1,51 @@
+package link
+
+import (
+	"net/netip"
+	"sync"
+)
+
+// Set holds one link for each peer. Its zero value is empty and ready for use.
+// It is safe for concurrent use.
+type Set struct {
+	mu    sync.Mutex
+	links map[netip.AddrPort]*Link
+}
+
+// To returns the link to a peer, making it if need be.
+func (s *Set) To(addr netip.AddrPort) *Link {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.links == nil {
+		s.links = map[netip.AddrPort]*Link{}
+	}
+	l := s.links[addr]
+	if l == nil {
+		l = New(addr)
+		s.links[addr] = l
+	}
+	return l
+}
+
+// Keep closes and forgets the links to peers that keep does not name.
+func (s *Set) Keep(keep func(netip.AddrPort) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for addr, l := range s.links {
+		if !keep(addr) {
+			l.Close()
+			delete(s.links, addr)
+		}
+	}
+}
+
+// Discarded returns how often connections of all links were given up.
+func (s *Set) Discarded() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sum := 0
+	for _, l := range s.links {
+		sum += l.Discarded()
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/plat/port/errors.go
@@ -0,0 +1,10 @@
+package port
+
+import "errors"
+
+// Errors of Worker. ErrNotStarted says that a request certainly did not run,
+// ErrRefused that the worker will never start an attempt.
+var (
+	ErrNotStarted = errors.New("not started")
+	ErrRefused    = errors.New("attempt refused")
+)
--- /dev/null
+++ b/internal/sched/leader/room.go
@@ -0,0 +1,126 @@
+package leader
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/ebonyarch/ebonyarch/internal/base/ident"
+	"github.com/ebonyarch/ebonyarch/internal/sched/place"
+	"github.com/ebonyarch/ebonyarch/internal/state/fold"
+)
+
+// reservationFor is how long room that is being made is kept for its task.
+const reservationFor = 10 * time.Second
+
+// eviction is an attempt that was asked to leave its VM for an urgent task.
+type eviction struct {
+	vm string
+	// task is the task that gets the room.
+	task  ident.Task
+	size  place.Amount
+	until time.Time
+}
+
+func (l *Leader) dropReservations(now time.Time) {
+	for a, e := range l.evicting {
+		if !now.Before(e.until) || l.fold.Task(a.Ref()) == nil || l.fold.Task(a.Ref()).State != fold.Granted {
+			delete(l.evicting, a)
+		}
+	}
+}
+
+// reserve withholds the room that is being made for urgent tasks.
+func (p *plan) reserve() {
+	done := map[ident.Task]bool{}
+	for _, e := range p.l.evicting {
+		if v := p.byName[e.vm]; v != nil && !done[e.task] {
+			done[e.task] = true
+			v.Free = v.Free.Minus(e.size)
+		}
+	}
+}
+
+// reserved returns the VM on which room is being made for a task, with that
+// room given back, or nil.
+func (p *plan) reserved(t *fold.Task) *place.VM {
+	for _, e := range p.l.evicting {
+		if e.task != t.Attempt().Task {
+			continue
+		}
+		v := p.byName[e.vm]
+		if v == nil {
+			return nil
+		}
+		v.Free = v.Free.Plus(e.size)
+		return v
+	}
+	return nil
+}
+
+// makeRoom evicts batch attempts from the VM where that costs least.
+func (p *plan) makeRoom(t *fold.Task, task *place.Task) {
+	for _, e := range p.l.evicting {
+		if e.task == t.Attempt().Task {
+			if v := p.byName[e.vm]; v != nil {
+				v.Free = v.Free.Minus(e.size) // reserved gave it back
+			}
+			return
+		}
+	}
+	var best []*fold.Task
+	var bestVM *place.VM
+	for _, v := range p.vms {
+		victims := p.victims(v, task.Size)
+		if victims != nil && (best == nil || cost(victims) < cost(best)) {
+			best, bestVM = victims, v
+		}
+	}
+	if bestVM == nil {
+		return
+	}
+	p.l.pokes = append(p.l.pokes, bestVM.Name)
+	for _, victim := range best {
+		p.l.evicting[victim.Attempt()] = eviction{
+			vm: bestVM.Name, task: t.Attempt().Task, size: task.Size, until: p.now.Add(reservationFor),
+		}
+		p.l.stats.Evictions++
+	}
+	bestVM.Free = bestVM.Free.Minus(task.Size)
+}
+
+// victims returns the fewest batch attempts of a VM that make room, or nil.
+func (p *plan) victims(v *place.VM, need place.Amount) []*fold.Task {
+	if v.Probation || !v.Capacity.Covers(need) {
+		return nil
+	}
+	var candidates []*fold.Task
+	for _, t := range p.l.fold.Held(v.Name) {
+		_, leaving := p.l.evicting[t.Attempt()]
+		if !t.Job.Service && !t.Job.Urgent && !leaving {
+			candidates = append(candidates, t)
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b *fold.Task) int {
+		if c := cmp.Compare(a.Evictions, b.Evictions); c != 0 {
+			return c
+		}
+		return cmp.Compare(b.Job.Order, a.Job.Order)
+	})
+	free := v.Free
+	for i, t := range candidates {
+		free = free.Plus(place.AmountOf(t.Job.Size))
+		if free.Covers(need) {
+			return candidates[:i+1]
+		}
+	}
+	return nil
+}
+
+func cost(victims []*fold.Task) int {
+	sum := 0
+	for _, t := range victims {
+		sum += 1 + int(t.Evictions)
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/state/fold/job.go
@@ -0,0 +1,163 @@
+package fold
+
+import (
+	"bytes"
+	"slices"
+	"time"
+
+	"github.com/ebonyarch/ebonyarch/internal/base/codes"
+	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
+)
+
+// MaxTasks bounds the tasks of one job.
+const MaxTasks = 20_000
+
+// Job is a batch job, or a service whose replicas are its tasks.
+type Job struct {
+	ID   string
+	Team string
+	Cell string
+	// Kind is the kind of batch work, or the service's name.
+	Kind string
+	// Key and Hash identify the submission of a batch job.
+	Key     string
+	Hash    []byte
+	Service bool
+	Urgent  bool
+	Size    *schema.Size
+	WorkMs  uint32
+	Input   []byte
+	// Order numbers the jobs by acceptance.
+	Order     uint64
+	Accepted  time.Time
+	Ended     time.Time
+	Cancelled bool
+	// Tasks is nil once an ended job's tasks are forgotten.
+	Tasks []*Task
+	// Count and Done are the tasks accepted and completed.
+	Count, Done uint32
+	maxFailures uint32
+	// waiting counts the tasks that wait, open those that have not ended.
+	waiting, open uint32
+	// queued is set while the job stands in Fold.waiting.
+	queued bool
+	// epochs is the highest epoch that a removed replica had.
+	epochs uint32
+}
+
+// Waiting returns the number of tasks that wait for a VM.
+func (j *Job) Waiting() uint32 { return j.waiting }
+
+// Job returns a job, or nil. The caller must not change it.
+func (f *Fold) Job(id string) *Job { return f.jobs[id] }
+
+// Jobs returns a team's batch jobs by acceptance. The caller must not change them.
+func (f *Fold) Jobs(team string) []*Job {
+	var jobs []*Job
+	for _, j := range f.jobs {
+		if j.Team == team && !j.Service {
+			jobs = append(jobs, j)
+		}
+	}
+	slices.SortFunc(jobs, byOrder)
+	return jobs
+}
+
+func byOrder(a, b *Job) int { return int(a.Order) - int(b.Order) }
+
+// Waiting returns the jobs of a cell that have waiting tasks: services first,
+// then urgent work, then the rest, each by acceptance.
+func (f *Fold) Waiting(cell string) []*Job {
+	jobs := slices.DeleteFunc(f.waiting[cell], func(j *Job) bool {
+		if j.waiting == 0 {
+			j.queued = false
+		}
+		return j.waiting == 0
+	})
+	slices.SortFunc(jobs, func(a, b *Job) int {
+		if a.rank() != b.rank() {
+			return a.rank() - b.rank()
+		}
+		return byOrder(a, b)
+	})
+	f.waiting[cell] = jobs
+	return jobs
+}
+
+func (j *Job) rank() int {
+	switch {
+	case j.Service:
+		return 0
+	case j.Urgent:
+		return 1
+	}
+	return 2
+}
+
+func (f *Fold) setWaiting(j *Job, by int) {
+	j.waiting = uint32(int(j.waiting) + by)
+	if j.waiting > 0 && !j.queued {
+		j.queued = true
+		f.waiting[j.Cell] = append(f.waiting[j.Cell], j)
+	}
+}
+
+func (f *Fold) accept(cell string, a *schema.JobAccept) Applied {
+	if old := f.jobs[a.GetJob()]; old != nil {
+		if bytes.Equal(old.Hash, a.GetBodyHash()) {
+			return Applied{}
+		}
+		return Applied{Code: codes.KeyConflict}
+	}
+	t := f.teams[a.GetTeam()]
+	if t == nil || t.Deleted {
+		return Applied{Code: codes.UnknownTeam}
+	}
+	if cell != t.Config.CellName() || a.GetTasks() == 0 || a.GetTasks() > MaxTasks || a.GetSize() == nil {
+		return Applied{Code: codes.JobInvalid}
+	}
+	if limit := t.Config.Quota.WaitingTasks; limit > 0 && t.open+a.GetTasks() > limit {
+		return Applied{Code: codes.QuotaExceeded}
+	}
+	f.order++
+	job := &Job{
+		ID: a.GetJob(), Team: a.GetTeam(), Cell: cell, Kind: a.GetKind(), Key: a.GetKey(),
+		Hash: a.GetBodyHash(), Urgent: a.GetUrgent(), Size: a.GetSize(), WorkMs: a.GetWorkMs(),
+		Input: a.GetInput(), Order: f.order, Accepted: f.clock, Count: a.GetTasks(),
+		maxFailures: max(a.GetMaxFailures(), 1), open: a.GetTasks(),
+	}
+	tasks := make([]Task, a.GetTasks())
+	job.Tasks = make([]*Task, a.GetTasks())
+	for i := range tasks {
+		tasks[i] = Task{Job: job, Index: uint32(i)}
+		job.Tasks[i] = &tasks[i]
+	}
+	t.open += a.GetTasks()
+	f.jobs[job.ID] = job
+	f.setWaiting(job, len(tasks))
+	return Applied{}
+}
+
+func (f *Fold) cancel(c *schema.JobCancel) Applied {
+	job := f.jobs[c.GetJob()]
+	if job == nil || job.Service || job.Team != c.GetTeam() {
+		return Applied{Code: codes.JobNotFound}
+	}
+	if job.open > 0 {
+		job.Cancelled = true
+		f.endTasks(job, 0)
+	}
+	return Applied{}
+}
+
+// endTasks cancels the tasks of a job from an index on that have not ended.
+func (f *Fold) endTasks(job *Job, from int) {
+	for i := from; i < len(job.Tasks); i++ {
+		t := job.Tasks[i]
+		job.epochs = max(job.epochs, t.Epoch)
+		if !t.State.Ended() {
+			f.release(t)
+			f.end(t, Cancelled)
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/fold/snap.go
@@ -0,0 +1,142 @@
+package fold
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/ebonyarch/ebonyarch/internal/conf/teams"
+	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
+)
+
+// Encode returns the whole state, the same for equal states.
+func (f *Fold) Encode() *schema.State {
+	f.init()
+	s := &schema.State{
+		Offset: f.next, ClockMs: f.clock.UnixMilli(), ForgetAtMs: f.forgetAt.UnixMilli(),
+		Order: f.order, ConfigVersion: f.configVersion, SnapshotBase: f.snapshots.base,
+	}
+	for _, w := range f.writers {
+		s.Writers = append(s.Writers, &schema.WriterState{
+			Writer: w.ID, Seq: w.Seq, SeenMs: w.Seen.UnixMilli(), Left: w.Left, JoinedAt: w.JoinedAt,
+			Hello: &schema.Hello{Name: w.Name, Zone: w.Zone, PeerAddr: w.PeerAddr},
+		})
+	}
+	slices.SortFunc(s.Writers, func(a, b *schema.WriterState) int { return strings.Compare(a.Writer, b.Writer) })
+	for _, c := range f.cells {
+		s.Cells = append(s.Cells, &schema.CellState{
+			Cell: c.Name, Term: c.Term, Leader: c.Leader, ClaimedAt: c.ClaimedAt,
+			RenewedAt: c.RenewedAt, Known: c.Known, PriorKnown: c.PriorKnown,
+		})
+	}
+	slices.SortFunc(s.Cells, func(a, b *schema.CellState) int { return strings.Compare(a.Cell, b.Cell) })
+	for _, t := range f.Teams() {
+		s.Teams = append(s.Teams, &schema.TeamState{
+			Team: t.Name, Revision: t.Revision, Body: t.Body, Deleted: t.Deleted,
+			History: t.History, ChangedMs: t.Changed.UnixMilli(),
+		})
+	}
+	for _, j := range f.jobs {
+		s.Jobs = append(s.Jobs, j.encode())
+	}
+	slices.SortFunc(s.Jobs, func(a, b *schema.JobState) int { return int(a.Order) - int(b.Order) })
+	return s
+}
+
+func (j *Job) encode() *schema.JobState {
+	s := &schema.JobState{
+		Accept: &schema.JobAccept{
+			Job: j.ID, Team: j.Team, Key: j.Key, BodyHash: j.Hash, Kind: j.Kind, Tasks: j.Count,
+			Size: j.Size, Urgent: j.Urgent, MaxFailures: j.maxFailures, WorkMs: j.WorkMs, Input: j.Input,
+		},
+		Cell: j.Cell, Cancelled: j.Cancelled, Service: j.Service, Order: j.Order,
+		AcceptedMs: j.Accepted.UnixMilli(), Done: j.Done, Epochs: j.epochs,
+	}
+	if !j.Ended.IsZero() {
+		s.EndedMs = j.Ended.UnixMilli()
+	}
+	for _, t := range j.Tasks {
+		s.Tasks = append(s.Tasks, &schema.TaskState{
+			State: uint32(t.State), Epoch: t.Epoch, Vm: t.VM, Failures: t.Failures, Evictions: t.Evictions,
+			Checkpoint: t.Checkpoint, FailedOn: t.FailedOn, Reason: t.Reason,
+		})
+	}
+	return s
+}
+
+// Decode returns the fold of an encoded state.
+func Decode(s *schema.State) *Fold {
+	f := &Fold{}
+	f.init()
+	f.next, f.clock = s.GetOffset(), time.UnixMilli(s.GetClockMs())
+	f.forgetAt, f.order = time.UnixMilli(s.GetForgetAtMs()), s.GetOrder()
+	f.configVersion, f.snapshots.base = s.GetConfigVersion(), s.GetSnapshotBase()
+	for _, w := range s.GetWriters() {
+		f.writers[w.GetWriter()] = &Writer{
+			ID: w.GetWriter(), Seq: w.GetSeq(), Seen: time.UnixMilli(w.GetSeenMs()), Left: w.GetLeft(),
+			JoinedAt: w.GetJoinedAt(), Name: w.GetHello().GetName(), Zone: w.GetHello().GetZone(),
+			PeerAddr: w.GetHello().GetPeerAddr(),
+		}
+	}
+	for _, c := range s.GetCells() {
+		f.cells[c.GetCell()] = &Cell{
+			Name: c.GetCell(), Term: c.GetTerm(), Leader: c.GetLeader(), ClaimedAt: c.GetClaimedAt(),
+			RenewedAt: c.GetRenewedAt(), Known: c.GetKnown(), PriorKnown: c.GetPriorKnown(),
+		}
+	}
+	for _, t := range s.GetTeams() {
+		cfg, _ := teams.Parse(t.GetTeam(), t.GetBody())
+		f.teams[t.GetTeam()] = &Team{
+			Name: t.GetTeam(), Revision: t.GetRevision(), Body: t.GetBody(), Config: cfg, Deleted: t.GetDeleted(),
+			History: t.GetHistory(), Changed: time.UnixMilli(t.GetChangedMs()),
+		}
+	}
+	for _, j := range s.GetJobs() {
+		f.decodeJob(j)
+	}
+	return f
+}
+
+func (f *Fold) decodeJob(s *schema.JobState) {
+	a := s.GetAccept()
+	job := &Job{
+		ID: a.GetJob(), Team: a.GetTeam(), Cell: s.GetCell(), Kind: a.GetKind(), Key: a.GetKey(),
+		Hash: a.GetBodyHash(), Service: s.GetService(), Urgent: a.GetUrgent(), Size: a.GetSize(),
+		WorkMs: a.GetWorkMs(), Input: a.GetInput(), Order: s.GetOrder(),
+		Accepted: time.UnixMilli(s.GetAcceptedMs()), Cancelled: s.GetCancelled(), Count: a.GetTasks(),
+		Done: s.GetDone(), maxFailures: a.GetMaxFailures(), epochs: s.GetEpochs(),
+	}
+	if s.GetEndedMs() != 0 {
+		job.Ended = time.UnixMilli(s.GetEndedMs())
+	}
+	f.jobs[job.ID] = job
+	for i, ts := range s.GetTasks() {
+		f.decodeTask(job, uint32(i), ts)
+	}
+}
+
+func (f *Fold) decodeTask(job *Job, index uint32, s *schema.TaskState) {
+	t := &Task{
+		Job: job, Index: index, State: TaskPhase(s.GetState()), Epoch: s.GetEpoch(), VM: s.GetVm(),
+		Failures: s.GetFailures(), Evictions: s.GetEvictions(), Checkpoint: s.GetCheckpoint(),
+		FailedOn: s.GetFailedOn(), Reason: s.GetReason(),
+	}
+	job.Tasks = append(job.Tasks, t)
+	team := f.teams[job.Team]
+	if !t.State.Ended() && !job.Service {
+		job.open++
+		team.open++
+	}
+	switch t.State {
+	case Waiting:
+		f.setWaiting(job, 1)
+	case Granted:
+		if f.held[t.VM] == nil {
+			f.held[t.VM] = map[*Task]struct{}{}
+		}
+		f.held[t.VM][t] = struct{}{}
+		if !job.Service {
+			team.used.add(job.Size)
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/fold/writer.go
@@ -0,0 +1,79 @@
+package fold
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
+)
+
+// Writer is one incarnation of an entry that writes to the log.
+type Writer struct {
+	ID string
+	// Seq is the highest sequence number applied; only higher ones take effect.
+	Seq uint64
+	// Seen is the fold's clock at the writer's latest batch.
+	Seen time.Time
+	// JoinedAt is the offset of the writer's Hello.
+	JoinedAt uint64
+	Name     string
+	Zone     string
+	PeerAddr string
+	// Left is set by the writer's Goodbye and never cleared.
+	Left bool
+}
+
+// admit reports whether a batch takes effect and registers new writers.
+//
+// An unknown writer is registered only by a Hello, so that a batch that the
+// platform delayed past KeepWriters cannot take effect a second time.
+func (f *Fold) admit(offset uint64, b *schema.Batch) bool {
+	w := f.writers[b.GetWriter()]
+	if w == nil {
+		hello := firstHello(b)
+		if hello == nil || b.GetSeq() != 1 {
+			f.stats.Unregistered++
+			return false
+		}
+		w = &Writer{
+			ID: b.GetWriter(), JoinedAt: offset,
+			Name: hello.GetName(), Zone: hello.GetZone(), PeerAddr: hello.GetPeerAddr(),
+		}
+		f.writers[w.ID] = w
+	}
+	if b.GetSeq() <= w.Seq {
+		f.stats.Duplicates++
+		return false
+	}
+	w.Seq, w.Seen = b.GetSeq(), f.clock
+	return true
+}
+
+func firstHello(b *schema.Batch) *schema.Hello {
+	if len(b.GetRecords()) == 0 {
+		return nil
+	}
+	return b.GetRecords()[0].GetHello()
+}
+
+// Entries returns the writers that have joined and not left, by id.
+func (f *Fold) Entries() []Writer {
+	var entries []Writer
+	for _, w := range f.writers {
+		if !w.Left {
+			entries = append(entries, *w)
+		}
+	}
+	slices.SortFunc(entries, func(a, b Writer) int { return strings.Compare(a.ID, b.ID) })
+	return entries
+}
+
+// Writer returns the writer with an id.
+func (f *Fold) Writer(id string) (Writer, bool) {
+	w := f.writers[id]
+	if w == nil {
+		return Writer{}, false
+	}
+	return *w, true
+}
--- /dev/null
+++ b/internal/tool/trial/fleet.go
@@ -0,0 +1,168 @@
+// Package trial brings up a whole system on loopback, with stand-ins for the
+// platform, and puts it through the main job.
+package trial
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/ebonyarch/ebonyarch/internal/conf/jsonc"
+	"github.com/ebonyarch/ebonyarch/internal/conf/proc"
+	"github.com/ebonyarch/ebonyarch/internal/conf/teams"
+	"github.com/ebonyarch/ebonyarch/internal/fake/plog"
+	"github.com/ebonyarch/ebonyarch/internal/fake/worker"
+	"github.com/ebonyarch/ebonyarch/internal/node/agent"
+	"github.com/ebonyarch/ebonyarch/internal/node/entry"
+	"github.com/ebonyarch/ebonyarch/internal/node/link"
+)
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// Size describes a fleet.
+type Size struct {
+	Entries, Agents int
+	CPU             teams.CPU
+	Memory          jsonc.Memory
+	ServiceTime     time.Duration
+}
+
+// VM is one VM of a fleet: its agent, its worker and the worker's server.
+type VM struct {
+	Name   string
+	Agent  *agent.Agent
+	Worker *worker.Worker
+	server *link.Server
+}
+
+// Kill ends everything on the VM at once.
+func (v *VM) Kill() {
+	v.Worker.Kill()
+	v.server.Close()
+	v.Agent.Kill()
+}
+
+// Fleet is a system on loopback. Make it with Start.
+type Fleet struct {
+	Log     *plog.Log
+	LogAddr netip.AddrPort
+	Entries []*entry.Entry
+	VMs     []*VM
+	Witness *worker.Witness
+	servers []*link.Server
+	size    Size
+	log     *slog.Logger
+}
+
+// Start brings up a log, entries and agents. Stop must follow, also after an
+// error.
+func Start(size Size, log *slog.Logger) (*Fleet, error) {
+	f := &Fleet{Log: &plog.Log{}, Witness: &worker.Witness{}, size: size, log: log}
+	server, err := f.serve(plog.Handler(f.Log))
+	if err != nil {
+		return f, err
+	}
+	f.LogAddr = server.Addr()
+	for range size.Entries {
+		if err := f.AddEntry(); err != nil {
+			return f, err
+		}
+	}
+	for range size.Agents {
+		if err := f.AddVM(); err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+func (f *Fleet) serve(h http.Handler) (*link.Server, error) {
+	s, err := link.Listen(loopback, h, 0)
+	if err != nil {
+		return nil, err
+	}
+	f.servers = append(f.servers, s)
+	go func() {
+		if err := s.Serve(); err != nil {
+			f.log.Error("stand-in failed", "err", err)
+		}
+	}()
+	return s, nil
+}
+
+func zone(i int) string { return fmt.Sprintf("zone-%c", 'a'+i%4) }
+
+// AddEntry adds an entry in the next availability zone.
+func (f *Fleet) AddEntry() error {
+	i := len(f.Entries)
+	cfg := proc.Entry{
+		Name: fmt.Sprintf("entry-%d", i+1), Zone: zone(i), Callers: loopback, Peers: loopback, Admin: loopback,
+		Log: f.LogAddr, Entries: f.peerAddrs(),
+	}
+	e, err := entry.Start(cfg, plog.NewClient(f.LogAddr, &http.Client{Transport: &http.Transport{}}), f.log.With("entry", cfg.Name))
+	if err != nil {
+		return err
+	}
+	f.Entries = append(f.Entries, e)
+	return nil
+}
+
+func (f *Fleet) peerAddrs() []netip.AddrPort {
+	var addrs []netip.AddrPort
+	for _, e := range f.Entries {
+		addrs = append(addrs, e.PeerAddr())
+	}
+	return addrs
+}
+
+// AddVM adds a VM in the next availability zone.
+func (f *Fleet) AddVM() error {
+	i := len(f.VMs)
+	cfg := proc.Agent{
+		VM: fmt.Sprintf("vm-%d", i+1), Zone: zone(i), Rack: fmt.Sprintf("rack-%d", i/3), Region: "region-1",
+		Peers: loopback, Admin: loopback, Entries: f.peerAddrs(), CPU: f.size.CPU, Memory: f.size.Memory,
+	}
+	w := worker.New(worker.Config{
+		VM: cfg.VM, Capacity: cfg.Capacity(), ServiceTime: f.size.ServiceTime, Witness: f.Witness,
+	})
+	server, err := f.serve(worker.Handler(w))
+	if err != nil {
+		return err
+	}
+	cfg.Worker = server.Addr()
+	client := worker.NewClient(server.Addr(), &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}})
+	a, err := agent.Start(cfg, client, f.log.With("vm", cfg.VM))
+	if err != nil {
+		return err
+	}
+	f.VMs = append(f.VMs, &VM{cfg.VM, a, w, server})
+	return nil
+}
+
+// Stop ends everything.
+func (f *Fleet) Stop() {
+	for _, e := range f.Entries {
+		e.Kill()
+	}
+	for _, v := range f.VMs {
+		v.Agent.Kill()
+	}
+	for _, s := range f.servers {
+		s.Close()
+	}
+}
+
+// until asks ok every few milliseconds until it returns true or ctx ends.
+func until(ctx context.Context, what string, ok func() bool) error {
+	for !ok() {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%s: %w", what, ctx.Err())
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/tool/trial/workload.go
@@ -0,0 +1,56 @@
+package trial
+
+import (
+	"embed"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+)
+
+//go:embed *.jsonc
+var configs embed.FS
+
+// Workload is what a user's system does.
+type Workload struct {
+	Name string
+	// Service is the team and the service that requests go to.
+	Team, Service string
+	// BatchTeam and BatchKind are those of the job.
+	BatchTeam, BatchKind string
+	// Path and body return one request.
+	path string
+	body func(rnd *rand.Rand, i int) string
+}
+
+// Workloads returns the known workloads by name.
+func Workloads() map[string]Workload {
+	return map[string]Workload{
+		"tlacuilo": {
+			Name: "tlacuilo", Team: "presses", Service: "registry", BatchTeam: "universities",
+			BatchKind: "catalogue", path: "/validate",
+			body: func(rnd *rand.Rand, i int) string {
+				return fmt.Sprintf(`{"prefix":"978-607-%05d","press":%d}`, rnd.IntN(100_000), i)
+			},
+		},
+		"conteo": {
+			Name: "conteo", Team: "crews", Service: "processing", BatchTeam: "corridors",
+			BatchKind: "rerun", path: "/tally",
+			body: func(rnd *rand.Rand, i int) string {
+				return fmt.Sprintf(`{"counter":%d,"vehicles":[%d,%d,%d]}`, i, rnd.IntN(900), rnd.IntN(90), rnd.IntN(9))
+			},
+		},
+	}
+}
+
+// configOf returns the configuration of a team.
+func configOf(team string) ([]byte, error) { return configs.ReadFile(team + ".jsonc") }
+
+func (w Workload) teams() []string { return []string{w.Team, w.BatchTeam} }
+
+func (w Workload) requestPath() string {
+	return "/v1/teams/" + w.Team + "/services/" + w.Service + w.path
+}
+
+func (w Workload) header() http.Header {
+	return http.Header{"Idempotent": {"true"}, "Request-Timeout": {"2s"}, "Content-Type": {"application/json"}}
+}
