--- a/internal/node/agent/beat.go
+++ b/internal/node/agent/beat.go
@@ -147,7 +147,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
-	a.runner.Replied(now, sent, reply)
+	a.runner.Replied(sent, reply)
 	for _, text := range reply.GetEntries() {
 		addr, err := netip.ParseAddrPort(text)
 		if err == nil && !slices.Contains(a.entries, addr) {
--- a/internal/node/entry/state.go
+++ b/internal/node/entry/state.go
@@ -24,7 +24,7 @@
 	Appends  writer.Stats   `json:"appends"`
 	Config   []ConfigState  `json:"config"`
 	Cells    []CellState    `json:"cells"`
-	Entries  []EntryState   `json:"entries"`
+	Entries  []PeerState   `json:"entries"`
 	VMs      []VMState      `json:"vms"`
 	Services []ServiceState `json:"services"`
 	// Discarded counts connections that were given up.
@@ -49,8 +49,8 @@
 	Stats   leader.Stats `json:"stats"`
 }
 
-// EntryState is another entry as the log has it.
-type EntryState struct {
+// PeerState is another entry as the log has it.
+type PeerState struct {
 	Writer string `json:"writer"`
 	Name   string `json:"name"`
 	Peer   string `json:"peer"`
@@ -107,7 +107,7 @@
 		s.Cells = append(s.Cells, CellState{cell, c.Term, c.Leader, l.Leads(now), waiting, l.Stats()})
 	}
 	for _, w := range f.Entries() {
-		s.Entries = append(s.Entries, EntryState{w.ID, w.Name, w.PeerAddr})
+		s.Entries = append(s.Entries, PeerState{w.ID, w.Name, w.PeerAddr})
 	}
 	for _, m := range e.core.Members().Present() {
 		s.VMs = append(s.VMs, VMState{
--- a/internal/sched/runner/runner.go
+++ b/internal/sched/runner/runner.go
@@ -144,7 +144,7 @@
 
 // Replied takes the answer to a beat that was sent at sent. A lease counts from
 // then, so that it never outlasts what the leader waits for.
-func (r *Runner) Replied(now, sent time.Time, reply *schema.BeatReply) {
+func (r *Runner) Replied(sent time.Time, reply *schema.BeatReply) {
 	if reply.GetTerm() < r.term {
 		r.stats.StaleReplies++
 		return
--- a/internal/state/writer/writer.go
+++ b/internal/state/writer/writer.go
@@ -23,8 +23,9 @@
 	Window = 20 * time.Millisecond
 	// MaxBatch bounds a batch, in bytes; a single larger record goes alone.
 	MaxBatch = 48 << 10
-	// MinBackoff and MaxBackoff bound the wait after a failed append.
+	// MinBackoff is the wait after the first failed append; it doubles with each.
 	MinBackoff = 50 * time.Millisecond
+	// MaxBackoff bounds that wait.
 	MaxBackoff = 2 * time.Second
 	// SlowAppend is the age of an unanswered append from which the log counts
 	// as down for new work.
