front: one deterministic flow for each request, with hedges

The entry's and the agent's decisions move to front/flow and node/host, so that tests can drive them in virtual time.

--- a/internal/front/retry/budget.go
+++ b/internal/front/retry/budget.go
@@ -31,9 +31,7 @@
 // Try describes a failed try.
 type Try struct {
 	// NotRun is set if the request certainly did not run.
-	NotRun bool
-	// Refused is set if the upstream answered that it will not take it.
-	Refused    bool
+	NotRun     bool
 	Idempotent bool
 	// Tries counts the upstreams that it was sent to.
 	Tries    int
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -1,5 +1,5 @@
-// Package agent is the process beside an upstream. It announces the VM, runs
-// what the leader assigns to it, and decides which requests get a slot.
+// Package agent is the process beside an upstream: the sockets, goroutines and
+// clock around the decisions of package host.
 package agent
 
 import (
@@ -11,12 +11,10 @@
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/conf/proc"
-	"github.com/ebonyarch/ebonyarch/internal/front/gate"
-	"github.com/ebonyarch/ebonyarch/internal/front/once"
 	"github.com/ebonyarch/ebonyarch/internal/node/admin"
+	"github.com/ebonyarch/ebonyarch/internal/node/host"
 	"github.com/ebonyarch/ebonyarch/internal/node/link"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
-	"github.com/ebonyarch/ebonyarch/internal/sched/runner"
 	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
 )
 
@@ -35,33 +33,14 @@
 	inFlight atomic.Int64
 	metrics  *metrics
 
-	mu     sync.Mutex
-	runner *runner.Runner
-	once   *once.Table
-	gates  map[string]*gate.Gate
-	// member is what was announced last; version grows with each change.
-	member      *schema.Member
-	incarnation time.Time
-	// entry is the one announced to, and entries all that are known.
-	entry   netip.AddrPort
-	entries []netip.AddrPort
-	misses  int
-	leaving bool
-	// configVersion is that of the leader's latest answer, at answeredAt.
-	configVersion uint64
-	answeredAt    time.Time
-	listedAt      time.Time
+	mu   sync.Mutex
+	host *host.Host
 }
 
 // Start opens the agent's addresses and begins to announce the VM.
 func Start(cfg proc.Agent, worker port.Worker, log *slog.Logger) (*Agent, error) {
 	cfg.Fill()
-	now := time.Now()
-	a := &Agent{
-		cfg: cfg, worker: worker, log: log, poke: make(chan struct{}, 1),
-		runner: runner.New(cfg.Capacity()), once: once.New(now), gates: map[string]*gate.Gate{},
-		incarnation: now, entries: cfg.Entries, entry: cfg.Entries[0], listedAt: now,
-	}
+	a := &Agent{cfg: cfg, worker: worker, log: log, poke: make(chan struct{}, 1)}
 	registry := admin.NewRegistry()
 	a.metrics = newMetrics(registry, a)
 	var err error
@@ -72,6 +51,10 @@
 		a.peers.Close()
 		return nil, err
 	}
+	a.host = host.New(time.Now(), host.Config{Entries: cfg.Entries, Member: &schema.Member{
+		Vm: cfg.VM, Addr: a.peers.Addr().String(), Cell: cfg.Cell, Zone: cfg.Zone, Rack: cfg.Rack,
+		Region: cfg.Region, Capacity: cfg.Capacity(), Connections: uint32(cfg.Connections),
+	}})
 	ctx, cancel := context.WithCancel(context.Background())
 	a.stop = cancel
 	a.goServe(a.peers)
@@ -89,7 +72,7 @@
 	})
 }
 
-// Addr returns the address for entries, AdminAddr the administrative one.
+// Addr returns the address for entries.
 func (a *Agent) Addr() netip.AddrPort { return a.peers.Addr() }
 
 // AdminAddr returns the administrative address.
@@ -110,8 +93,7 @@
 // for requests in flight and stops. The context bounds the wait.
 func (a *Agent) Shutdown(ctx context.Context) error {
 	a.mu.Lock()
-	a.leaving = true
-	a.runner.Leave()
+	a.host.Leave()
 	a.mu.Unlock()
 	a.wake()
 	for !a.drained() {
@@ -131,7 +113,7 @@
 func (a *Agent) drained() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.runner.Idle() && a.inFlight.Load() == 0 && a.member.GetLeaving()
+	return a.host.Drained() && a.inFlight.Load() == 0
 }
 
 func (a *Agent) wake() {
--- a/internal/node/agent/forward.go
+++ b/internal/node/agent/forward.go
@@ -8,7 +8,7 @@
 
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
 	"github.com/ebonyarch/ebonyarch/internal/front/gate"
-	"github.com/ebonyarch/ebonyarch/internal/front/once"
+	"github.com/ebonyarch/ebonyarch/internal/node/host"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
 )
@@ -16,34 +16,29 @@
 // expireEvery spaces the looks for queued requests that can no longer finish.
 const expireEvery = 5 * time.Millisecond
 
-// slotWait is the state of a request that waits for a slot.
-type slotWait struct {
-	// granted gets one value: whether the request got its slot.
-	granted chan bool
-}
-
 // Forward implements schema.Agent.
 func (a *Agent) Forward(ctx context.Context, req *schema.ForwardRequest) (*schema.ForwardReply, error) {
 	a.inFlight.Add(1)
 	defer a.inFlight.Add(-1)
 	deadline := time.Now().Add(time.Duration(req.GetTimeoutUs()) * time.Microsecond)
-	g, ticket, err := a.enter(ctx, req, deadline)
+	visit, err := a.enter(ctx, req, deadline)
 	if err != nil {
-		return a.refusal(g, req, err), nil
+		return a.refusal(visit, req, err), nil
 	}
 	started := time.Now()
 	resp, err := a.serve(ctx, req, deadline)
 	took := time.Since(started)
+	a.metrics.served.Observe(took.Seconds())
 	a.mu.Lock()
-	a.grant(g.Done(time.Now(), ticket, took))
+	grant(visit.Done(time.Now(), took))
+	load := visit.Load(took)
 	a.mu.Unlock()
-	a.metrics.served.Observe(took.Seconds())
 	if err != nil {
-		return a.refusal(g, req, serveError(ctx, err)), nil
+		return a.refusal(visit, req, serveError(ctx, err)), nil
 	}
 	reply := &schema.ForwardReply{
 		Id: req.GetId(), Ran: schema.Ran_RAN_YES, Status: int32(resp.Status), Body: resp.Body,
-		BodySize: int64(len(resp.Body)), Load: a.load(g, took),
+		BodySize: int64(len(resp.Body)), Load: load,
 	}
 	for name, values := range resp.Header {
 		reply.Headers = append(reply.Headers, &schema.Header{Name: name, Values: values})
@@ -52,73 +47,48 @@
 }
 
 // enter waits until the request holds a slot.
-func (a *Agent) enter(ctx context.Context, req *schema.ForwardRequest, deadline time.Time) (*gate.Gate, *gate.Ticket, error) {
+func (a *Agent) enter(ctx context.Context, req *schema.ForwardRequest, deadline time.Time) (*host.Visit, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.leaving {
-		return nil, nil, codes.New(codes.Leaving, "the VM is leaving")
-	}
-	g := a.gates[req.GetTeam()+"/"+req.GetService()]
-	if g == nil {
-		return nil, nil, codes.New(codes.NoUpstream, "no replica of the service runs on the VM")
-	}
-	now := time.Now()
-	if !req.GetIdempotent() {
-		var stamp time.Time
-		if req.GetStampMs() != 0 {
-			stamp = time.UnixMilli(req.GetStampMs())
-		}
-		if err := verdictError(a.once.Begin(now, req.GetId(), stamp)); err != nil {
-			return g, nil, err
-		}
-	}
-	ticket, decision := g.Ask(now, req.GetKind(), deadline)
-	err := decisionError(decision)
-	if decision == gate.Queued {
-		err = a.wait(ctx, g, ticket)
+	visit, decision, err := a.host.Enter(time.Now(), req, deadline)
+	if err == nil && decision == gate.Queued {
+		err = a.wait(ctx, visit)
 	}
 	if err != nil {
-		if !req.GetIdempotent() {
-			a.once.Withdraw(req.GetId())
-		}
-		return g, nil, err
-	}
-	if !req.GetIdempotent() && !a.once.Start(req.GetId()) {
-		a.grant(g.Done(now, ticket, 0))
-		return g, nil, codes.New(codes.Revoked, "the request was revoked while it waited")
+		return visit, err
 	}
-	return g, ticket, nil
+	granted, err := visit.Start(time.Now())
+	grant(granted)
+	return visit, err
 }
 
 // wait waits for a queued request's slot. It gives up mu while it waits.
-func (a *Agent) wait(ctx context.Context, g *gate.Gate, ticket *gate.Ticket) error {
-	w := &slotWait{granted: make(chan bool, 1)}
-	ticket.Data = w
+func (a *Agent) wait(ctx context.Context, visit *host.Visit) error {
+	granted := make(chan bool, 1)
+	visit.Data = granted
 	a.mu.Unlock()
-	var granted, gone bool
+	var got, gone bool
 	select {
-	case granted = <-w.granted:
+	case got = <-granted:
 	case <-ctx.Done():
 		gone = true
 	}
 	a.mu.Lock()
-	if gone && !g.Cancel(ticket) {
-		granted = <-w.granted
-		if granted {
-			a.grant(g.Done(time.Now(), ticket, 0))
-		}
-		granted = false
+	if gone && !visit.Cancel() && <-granted {
+		grant(visit.GiveUp(time.Now()))
 	}
-	if !granted {
-		return codes.New(codes.TimedOutNotRun, "the deadline passed in the queue")
+	if !got {
+		return visit.Refuse(codes.New(codes.TimedOutNotRun, "the deadline passed in the queue"))
 	}
 	return nil
 }
 
 // grant tells waiting requests that they got their slots.
-func (a *Agent) grant(tickets []*gate.Ticket) {
-	for _, t := range tickets {
-		t.Data.(*slotWait).granted <- true
+func grant(visits []*host.Visit) { tell(visits, true) }
+
+func tell(visits []*host.Visit, got bool) {
+	for _, v := range visits {
+		v.Data.(chan bool) <- got
 	}
 }
 
@@ -133,16 +103,9 @@
 		case <-ticker.C:
 		}
 		a.mu.Lock()
-		for _, g := range a.gates {
-			if g.Queued() == 0 {
-				continue
-			}
-			late, granted := g.Expire(time.Now())
-			for _, t := range late {
-				t.Data.(*slotWait).granted <- false
-			}
-			a.grant(granted)
-		}
+		late, granted := a.host.Expire(time.Now())
+		tell(late, false)
+		grant(granted)
 		a.mu.Unlock()
 	}
 }
@@ -174,36 +137,17 @@
 	return codes.Wrap(err, codes.UpstreamFailed, "the upstream broke off")
 }
 
-func verdictError(v once.Verdict) error {
-	switch v {
-	case once.Duplicate:
-		return codes.New(codes.DuplicateID, "a request with this id came before")
-	case once.Revoked:
-		return codes.New(codes.Revoked, "the request was revoked")
-	case once.Stale:
-		return codes.New(codes.StaleID, "the id is too old to tell whether it ran")
-	}
-	return nil
-}
-
-func decisionError(d gate.Decision) error {
-	switch d {
-	case gate.Full:
-		return codes.New(codes.UpstreamFull, "the queue of this kind is full")
-	case gate.Late:
-		return codes.New(codes.DeadlineTooNear, "the request could not finish in time")
-	}
-	return nil
-}
-
-func (a *Agent) refusal(g *gate.Gate, req *schema.ForwardRequest, err error) *schema.ForwardReply {
+func (a *Agent) refusal(visit *host.Visit, req *schema.ForwardRequest, err error) *schema.ForwardReply {
 	code := codes.Of(err)
 	a.metrics.refused.WithLabelValues(code.String()).Inc()
+	a.mu.Lock()
+	load := visit.Load(0)
+	a.mu.Unlock()
 	reply := &schema.ForwardReply{
-		Id: req.GetId(), Code: uint32(code), Ran: ranOf(code), Message: err.Error(), Load: a.load(g, 0),
+		Id: req.GetId(), Code: uint32(code), Ran: ranOf(code), Message: err.Error(), Load: load,
 	}
-	if g != nil && reply.GetRan() == schema.Ran_RAN_NO {
-		reply.RetryAfterMs = retryAfter(reply.GetLoad()).Milliseconds()
+	if load != nil && reply.GetRan() == schema.Ran_RAN_NO {
+		reply.RetryAfterMs = retryAfter(load).Milliseconds()
 	}
 	return reply
 }
@@ -224,23 +168,11 @@
 	return schema.Ran_RAN_UNKNOWN
 }
 
-func (a *Agent) load(g *gate.Gate, took time.Duration) *schema.Load {
-	if g == nil {
-		return nil
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return &schema.Load{
-		Running: uint32(g.Running()), Queued: uint32(g.Queued()), Slots: uint32(g.Slots()),
-		ServiceUs: uint32(took.Microseconds()),
-	}
-}
-
 // Revoke implements schema.Agent.
 func (a *Agent) Revoke(_ context.Context, req *schema.RevokeRequest) (*schema.RevokeReply, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.once.Revoke(time.Now(), req.GetId()) {
+	if a.host.Revoke(time.Now(), req.GetId()) {
 		return &schema.RevokeReply{Ran: schema.Ran_RAN_NO}, nil
 	}
 	return &schema.RevokeReply{Ran: schema.Ran_RAN_YES}, nil
@@ -256,32 +188,5 @@
 func (a *Agent) Ping(context.Context, *schema.PingRequest) (*schema.PingReply, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return &schema.PingReply{Vm: a.cfg.VM, Leaving: a.leaving}, nil
-}
-
-// updateGates makes the gates those of the services that run. The caller holds
-// mu.
-func (a *Agent) updateGates() {
-	slots := map[string]int{}
-	kinds := map[string][]gate.Kind{}
-	for _, as := range a.runner.Services() {
-		name := as.GetTeam() + "/" + as.GetKind()
-		slots[name] += int(as.GetSlots())
-		kinds[name] = nil
-		for _, k := range as.GetKinds() {
-			kinds[name] = append(kinds[name], gate.Kind{Name: k.GetName(), Share: k.GetShare(), Weight: k.GetWeight()})
-		}
-	}
-	for name := range a.gates {
-		if _, ok := slots[name]; !ok && a.gates[name].Running()+a.gates[name].Queued() == 0 {
-			delete(a.gates, name)
-		}
-	}
-	for name, n := range slots {
-		if a.gates[name] == nil {
-			a.gates[name] = gate.New(n, kinds[name])
-			continue
-		}
-		a.gates[name].Update(n, kinds[name])
-	}
+	return &schema.PingReply{Vm: a.cfg.VM, Leaving: a.host.Leaving()}, nil
 }
--- a/internal/node/agent/state.go
+++ b/internal/node/agent/state.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
+	"github.com/ebonyarch/ebonyarch/internal/base/ident"
+	"github.com/ebonyarch/ebonyarch/internal/front/gate"
 	"github.com/ebonyarch/ebonyarch/internal/sched/runner"
 	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
 )
@@ -48,22 +50,24 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
+	answeredAt, version := a.host.Answered()
+	r := a.host.Runner
 	s := State{
-		Role: "agent", VM: a.cfg.VM, Cell: a.cfg.Cell, Leaving: a.leaving, Entry: a.entry.String(),
-		Term: a.runner.Term(), Lease: a.runner.Lease(now).String(), Capacity: a.cfg.Capacity(),
-		Used: a.runner.Used(), RequestIDs: a.once.Len(), Connections: a.peers.Open(),
-		MostOpen: a.peers.Most(), Stats: a.runner.Stats(),
-		Config: ConfigState{a.configVersion, now.Sub(a.answeredAt).Round(time.Millisecond).String()},
+		Role: "agent", VM: a.cfg.VM, Cell: a.cfg.Cell, Leaving: a.host.Leaving(), Entry: a.host.Entry().String(),
+		Term: r.Term(), Lease: r.Lease(now).String(), Capacity: a.cfg.Capacity(),
+		Used: r.Used(), RequestIDs: a.host.RequestIDs(), Connections: a.peers.Open(),
+		MostOpen: a.peers.Most(), Stats: r.Stats(),
+		Config: ConfigState{version, now.Sub(answeredAt).Round(time.Millisecond).String()},
 	}
 	req := &schema.BeatRequest{}
-	a.runner.Fill(req)
+	r.Fill(req)
 	for _, at := range req.GetAttempts() {
-		s.Attempts = append(s.Attempts, at.GetTask().GetJob())
+		s.Attempts = append(s.Attempts, ident.AttemptOf(at.GetTask()).String())
 	}
 	s.Results = len(req.GetResults())
-	for name, g := range a.gates {
-		s.Gates = append(s.Gates, GateState{name, g.Slots(), g.Running(), g.Queued()})
-	}
+	a.host.Gates(func(service string, g *gate.Gate) {
+		s.Gates = append(s.Gates, GateState{service, g.Slots(), g.Running(), g.Queued()})
+	})
 	return s
 }
 
@@ -71,7 +75,7 @@
 func (a *Agent) Ready() error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.answeredAt.IsZero() {
+	if answeredAt, _ := a.host.Answered(); answeredAt.IsZero() {
 		return codes.New(codes.NotReady, "no leader has answered yet")
 	}
 	return nil
--- a/internal/node/entry/metrics.go
+++ b/internal/node/entry/metrics.go
@@ -11,7 +11,6 @@
 type metrics struct {
 	requests *prometheus.HistogramVec
 	rejected *prometheus.CounterVec
-	retries  prometheus.Counter
 }
 
 func newMetrics(r *prometheus.Registry, e *Entry) *metrics {
@@ -23,14 +22,14 @@
 		rejected: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "ebonyarch_entry_rejected_total", Help: "Calls that were answered with a result code other than ok.",
 		}, []string{"code"}),
-		retries: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "ebonyarch_entry_retries_total", Help: "Requests that were sent to a further upstream.",
-		}),
 	}
-	r.MustRegister(m.requests, m.rejected, m.retries,
+	r.MustRegister(m.requests, m.rejected,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "ebonyarch_entry_requests_in_flight", Help: "Callers' requests that are not answered.",
 		}, func() float64 { return float64(e.inFlight.Load()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "ebonyarch_entry_extra_tries_total", Help: "Retries and hedges of all services.",
+		}, func() float64 { return float64(e.extraTries()) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "ebonyarch_entry_log_appends_total", Help: "Appends to the platform's log, failed ones included.",
 		}, func() float64 {
@@ -45,3 +44,15 @@
 	m.requests.WithLabelValues(req.msg.Team, req.msg.Service, req.msg.Kind, codes.Of(err).String()).
 		Observe(time.Since(started).Seconds())
 }
+
+// extraTries counts the retries and hedges of the services that can be called.
+func (e *Entry) extraTries() uint64 {
+	sum := uint64(0)
+	for _, s := range e.routes.Load().services {
+		s.shared.mu.Lock()
+		stats := s.shared.flow.Stats()
+		s.shared.mu.Unlock()
+		sum += stats.Retries + stats.Hedges
+	}
+	return sum
+}
--- a/internal/node/entry/request.go
+++ b/internal/node/entry/request.go
@@ -38,8 +38,6 @@
 	// stamp is when the caller made the id, zero if the entry made it.
 	stamp    time.Time
 	deadline time.Time
-	// tried holds the VMs that it was sent to.
-	tried []string
 }
 
 func (e *Entry) handleRequest(w http.ResponseWriter, r *http.Request) {
--- a/internal/node/entry/route.go
+++ b/internal/node/entry/route.go
@@ -7,111 +7,103 @@
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
-	"github.com/ebonyarch/ebonyarch/internal/front/retry"
-	"github.com/ebonyarch/ebonyarch/internal/front/route"
+	"github.com/ebonyarch/ebonyarch/internal/front/flow"
 	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
 )
 
 const (
-	// answerMargin is kept of the deadline for the way back.
-	answerMargin = 2 * time.Millisecond
 	// revokeTimeout bounds the question whether a request started.
 	revokeTimeout = 250 * time.Millisecond
-	// noUpstreamAfter is when a request without an upstream may come again.
-	noUpstreamAfter = time.Second
+	// maxEvents is more than the steps that one flow can have under way.
+	maxEvents = 8
 )
 
-// route sends a request to upstreams until one answers or no try is left.
+// journey carries out the steps of one request's flow.
+type journey struct {
+	entry *Entry
+	req   *request
+	ctx   context.Context
+	flow  *flow.Flow
+	// events gets the steps that follow from tries under way, open of them.
+	events chan flow.Step
+	open   int
+	late   <-chan time.Time
+}
+
+// route sends a request to upstreams until its flow is done.
 func (e *Entry) route(ctx context.Context, req *request) (*schema.ForwardReply, error) {
-	s := req.service.balancer
-	s.mu.Lock()
-	s.budget.Sent(req.service.retryShare)
-	s.mu.Unlock()
-	var last error
-	for {
-		u, err := e.pick(req)
-		if err != nil {
-			if last != nil {
-				return nil, last
-			}
-			return nil, err
-		}
-		req.tried = append(req.tried, u.VM)
-		reply, err := e.try(ctx, req, u)
-		if err == nil {
-			return reply, nil
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // ends tries that are not needed any more
+	j := &journey{entry: e, req: req, ctx: ctx, events: make(chan flow.Step, maxEvents)}
+	j.flow = flow.New(&req.service.shared.flow, flow.Request{
+		ID: req.msg.Id, Idempotent: req.msg.Idempotent, Stamp: req.stamp, Deadline: req.deadline,
+	})
+	step := j.decide(func(now time.Time) flow.Step { return j.flow.Begin(now, random{}) })
+	for step.Action != flow.Done {
+		step = j.next(step)
+	}
+	return step.Reply, step.Err
+}
+
+// next carries out a step and returns the one that follows.
+func (j *journey) next(step flow.Step) flow.Step {
+	switch step.Action {
+	case flow.Revoke:
+		return j.revoke(step)
+	case flow.Send:
+		if step.HedgeAfter == 0 && j.open == 0 {
+			return j.send(step) // nothing else can happen meanwhile
 		}
-		last = err
-		if !e.again(req, err) {
-			return nil, err
+		j.open++
+		go func() { j.events <- j.send(step) }()
+		if step.HedgeAfter > 0 {
+			j.late = time.After(step.HedgeAfter)
 		}
-		e.metrics.retries.Inc()
+	}
+	select {
+	case next := <-j.events:
+		j.open--
+		return next
+	case <-j.late:
+		j.late = nil
+		return j.decide(func(now time.Time) flow.Step { return j.flow.Late(now, random{}) })
 	}
 }
 
-func (e *Entry) pick(req *request) (*route.Upstream, error) {
-	s := req.service.balancer
+// decide asks the flow for its next step under the lock of its service.
+func (j *journey) decide(ask func(now time.Time) flow.Step) flow.Step {
+	s := j.req.service.shared
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !req.stamp.IsZero() {
-		return s.pickHome(req)
-	}
-	if u := s.balancer.Pick(time.Now(), random{}, req.tried); u != nil {
-		return u, nil
-	}
-	return nil, codes.After(codes.New(codes.NoUpstream, "no upstream of %s/%s is known", req.msg.Team, req.msg.Service), noUpstreamAfter)
+	return ask(time.Now())
 }
 
-// pickHome returns the one upstream that may run a caller's non-idempotent
-// request, so that a second sending meets the memory of the first.
-func (s *shared) pickHome(req *request) (*route.Upstream, error) {
-	u := s.balancer.Get(s.homes.Home(req.msg.Id, req.stamp))
-	if u == nil {
-		return nil, codes.New(codes.StaleID, "the upstreams changed since the id was made; whether it ran is not known")
-	}
-	if len(req.tried) > 0 {
-		return nil, codes.New(codes.NoUpstream, "the request has a single upstream")
+// send sends the request to one upstream and returns the step that follows.
+func (j *journey) send(step flow.Step) flow.Step {
+	reply, err := j.entry.links.To(step.Upstream.Addr).Agent().Forward(j.ctx, j.message(step.Timeout))
+	if err != nil {
+		err = callError(j.ctx, err)
+		return j.decide(func(now time.Time) flow.Step { return j.flow.Failed(now, random{}, step.Try, err) })
 	}
-	s.balancer.Sent(u)
-	return u, nil
+	return j.decide(func(now time.Time) flow.Step { return j.flow.Replied(now, random{}, step.Try, reply) })
 }
 
-// try sends the request to one upstream.
-func (e *Entry) try(ctx context.Context, req *request, u *route.Upstream) (*schema.ForwardReply, error) {
-	remaining := time.Until(req.deadline) - answerMargin - 2*u.Distance
-	if remaining <= 0 {
-		e.finished(req, u, route.Report{})
-		return nil, codes.New(codes.TimedOutNotRun, "the deadline passed before the request was sent")
-	}
-	req.msg.TimeoutUs = remaining.Microseconds()
-	reply, err := e.links.To(u.Addr).Agent().Forward(ctx, req.msg)
-	if err != nil {
-		e.finished(req, u, route.Report{Failed: true})
-		return nil, e.settle(req, u, callError(ctx, err))
-	}
-	report := route.Report{}
-	if l := reply.GetLoad(); l != nil {
-		report.Loaded, report.Running, report.Queued = true, int(l.GetRunning()), int(l.GetQueued())
-		report.Service = time.Duration(l.GetServiceUs()) * time.Microsecond
+// message returns the request for one try; tries may be under way together.
+func (j *journey) message(timeout time.Duration) *schema.ForwardRequest {
+	m := j.req.msg
+	return &schema.ForwardRequest{
+		Id: m.Id, Team: m.Team, Service: m.Service, Method: m.Method, Path: m.Path, Headers: m.Headers,
+		Body: m.Body, TimeoutUs: timeout.Microseconds(), Idempotent: m.Idempotent, Kind: m.Kind, StampMs: m.StampMs,
 	}
-	code := codes.Code(reply.GetCode())
-	report.Failed = code == codes.UpstreamFailed || code == codes.TimedOut || reply.GetStatus() >= 500
-	e.finished(req, u, report)
-	if code != codes.OK {
-		err := codes.New(code, "%s", reply.GetMessage())
-		return nil, codes.After(err, time.Duration(reply.GetRetryAfterMs())*time.Millisecond)
-	}
-	if reply.GetId() != req.msg.Id || reply.GetBodySize() != int64(len(reply.GetBody())) {
-		return nil, codes.New(codes.Truncated, "the answer arrived incomplete")
-	}
-	return reply, nil
 }
 
-func (e *Entry) finished(req *request, u *route.Upstream, r route.Report) {
-	s := req.service.balancer
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.balancer.Done(time.Now(), u, r)
+// revoke asks the agent to make an unclear fate certain.
+func (j *journey) revoke(step flow.Step) flow.Step {
+	ctx, cancel := context.WithTimeout(j.entry.ctx, revokeTimeout)
+	defer cancel()
+	reply, err := j.entry.links.To(step.Upstream.Addr).Agent().Revoke(ctx, &schema.RevokeRequest{Id: j.req.msg.Id})
+	never := err == nil && reply.GetRan() == schema.Ran_RAN_NO
+	return j.decide(func(now time.Time) flow.Step { return j.flow.Revoked(now, random{}, step.Try, never) })
 }
 
 // callError classifies the failure of a call: what was never sent did not run.
@@ -125,33 +117,3 @@
 	}
 	return codes.Wrap(err, codes.ConnectionLost, "the connection failed")
 }
-
-// settle makes an unclear fate certain where it can: a request that the agent
-// revoked has not run and never will.
-func (e *Entry) settle(req *request, u *route.Upstream, err error) error {
-	if req.msg.Idempotent || codes.Of(err).Info().Ran != codes.RanUnknown {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(e.ctx, revokeTimeout)
-	defer cancel()
-	reply, revokeErr := e.links.To(u.Addr).Agent().Revoke(ctx, &schema.RevokeRequest{Id: req.msg.Id})
-	if revokeErr == nil && reply.GetRan() == schema.Ran_RAN_NO {
-		return codes.Wrap(err, codes.Revoked, "revoked before it started")
-	}
-	return err
-}
-
-// again reports whether the request may be sent to another upstream.
-func (e *Entry) again(req *request, err error) bool {
-	code := codes.Of(err)
-	if code == codes.Truncated || !req.stamp.IsZero() {
-		return false
-	}
-	s := req.service.balancer
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.budget.Again(time.Now(), retry.Try{
-		NotRun: code.Info().Ran == codes.RanNo, Idempotent: req.msg.Idempotent,
-		Tries: len(req.tried), Deadline: req.deadline, Expected: s.balancer.Mean(),
-	})
-}
--- a/internal/node/entry/routes.go
+++ b/internal/node/entry/routes.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/conf/teams"
-	"github.com/ebonyarch/ebonyarch/internal/front/retry"
+	"github.com/ebonyarch/ebonyarch/internal/front/flow"
 	"github.com/ebonyarch/ebonyarch/internal/front/route"
 	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
 )
@@ -24,16 +24,13 @@
 type service struct {
 	team, name string
 	cfg        teams.Service
-	retryShare float64
-	balancer   *shared
+	shared     *shared
 }
 
 // shared is the part of a service that outlives changes of routes.
 type shared struct {
-	mu       sync.Mutex
-	balancer route.Balancer
-	budget   retry.Budget
-	homes    route.Homes
+	mu   sync.Mutex
+	flow flow.Service
 }
 
 // reroute makes routes match the configuration and members, if they changed.
@@ -55,16 +52,11 @@
 		next.teams[t.Name] = true
 		for name, cfg := range t.Config.Services {
 			key := t.Name + "/" + name
-			s := &service{team: t.Name, name: name, cfg: cfg, retryShare: t.Config.Retry.Share()}
+			s := &service{team: t.Name, name: name, cfg: cfg, shared: &shared{}}
 			if was := old.services[key]; was != nil {
-				s.balancer = was.balancer
-			} else {
-				s.balancer = &shared{}
+				s.shared = was.shared
 			}
-			s.balancer.mu.Lock()
-			s.balancer.balancer.Update(targets[key])
-			s.balancer.homes.Update(time.Now(), targets[key])
-			s.balancer.mu.Unlock()
+			s.shared.update(targets[key], t.Config.Retry.Share())
 			next.services[key] = s
 		}
 	}
@@ -72,6 +64,13 @@
 	e.keepLinks(members.Present())
 }
 
+func (s *shared) update(targets []route.Target, retryShare float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.flow.Update(time.Now(), targets)
+	s.flow.RetryShare = retryShare
+}
+
 func (e *Entry) targets(members []*schema.Member) map[string][]route.Target {
 	targets := map[string][]route.Target{}
 	for _, m := range members {
--- a/internal/node/entry/state.go
+++ b/internal/node/entry/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
+	"github.com/ebonyarch/ebonyarch/internal/front/flow"
 	"github.com/ebonyarch/ebonyarch/internal/sched/leader"
 	"github.com/ebonyarch/ebonyarch/internal/state/fold"
 	"github.com/ebonyarch/ebonyarch/internal/state/writer"
@@ -24,7 +25,7 @@
 	Appends  writer.Stats   `json:"appends"`
 	Config   []ConfigState  `json:"config"`
 	Cells    []CellState    `json:"cells"`
-	Entries  []PeerState   `json:"entries"`
+	Entries  []PeerState    `json:"entries"`
 	VMs      []VMState      `json:"vms"`
 	Services []ServiceState `json:"services"`
 	// Discarded counts connections that were given up.
@@ -71,6 +72,7 @@
 type ServiceState struct {
 	Service   string          `json:"service"`
 	Mean      string          `json:"meanServiceTime"`
+	Tries     flow.Stats      `json:"tries"`
 	Upstreams []UpstreamState `json:"upstreams"`
 }
 
@@ -122,12 +124,13 @@
 func (e *Entry) serviceStates() []ServiceState {
 	var states []ServiceState
 	for name, svc := range e.routes.Load().services {
-		svc.balancer.mu.Lock()
-		state := ServiceState{Service: name, Mean: svc.balancer.balancer.Mean().String()}
-		for _, u := range svc.balancer.balancer.Upstreams() {
+		svc.shared.mu.Lock()
+		balancer := &svc.shared.flow.Balancer
+		state := ServiceState{Service: name, Mean: balancer.Mean().String(), Tries: svc.shared.flow.Stats()}
+		for _, u := range balancer.Upstreams() {
 			state.Upstreams = append(state.Upstreams, UpstreamState{u.VM, u.InFlight(), u.Service().String(), u.Ejected()})
 		}
-		svc.balancer.mu.Unlock()
+		svc.shared.mu.Unlock()
 		states = append(states, state)
 	}
 	return states
--- a/internal/node/link/link.go
+++ b/internal/node/link/link.go
@@ -5,6 +5,8 @@
 package link
 
 import (
+	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -61,7 +63,7 @@
 	transport := l.transport
 	l.mu.Unlock()
 	resp, err := transport.RoundTrip(req)
-	if err != nil && req.Context().Err() != nil {
+	if err != nil && errors.Is(req.Context().Err(), context.DeadlineExceeded) {
 		l.discard(transport)
 	}
 	return resp, err
