--- a/internal/fake/worker/worker.go
+++ b/internal/fake/worker/worker.go
@@ -110,22 +110,13 @@
 // Serve implements port.Worker: it answers with the request's id and a checksum
 // of its body.
 func (w *Worker) Serve(ctx context.Context, req port.Request) (port.Response, error) {
-	w.mu.Lock()
-	err := w.reachable()
-	running := w.serves(req.Team, req.Service)
-	took := w.cfg.ServiceTime + w.faults.Stall
-	if speed := w.speed(req.Team + "/" + req.Service); speed > 0 {
-		took = time.Duration(float64(took) / speed)
-	}
-	fails := w.faults.FailAll
-	w.mu.Unlock()
+	took, err := w.Admit(req)
 	if err != nil {
 		return port.Response{}, err
 	}
-	if !running {
-		return port.Response{}, fmt.Errorf("%w: no replica of %s/%s here", port.ErrNotStarted, req.Team, req.Service)
-	}
-	w.cfg.Witness.served(w.cfg.VM, req.ID)
+	w.mu.Lock()
+	fails := w.faults.FailAll
+	w.mu.Unlock()
 	if fails {
 		return port.Response{Status: http.StatusInternalServerError, Body: []byte("failing")}, nil
 	}
@@ -327,3 +318,23 @@
 	}
 	return tasks, nil
 }
+
+// Admit begins a request in tests that keep their own time: it fails if the VM
+// is dead or runs no replica, and records the request as run otherwise. It
+// returns how long the request takes.
+func (w *Worker) Admit(req port.Request) (time.Duration, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.reachable(); err != nil {
+		return 0, err
+	}
+	if !w.serves(req.Team, req.Service) {
+		return 0, fmt.Errorf("%w: no replica of %s/%s here", port.ErrNotStarted, req.Team, req.Service)
+	}
+	w.cfg.Witness.served(w.cfg.VM, req.ID)
+	took := w.cfg.ServiceTime + w.faults.Stall
+	if speed := w.speed(req.Team + "/" + req.Service); speed > 0 {
+		took = time.Duration(float64(took) / speed)
+	}
+	return took, nil
+}
--- a/internal/node/core/core.go
+++ b/internal/node/core/core.go
@@ -10,7 +10,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/ebonyarch/ebonyarch/internal/base/codes"
 	"github.com/ebonyarch/ebonyarch/internal/fleet/member"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 	"github.com/ebonyarch/ebonyarch/internal/sched/leader"
@@ -29,7 +28,10 @@
 	Peer   netip.AddrPort
 	// Cells are those that this entry may lead.
 	Cells []string
-	Log   *slog.Logger
+	// SnapshotEvery spaces the snapshots of the state in the log; 0 means the
+	// default.
+	SnapshotEvery time.Duration
+	Log           *slog.Logger
 }
 
 // Core is the deterministic part of an entry. Make it with New. It is not safe
@@ -41,8 +43,10 @@
 	members *member.Table
 	leaders map[string]*leader.Leader
 	learned *learn.Model
-	// results holds the fates of records since the last call of Results.
-	results []writer.Result
+	// commits holds the records whose fate somebody waits for, and fates those
+	// that became certain since the last call of Fates.
+	commits []commit
+	fates   []Fate
 	// ready is set once the log was read to its end for the first time.
 	ready   bool
 	leaving bool
@@ -58,7 +62,7 @@
 		c.fold = fold.Decode(state)
 	}
 	for _, cell := range cfg.Cells {
-		c.leaders[cell] = leader.New(cell, c.fold, c.writer, c.members, c.learned, cfg.Log)
+		c.leaders[cell] = leader.New(cell, c.fold, c.writer, c.members, c.learned, cfg.SnapshotEvery, cfg.Log)
 	}
 	c.writer.Add(now, &schema.Record{Body: &schema.Record_Hello{Hello: &schema.Hello{
 		Name: cfg.Name, Zone: cfg.Zone, PeerAddr: cfg.Peer.String(),
@@ -121,19 +125,13 @@
 	for _, l := range c.leaders {
 		l.Resolved(now, r)
 	}
-	c.results = append(c.results, r)
-}
-
-// Results returns the fates of records that became certain since the last call.
-func (c *Core) Results() []writer.Result {
-	results := c.results
-	c.results = nil
-	return results
+	c.settle(r)
 }
 
 // Tick makes the decisions that are due.
 func (c *Core) Tick(now time.Time) {
 	c.members.Expire(now)
+	c.tickCommits(now)
 	if c.leaving || !c.ready {
 		return
 	}
@@ -166,22 +164,6 @@
 	return addrs
 }
 
-// Queue adds a record for the log and returns its id; Results tells its fate.
-// It is refused while the log does not answer.
-func (c *Core) Queue(now time.Time, r *schema.Record) (uint64, error) {
-	switch {
-	case c.leaving:
-		return 0, codes.New(codes.Leaving, "the entry is shutting down")
-	case !c.ready:
-		return 0, codes.New(codes.NotReady, "the entry has not caught up with the log")
-	case c.writer.Down(now):
-		return 0, codes.After(codes.New(codes.LogDown, "the platform's log does not answer"), retryLogAfter)
-	}
-	return c.writer.Add(now, r), nil
-}
-
-const retryLogAfter = 5 * time.Second
-
 // Leave stops all decisions and takes the entry out of the list of entries.
 func (c *Core) Leave(now time.Time) {
 	if c.leaving {
@@ -204,3 +186,15 @@
 	}
 	return vms
 }
+
+// MembersSince answers another entry's question for changed VMs. Versions of
+// another incarnation of this entry mean nothing, so the answer is whole then.
+func (c *Core) MembersSince(req *schema.MembersRequest) *schema.MembersReply {
+	reply := &schema.MembersReply{Version: c.members.Version(), Epoch: c.writer.ID()}
+	since := req.GetSince()
+	if req.GetEpoch() != reply.Epoch {
+		since, reply.Whole = 0, true
+	}
+	reply.Members = c.members.Since(since)
+	return reply
+}
--- a/internal/node/entry/config.go
+++ b/internal/node/entry/config.go
@@ -142,7 +142,7 @@
 			return
 		}
 	}
-	result, err := e.commit(r.Context(), &schema.Record{Body: &schema.Record_Config{Config: put}})
+	result, err := e.commit(&schema.Record{Body: &schema.Record_Config{Config: put}})
 	if result.Revision > 0 {
 		w.Header().Set("ETag", etag(result.Revision))
 	}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -19,7 +19,6 @@
 	"github.com/ebonyarch/ebonyarch/internal/node/core"
 	"github.com/ebonyarch/ebonyarch/internal/node/link"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
-	"github.com/ebonyarch/ebonyarch/internal/state/writer"
 	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
 )
 
@@ -48,7 +47,7 @@
 	mu   sync.Mutex
 	core *core.Core
 	// waiters get the fate of records by id.
-	waiters map[uint64]chan writer.Result
+	waiters map[uint64]chan core.Fate
 	// changed is closed and replaced when the table of members changes.
 	changed chan struct{}
 	// routedMembers and routedConfig are the versions that routes is made of.
@@ -63,7 +62,7 @@
 	e := &Entry{
 		cfg: cfg, platform: platform, log: log, ctx: ctx, stop: cancel,
 		appends: make(chan struct{}, 1), ticks: make(chan struct{}, 1),
-		waiters: map[uint64]chan writer.Result{}, changed: make(chan struct{}),
+		waiters: map[uint64]chan core.Fate{}, changed: make(chan struct{}),
 		synced: map[netip.AddrPort]time.Time{},
 	}
 	registry := admin.NewRegistry()
--- a/internal/node/entry/jobs.go
+++ b/internal/node/entry/jobs.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"crypto/sha256"
 	"encoding/json"
 	"net/http"
@@ -14,18 +13,14 @@
 	"github.com/ebonyarch/ebonyarch/internal/base/ident"
 	"github.com/ebonyarch/ebonyarch/internal/conf/teams"
 	"github.com/ebonyarch/ebonyarch/internal/node/admin"
+	"github.com/ebonyarch/ebonyarch/internal/node/core"
 	"github.com/ebonyarch/ebonyarch/internal/state/fold"
-	"github.com/ebonyarch/ebonyarch/internal/state/writer"
 	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
 )
 
 const (
-	// commitTimeout is how long a record may take to be read back.
-	commitTimeout = 5 * time.Second
-	// withdrawTimeout is how much longer its fate may stay open after that.
-	withdrawTimeout = 2 * time.Second
-	maxKeyBytes     = 200
-	maxInputBytes   = 64 << 10
+	maxKeyBytes   = 200
+	maxInputBytes = 64 << 10
 )
 
 // JobSpec is the body of a submission.
@@ -70,7 +65,7 @@
 	defer e.inFlight.Add(-1)
 	record, job, err := e.parseJob(w, r)
 	if err == nil {
-		_, err = e.commit(r.Context(), record)
+		_, err = e.commit(record)
 	}
 	if err != nil {
 		e.reject(w, err)
@@ -154,66 +149,29 @@
 		size.GetCpuMilli(), size.GetMemoryMb(), size.GetAccelerators(), cell)
 }
 
-// commit puts a record into the log and waits until it is read back. If it does
-// not get there in time the record is withdrawn; the error says what is certain.
-func (e *Entry) commit(ctx context.Context, record *schema.Record) (writer.Result, error) {
+// commit puts a record into the log and waits until it is read back. The error
+// says what is certain if it did not get there in time.
+func (e *Entry) commit(record *schema.Record) (core.Fate, error) {
 	if e.leaving.Load() {
-		return writer.Result{}, codes.New(codes.Leaving, "the entry is shutting down")
+		return core.Fate{}, codes.New(codes.Leaving, "the entry is shutting down")
 	}
-	fate := make(chan writer.Result, 1)
+	wait := make(chan core.Fate, 1)
 	e.mu.Lock()
-	id, err := e.core.Queue(time.Now(), record)
+	id, err := e.core.Commit(time.Now(), record)
 	if err == nil {
-		e.waiters[id] = fate
+		e.waiters[id] = wait
 	}
 	e.mu.Unlock()
 	if err != nil {
-		return writer.Result{}, err
+		return core.Fate{}, err
 	}
 	wake(e.appends)
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
-	defer cancel()
 	select {
-	case result := <-fate:
-		return result, resultError(result)
-	case <-ctx.Done():
+	case fate := <-wait:
+		return fate, fate.Err
+	case <-e.ctx.Done():
+		return core.Fate{}, codes.New(codes.FateUnknown, "the entry stopped; ask again with the same key")
 	}
-	return e.withdraw(id, fate)
-}
-
-func (e *Entry) withdraw(id uint64, fate chan writer.Result) (writer.Result, error) {
-	notRun := codes.After(codes.New(codes.LogDown, "the platform's log did not take it in time"), commitTimeout)
-	e.mu.Lock()
-	certain := e.core.Writer().Withdraw(id)
-	if certain {
-		delete(e.waiters, id)
-	}
-	e.mu.Unlock()
-	if certain {
-		return writer.Result{}, notRun
-	}
-	select {
-	case result := <-fate:
-		if !result.Landed && !result.Unknown {
-			return result, notRun
-		}
-		return result, resultError(result)
-	case <-time.After(withdrawTimeout):
-	}
-	e.mu.Lock()
-	delete(e.waiters, id)
-	e.mu.Unlock()
-	return writer.Result{}, codes.New(codes.FateUnknown, "the log did not answer; ask again with the same key")
-}
-
-func resultError(r writer.Result) error {
-	switch {
-	case r.Unknown:
-		return codes.New(codes.FateUnknown, "the record was not read back; ask again with the same key")
-	case r.Code != codes.OK:
-		return codes.New(r.Code, "%s", r.Code.Info().Meaning)
-	}
-	return nil
 }
 
 func (e *Entry) listJobs(w http.ResponseWriter, r *http.Request) {
@@ -246,7 +204,7 @@
 
 func (e *Entry) cancelJob(w http.ResponseWriter, r *http.Request) {
 	vars := mux.Vars(r)
-	_, err := e.commit(r.Context(), &schema.Record{Body: &schema.Record_Cancel{
+	_, err := e.commit(&schema.Record{Body: &schema.Record_Cancel{
 		Cancel: &schema.JobCancel{Job: vars["job"], Team: vars["team"]},
 	}})
 	if err != nil {
--- a/internal/node/entry/journal.go
+++ b/internal/node/entry/journal.go
@@ -61,10 +61,10 @@
 
 // deliver passes the fates of records to those who wait. The caller holds mu.
 func (e *Entry) deliver() {
-	for _, r := range e.core.Results() {
-		if w := e.waiters[r.ID]; w != nil {
-			w <- r
-			delete(e.waiters, r.ID)
+	for _, fate := range e.core.Fates() {
+		if w := e.waiters[fate.ID]; w != nil {
+			w <- fate
+			delete(e.waiters, fate.ID)
 		}
 	}
 }
@@ -185,6 +185,7 @@
 		}
 		e.mu.Lock()
 		e.core.Tick(time.Now())
+		e.deliver()
 		e.notice()
 		poke := e.core.Poke()
 		e.mu.Unlock()
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -37,7 +37,7 @@
 	defer timer.Stop()
 	for {
 		e.mu.Lock()
-		reply := e.members(req)
+		reply := e.core.MembersSince(req)
 		changed := e.changed
 		e.mu.Unlock()
 		if len(reply.Members) > 0 || reply.Whole {
@@ -53,17 +53,6 @@
 	}
 }
 
-func (e *Entry) members(req *schema.MembersRequest) *schema.MembersReply {
-	table := e.core.Members()
-	reply := &schema.MembersReply{Version: table.Version(), Epoch: e.core.Writer().ID()}
-	since := req.GetSince()
-	if req.GetEpoch() != reply.Epoch {
-		since, reply.Whole = 0, true
-	}
-	reply.Members = table.Since(since)
-	return reply
-}
-
 // Snapshot implements schema.Entry.
 func (e *Entry) Snapshot(context.Context, *schema.SnapshotRequest) (*schema.SnapshotReply, error) {
 	e.mu.Lock()
--- a/internal/node/entry/routes.go
+++ b/internal/node/entry/routes.go
@@ -44,7 +44,7 @@
 	e.routedMembers, e.routedConfig = members.Version(), f.ConfigVersion()
 	old := e.routes.Load()
 	next := &routes{teams: map[string]bool{}, services: map[string]*service{}}
-	targets := e.targets(members.Present())
+	targets := e.core.Targets(e.cfg.ZoneDistance.Duration)
 	for _, t := range f.Teams() {
 		if t.Deleted {
 			continue
@@ -71,32 +71,6 @@
 	s.flow.RetryShare = retryShare
 }
 
-func (e *Entry) targets(members []*schema.Member) map[string][]route.Target {
-	targets := map[string][]route.Target{}
-	for _, m := range members {
-		addr, err := netip.ParseAddrPort(m.GetAddr())
-		if err != nil || m.GetLeaving() {
-			continue
-		}
-		var distance time.Duration
-		if m.GetZone() != e.cfg.Zone {
-			distance = e.cfg.ZoneDistance.Duration
-		}
-		for _, r := range m.GetReplicas() {
-			key := r.GetTeam() + "/" + r.GetService()
-			list := targets[key]
-			if n := len(list); n > 0 && list[n-1].VM == m.GetVm() {
-				list[n-1].Slots += int(r.GetSlots())
-				continue
-			}
-			targets[key] = append(list, route.Target{
-				VM: m.GetVm(), Addr: addr, Zone: m.GetZone(), Slots: int(r.GetSlots()), Distance: distance,
-			})
-		}
-	}
-	return targets
-}
-
 // keepLinks forgets the connections to VMs that are gone.
 func (e *Entry) keepLinks(members []*schema.Member) {
 	known := map[netip.AddrPort]bool{}
--- /dev/null
+++ b/internal/proof/matrix/matrix.go
@@ -0,0 +1,161 @@
+// Package matrix puts every fault at every step of a run of the whole system
+// and checks what must always hold.
+package matrix
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"runtime"
+	"strings"
+	"sync"
+
+	"github.com/ebonyarch/ebonyarch/internal/proof/world"
+)
+
+// Cell is one fault at one step.
+type Cell struct {
+	Strikes []Strike
+	Seed    uint64
+	// Why says why the cell does not apply, "" if it does.
+	Why string
+	Result
+}
+
+// Passed reports whether the cell ran and everything held.
+func (c *Cell) Passed() bool { return c.Why == "" && c.Struck && len(c.Faults) == 0 }
+
+// String names the cell so that it can be run again.
+func (c *Cell) String() string {
+	names := make([]string, len(c.Strikes))
+	for i, s := range c.Strikes {
+		names[i] = s.String()
+	}
+	return fmt.Sprintf("seed %d: %s", c.Seed, strings.Join(names, " and "))
+}
+
+// Occurrences of a step at which faults strike.
+var occurrences = []int{1, 3}
+
+// Cells returns all cells of single faults.
+func Cells(seed uint64) []*Cell {
+	var cells []*Cell
+	for _, s := range world.Steps {
+		for _, f := range Faults() {
+			for _, n := range occurrences {
+				c := &Cell{Strikes: []Strike{{s, f, n}}, Seed: seed, Why: f.needs(s)}
+				if c.Why == "" && n > 1 && rare[s] {
+					c.Why = "the step comes once in a run"
+				}
+				cells = append(cells, c)
+			}
+		}
+	}
+	return cells
+}
+
+// rare are the steps that a run does not take more than once or twice.
+var rare = map[world.Step]bool{
+	world.Announce: true, world.Drain: true, world.Takeover: true, world.Cancel: true, world.Publish: true,
+}
+
+// Pairs returns n pairs of faults drawn by seed.
+func Pairs(seed uint64, n int) []*Cell {
+	rnd := rand.New(rand.NewPCG(seed, 2))
+	var cells []*Cell
+	for len(cells) < n {
+		c := &Cell{Seed: seed + uint64(len(cells))}
+		for range 2 {
+			s := world.Steps[rnd.IntN(len(world.Steps))]
+			f := Faults()[rnd.IntN(len(Faults()))]
+			if f.needs(s) != "" {
+				break
+			}
+			c.Strikes = append(c.Strikes, Strike{s, f, 1})
+		}
+		if len(c.Strikes) == 2 && c.Strikes[0].Step != c.Strikes[1].Step {
+			cells = append(cells, c)
+		}
+	}
+	return cells
+}
+
+// Play runs the cells that apply, as many at a time as there are processors.
+func Play(cells []*Cell) {
+	work := make(chan *Cell)
+	var wg sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		wg.Go(func() {
+			for c := range work {
+				c.Result = Run(c.Seed, nil, c.Strikes...)
+			}
+		})
+	}
+	for _, c := range cells {
+		if c.Why == "" {
+			work <- c
+		}
+	}
+	close(work)
+	wg.Wait()
+}
+
+// Summary counts cells.
+type Summary struct {
+	Run, Passed, NotApplicable, NotReached, Red int
+}
+
+// Sum counts the cells.
+func Sum(cells []*Cell) Summary {
+	var s Summary
+	for _, c := range cells {
+		switch {
+		case c.Why != "":
+			s.NotApplicable++
+			continue
+		case c.Passed():
+			s.Passed++
+		case len(c.Faults) > 0:
+			s.Red++
+		default:
+			s.NotReached++
+		}
+		s.Run++
+	}
+	return s
+}
+
+// Print writes the table of single faults: one row a fault, one column a step.
+func Print(out io.Writer, cells []*Cell) {
+	marks := map[string]map[world.Step]string{}
+	for _, c := range cells {
+		s := c.Strikes[0]
+		if marks[s.Fault.Name] == nil {
+			marks[s.Fault.Name] = map[world.Step]string{}
+		}
+		marks[s.Fault.Name][s.Step] += c.mark()
+	}
+	for i, s := range world.Steps {
+		fmt.Fprintf(out, "%35s%s %s\n", "", strings.Repeat("|  ", i), s)
+	}
+	for _, f := range Faults() {
+		fmt.Fprintf(out, "%-35s", f.Name)
+		for _, s := range world.Steps {
+			fmt.Fprintf(out, "%-3s", marks[f.Name][s])
+		}
+		fmt.Fprintln(out)
+	}
+	fmt.Fprintln(out, "+ held, X broken, . does not apply, ? step not reached; one mark for each occurrence")
+}
+
+func (c *Cell) mark() string {
+	switch {
+	case c.Why != "":
+		return "."
+	case len(c.Faults) > 0:
+		return "X"
+	case !c.Struck:
+		return "?"
+	}
+	return "+"
+}
--- /dev/null
+++ b/internal/proof/world/entry.go
@@ -0,0 +1,322 @@
+package world
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/ebonyarch/ebonyarch/internal/front/flow"
+	"github.com/ebonyarch/ebonyarch/internal/node/core"
+	"github.com/ebonyarch/ebonyarch/internal/plat/port"
+	"github.com/ebonyarch/ebonyarch/internal/state/fold"
+	"github.com/ebonyarch/ebonyarch/internal/state/frame"
+	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
+)
+
+// SnapshotEvery spaces the snapshots of a world's entries.
+const SnapshotEvery = 7 * time.Second
+
+// Entry is an entry of a world.
+type Entry struct {
+	*Proc
+	Core     *core.Core
+	world    *World
+	addr     netip.AddrPort
+	zone     string
+	services map[string]*flow.Service
+	members  uint64
+	config   uint64
+	waiters  map[uint64]func(core.Fate)
+	reading  bool
+	syncedTo map[*Entry]*schema.MembersRequest
+	// seen holds the highest revision of each team that this incarnation had.
+	seen map[string]uint64
+}
+
+func (w *World) newAddr(owner any) netip.AddrPort {
+	w.made++
+	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(w.made >> 8), byte(w.made)}), 1)
+	w.addrs[addr] = owner
+	return addr
+}
+
+// AddEntry adds an entry that starts now.
+func (w *World) AddEntry() *Entry {
+	i := len(w.Entries)
+	e := &Entry{Proc: &Proc{Name: fmt.Sprintf("entry-%d", i+1)}, world: w, zone: zone(i)}
+	e.addr = w.newAddr(e)
+	w.Entries = append(w.Entries, e)
+	e.start()
+	return e
+}
+
+func zone(i int) string { return fmt.Sprintf("zone-%d", i%3) }
+
+func (e *Entry) start() {
+	w := e.world
+	e.services = map[string]*flow.Service{}
+	e.waiters = map[uint64]func(core.Fate){}
+	e.syncedTo = map[*Entry]*schema.MembersRequest{}
+	e.seen = map[string]uint64{}
+	e.members, e.config, e.reading = 0, 0, false
+	e.Core = core.New(w.clock(e.Proc), core.Config{
+		Name: e.Name, Zone: e.zone, Writer: fmt.Sprintf("%s-%d", e.Name, e.generation), Peer: e.addr,
+		Cells: []string{"main"}, SnapshotEvery: SnapshotEvery, Log: w.logger.With("proc", e.Name),
+	}, nil)
+	w.every(e.Proc, readEvery, e.read)
+	w.every(e.Proc, tickEvery, e.tick)
+	w.every(e.Proc, syncEvery, e.sync)
+	e.pump()
+}
+
+// Kill ends the entry at once.
+func (e *Entry) Kill() {
+	e.Dead = true
+	for _, done := range e.waiters {
+		done(core.Fate{Err: errors.New("entry died")})
+	}
+}
+
+// Restart starts a dead entry as a new incarnation without memory.
+func (e *Entry) Restart() {
+	if !e.Dead {
+		return
+	}
+	e.Dead = false
+	e.generation++
+	e.pausedUntil, e.rate = time.Time{}, 0
+	e.start()
+}
+
+func (e *Entry) clock() time.Time { return e.world.clock(e.Proc) }
+
+// read reads the log as the process's own loop does.
+func (e *Entry) read() {
+	if e.reading || e.world.logDown() {
+		return
+	}
+	e.reading = true
+	e.world.on(e.Proc, e.world.LogLatency, func() {
+		e.reading = false
+		if e.world.logDown() {
+			return
+		}
+		const most = 200
+		entries, _, err := e.world.Log.Read(context.Background(), e.Core.Fold().Next(), most, 0)
+		if errors.Is(err, port.ErrDeleted) {
+			e.reload()
+			return
+		}
+		e.Core.Read(e.clock(), entries, len(entries) < most)
+		e.deliver()
+		e.observe()
+		e.pump()
+	})
+}
+
+// reload starts anew from another entry's state, or from the log's snapshot.
+func (e *Entry) reload() {
+	for _, peer := range e.world.Entries {
+		if peer != e && !peer.Dead && peer.Core.Ready() && peer.Core.Fold().Next() > e.Core.Fold().Next() {
+			e.Core.Reload(e.clock(), peer.Core.Fold().Encode())
+			return
+		}
+	}
+	var loader fold.Loader
+	_, from, _ := e.world.Log.Read(context.Background(), 1, 1, 0)
+	entries, _, _ := e.world.Log.Read(context.Background(), from, 1<<20, 0)
+	for _, entry := range entries {
+		if batch, err := frame.Decode(entry.Data); err == nil {
+			loader.Scan(batch)
+		}
+	}
+	if loader.State() != nil {
+		e.Core.Reload(e.clock(), loader.State())
+	}
+}
+
+// observe checks that no revision ever falls.
+func (e *Entry) observe() {
+	if !e.Core.Ready() {
+		return
+	}
+	for _, t := range e.Core.Fold().Teams() {
+		if t.Revision < e.seen[t.Name] {
+			e.world.History.fault("%s: revision of %s fell from %d to %d", e.Name, t.Name, e.seen[t.Name], t.Revision)
+		}
+		e.seen[t.Name] = t.Revision
+	}
+}
+
+func (e *Entry) deliver() {
+	for _, fate := range e.Core.Fates() {
+		if done := e.waiters[fate.ID]; done != nil {
+			delete(e.waiters, fate.ID)
+			done(fate)
+		}
+	}
+}
+
+func (e *Entry) tick() {
+	e.Core.Tick(e.clock())
+	e.deliver()
+	for _, m := range e.Core.Poke() {
+		addr := netip.MustParseAddrPort(m.GetAddr())
+		if vm, ok := e.world.addrs[addr].(*VM); ok {
+			e.world.send(e.Proc, vm.Proc, vm.cycle)
+		}
+	}
+	e.promises()
+	e.reroute()
+	e.pump()
+}
+
+func (e *Entry) reroute() {
+	f, members := e.Core.Fold(), e.Core.Members()
+	if e.members == members.Version() && e.config == f.ConfigVersion() {
+		return
+	}
+	e.members, e.config = members.Version(), f.ConfigVersion()
+	targets := e.Core.Targets(hop)
+	for _, t := range f.Teams() {
+		for name := range t.Config.Services {
+			key := t.Name + "/" + name
+			if e.services[key] == nil {
+				e.services[key] = &flow.Service{}
+			}
+			e.services[key].Update(e.clock(), targets[key])
+			e.services[key].RetryShare = t.Config.Retry.Share()
+		}
+	}
+}
+
+// pump appends what the core wants to write.
+func (e *Entry) pump() {
+	wr := e.Core.Writer()
+	data, ok := wr.Next(e.clock())
+	if !ok {
+		if at := wr.Wake(); !at.IsZero() {
+			e.world.on(e.Proc, max(at.Sub(e.clock()), time.Millisecond), e.pump)
+		}
+		return
+	}
+	for _, s := range stepsOf(data) {
+		if e.world.step(s, e.Proc) {
+			return
+		}
+	}
+	e.append(data)
+}
+
+// stepsOf names the steps that a batch is.
+func stepsOf(data []byte) []Step {
+	steps := []Step{Append}
+	batch, err := frame.Decode(data)
+	if err != nil {
+		return steps
+	}
+	for _, r := range batch.GetRecords() {
+		switch body := r.GetBody().(type) {
+		case *schema.Record_Grants:
+			steps = append(steps, Place)
+		case *schema.Record_Cancel:
+			steps = append(steps, Cancel)
+		case *schema.Record_Config:
+			steps = append(steps, Publish)
+		case *schema.Record_Part, *schema.Record_Mark:
+			steps = append(steps, Snapshot)
+		case *schema.Record_Claim:
+			if body.Claim.GetTerm() > 1 {
+				steps = append(steps, Takeover)
+			}
+		case *schema.Record_Results:
+			for _, result := range body.Results.GetResults() {
+				if result.GetOutcome() == schema.Outcome_OUTCOME_COMPLETED {
+					steps = append(steps, Complete)
+					break
+				}
+			}
+		}
+	}
+	return steps
+}
+
+// append gives a batch to the log, which may take it late, twice or without
+// answering.
+func (e *Entry) append(data []byte) {
+	w := e.world
+	latency := w.LogLatency
+	lose, double, delay := e.loseAck, e.doubleAppend, e.delayAppend
+	e.loseAck, e.doubleAppend, e.delayAppend = false, false, 0
+	const appendTimeout = 5 * time.Second
+	answered := false
+	answer := func(offset uint64, err error) {
+		if answered {
+			return
+		}
+		answered = true
+		e.Core.Writer().Appended(e.clock(), offset, err)
+		e.pump()
+	}
+	w.After(latency/2+delay, func() {
+		if w.logDown() {
+			w.on(e.Proc, latency/2, func() { answer(0, errors.New("log is down")) })
+			return
+		}
+		offset, err := w.Log.Append(context.Background(), data)
+		if double {
+			w.After(time.Second, func() { _, _ = w.Log.Append(context.Background(), data) })
+		}
+		if !lose {
+			w.on(e.Proc, latency/2, func() { answer(offset, err) })
+		}
+	})
+	w.on(e.Proc, appendTimeout, func() { answer(0, errors.New("append timed out")) })
+}
+
+// sync takes the changes of members from the other entries.
+func (e *Entry) sync() {
+	for _, peer := range e.world.Entries {
+		if peer == e {
+			continue
+		}
+		req := e.syncedTo[peer]
+		if req == nil {
+			req = &schema.MembersRequest{}
+			e.syncedTo[peer] = req
+		}
+		call(e.world, e.Proc, peer.Proc, callTimeout, func(reply func(*schema.MembersReply)) {
+			reply(peer.Core.MembersSince(req))
+		}, func(r *schema.MembersReply) {
+			if r == nil {
+				return
+			}
+			req.Since, req.Epoch = r.GetVersion(), r.GetEpoch()
+			for _, m := range r.GetMembers() {
+				e.Core.Members().Merge(e.clock(), m)
+			}
+		})
+	}
+}
+
+func (e *Entry) promises() {
+	l := e.Core.Leader("main")
+	missing, d := l.Wanted(e.clock())
+	for _, m := range missing {
+		peer, ok := e.world.addrs[netip.MustParseAddrPort(m.PeerAddr)].(*Entry)
+		if !ok {
+			continue
+		}
+		term, own := l.Term(), e.Core.Writer().ID()
+		call(e.world, e.Proc, peer.Proc, callTimeout, func(reply func(*bool)) {
+			granted := peer.Core.Writer().ID() == m.ID && peer.Core.Leader("main").Promise(peer.clock(), own, term, d)
+			reply(&granted)
+		}, func(granted *bool) {
+			if granted != nil && *granted {
+				e.Core.Leader("main").Promised(e.clock(), m.ID)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/proof/world/history.go
@@ -0,0 +1,204 @@
+package world
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/ebonyarch/ebonyarch/internal/base/codes"
+	"github.com/ebonyarch/ebonyarch/internal/base/ident"
+	"github.com/ebonyarch/ebonyarch/internal/fake/worker"
+	"github.com/ebonyarch/ebonyarch/internal/node/core"
+	"github.com/ebonyarch/ebonyarch/internal/state/fold"
+	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
+)
+
+// History is what callers and operators of a world did and were told.
+type History struct {
+	Calls       []*Call
+	Submissions []*Submission
+	Publishes   []*Put
+	faults      []string
+}
+
+// Submission is one attempt to submit a job.
+type Submission struct {
+	Job   string
+	Tasks uint32
+	Done  bool
+	Code  codes.Code
+	// Cancelled is set once a cancellation was accepted.
+	Cancelled bool
+}
+
+// Put is one attempt to publish a team's configuration.
+type Put struct {
+	Team           string
+	Base, Revision uint64
+	Body           string
+	// From and To are when it was called and answered.
+	From, To time.Time
+	Done     bool
+	Code     codes.Code
+}
+
+func (h *History) fault(format string, args ...any) {
+	h.faults = append(h.faults, fmt.Sprintf(format, args...))
+}
+
+// commit gives a record to an entry and calls done with its fate.
+func (e *Entry) commit(r *schema.Record, done func(core.Fate)) {
+	if e.Dead || e.world.Now.Before(e.pausedUntil) {
+		done(core.Fate{Err: codes.New(codes.Unreachable, "no answer")})
+		return
+	}
+	id, err := e.Core.Commit(e.clock(), r)
+	if err != nil {
+		done(core.Fate{Err: err})
+		return
+	}
+	e.waiters[id] = func(f core.Fate) {
+		if f.Err != nil && codes.Of(f.Err) == codes.Internal {
+			f.Err = codes.New(codes.FateUnknown, "the entry died")
+		}
+		done(f)
+	}
+	e.pump()
+}
+
+// Submit submits a job at an entry and calls done with the result code.
+func (e *Entry) Submit(team, key, kind string, tasks uint32, work time.Duration, done func(codes.Code)) *Submission {
+	s := &Submission{Job: ident.BatchJob(team, key), Tasks: tasks}
+	e.world.History.Submissions = append(e.world.History.Submissions, s)
+	finish := func(c codes.Code) {
+		s.Done, s.Code = true, c
+		done(c)
+	}
+	t := e.Core.Fold().Team(team)
+	if e.world.step(Submit, e.Proc) || e.Dead {
+		finish(codes.Unreachable)
+		return s
+	}
+	if t == nil {
+		finish(codes.UnknownTeam)
+		return s
+	}
+	k := t.Config.Batch[kind]
+	e.commit(&schema.Record{Cell: "main", Body: &schema.Record_Job{Job: &schema.JobAccept{
+		Job: s.Job, Team: team, Key: key, BodyHash: []byte(kind), Kind: kind, Tasks: tasks, Size: k.Size(),
+		Urgent: k.Urgent, MaxFailures: k.FailureLimit(), WorkMs: uint32(work.Milliseconds()),
+	}}}, func(f core.Fate) { finish(codes.Of(f.Err)) })
+	return s
+}
+
+// CancelJob cancels a job at an entry.
+func (e *Entry) CancelJob(team string, s *Submission) {
+	e.commit(&schema.Record{Body: &schema.Record_Cancel{Cancel: &schema.JobCancel{Job: s.Job, Team: team}}},
+		func(f core.Fate) { s.Cancelled = f.Err == nil })
+}
+
+// Publish publishes a team's configuration at an entry.
+func (e *Entry) Publish(team string, base uint64, body string, done func(codes.Code)) *Put {
+	p := &Put{Team: team, Base: base, Body: body, From: e.world.Now}
+	e.world.History.Publishes = append(e.world.History.Publishes, p)
+	e.commit(&schema.Record{Body: &schema.Record_Config{Config: &schema.ConfigPut{
+		Team: team, Base: base, Body: []byte(body), Author: e.Name,
+	}}}, func(f core.Fate) {
+		p.Done, p.Code, p.Revision, p.To = true, codes.Of(f.Err), f.Revision, e.world.Now
+		done(p.Code)
+	})
+	return p
+}
+
+// Check returns everything that did not hold. It is called at the end, when all
+// faults are healed and all work should have ended.
+func (w *World) Check() []string {
+	faults := slices.Clone(w.History.faults)
+	add := func(format string, args ...any) { faults = append(faults, fmt.Sprintf(format, args...)) }
+	for _, task := range w.Witness.Overlaps(w.Now) {
+		add("task %s ran in two places at a time", task)
+	}
+	for _, start := range w.Witness.Overfull() {
+		add("VM beyond its capacity: %s", start)
+	}
+	w.checkCalls(add)
+	var first *fold.Fold
+	for _, e := range w.Entries {
+		if e.Dead {
+			continue
+		}
+		if first == nil {
+			first = e.Core.Fold()
+		}
+		w.checkJobs(e, add)
+		w.checkConfig(e, add)
+	}
+	return faults
+}
+
+func (w *World) checkCalls(add func(string, ...any)) {
+	for _, c := range w.History.Calls {
+		served := w.Witness.Served(c.ID)
+		switch {
+		case !c.Done:
+			add("call %s got no outcome", c.ID)
+		case !c.Idempotent && served > 1:
+			add("non-idempotent call %s ran %d times", c.ID, served)
+		case c.Code == codes.OK && served == 0:
+			add("call %s was answered but never ran", c.ID)
+		case c.Sendings == 1 && c.Code.Info().Ran == codes.RanNo && served > 0:
+			add("call %s was told %s, not run, but ran", c.ID, c.Code)
+		}
+	}
+}
+
+func (w *World) checkJobs(e *Entry, add func(string, ...any)) {
+	finished := map[ident.Attempt]int{}
+	for _, r := range w.Witness.Runs() {
+		if r.End == worker.Finished {
+			finished[r.Attempt]++
+		}
+	}
+	for _, s := range w.History.Submissions {
+		job := e.Core.Fold().Job(s.Job)
+		switch {
+		case job == nil && s.Code == codes.OK:
+			add("%s: accepted job %s is lost", e.Name, s.Job)
+		case job != nil && s.Code.Info().Ran == codes.RanNo && s.Code != codes.Unreachable:
+			add("%s: job %s was told %s, not accepted, but exists", e.Name, s.Job, s.Code)
+		}
+		if job == nil {
+			continue
+		}
+		for _, t := range job.Tasks {
+			if !t.State.Ended() {
+				add("%s: task %s/%d is still %s on %q, epoch %d", e.Name, s.Job, t.Index, t.State, t.VM, t.Epoch)
+			}
+			if t.State == fold.Completed && finished[t.Attempt()] != 1 {
+				add("%s: task %s/%d is completed, but its attempt finished %d times",
+					e.Name, s.Job, t.Index, finished[t.Attempt()])
+			}
+			if t.State == fold.Parked {
+				add("%s: task %s/%d is parked: %s", e.Name, s.Job, t.Index, t.Reason)
+			}
+		}
+	}
+}
+
+func (w *World) checkConfig(e *Entry, add func(string, ...any)) {
+	for _, p := range w.History.Publishes {
+		if p.Code != codes.OK || !p.Done {
+			continue
+		}
+		t := e.Core.Fold().Team(p.Team)
+		if t == nil || t.Revision < p.Revision {
+			add("%s: accepted revision %d of %s is not in force", e.Name, p.Revision, p.Team)
+			continue
+		}
+		for _, c := range t.History {
+			if c.GetRevision() == p.Revision && string(c.GetBody()) != p.Body {
+				add("%s: revision %d of %s has another body than was accepted", e.Name, p.Revision, p.Team)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/proof/world/world.go
@@ -0,0 +1,248 @@
+// Package world drives the real decision code of entries and agents in virtual
+// time, over fakes of the network, the log and the workers, so that a fault can
+// be put at any step of a run and the run repeats exactly.
+//
+// It is no model of a cluster: a handful of processes, fixed latencies, and
+// switches for faults.
+package world
+
+import (
+	"container/heap"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/ebonyarch/ebonyarch/internal/fake/plog"
+	"github.com/ebonyarch/ebonyarch/internal/fake/worker"
+)
+
+// Latencies of the fakes.
+const (
+	hop           = 500 * time.Microsecond
+	appendLatency = 8 * time.Millisecond
+	readEvery     = 20 * time.Millisecond
+	tickEvery     = 50 * time.Millisecond
+	beatEvery     = time.Second
+	syncEvery     = 500 * time.Millisecond
+	callTimeout   = time.Second
+	serviceTime   = 4 * time.Millisecond
+)
+
+// Epoch is when every world begins.
+var Epoch = time.Date(2027, 3, 1, 6, 0, 0, 0, time.UTC)
+
+// Proc is a process: an entry or an agent.
+type Proc struct {
+	Name string
+	Dead bool
+	// pausedUntil delays everything that happens to the process.
+	pausedUntil time.Time
+	// rate is how fast the process's clock runs.
+	rate float64
+	// generation grows with each restart; events of former ones are dropped.
+	generation int
+	// The next message of the process is lost, sent twice or delayed.
+	lose, double bool
+	delay        time.Duration
+	// The same for the answer to its next append.
+	loseAck, doubleAppend bool
+	delayAppend           time.Duration
+}
+
+// World is one run. Make it with New.
+type World struct {
+	Now     time.Time
+	Log     *plog.Log
+	Witness *worker.Witness
+	Entries []*Entry
+	VMs     []*VM
+	History History
+	// LogDownUntil and LogLatency are the log's faults.
+	LogDownUntil time.Time
+	LogLatency   time.Duration
+	// Hook is called at each step of interest; it returns true if the process
+	// died of it and the step must not be taken.
+	Hook func(step Step, p *Proc) bool
+
+	rnd    *rand.Rand
+	queue  queue
+	seq    int
+	cuts   map[[2]*Proc]time.Time
+	addrs  map[netip.AddrPort]any
+	logger *slog.Logger
+	made   int
+}
+
+// New returns an empty world whose random choices follow from seed.
+func New(seed uint64) *World {
+	return &World{
+		Now: Epoch, Log: &plog.Log{}, Witness: &worker.Witness{}, LogLatency: appendLatency,
+		rnd: rand.New(rand.NewPCG(seed, 0)), cuts: map[[2]*Proc]time.Time{},
+		addrs: map[netip.AddrPort]any{}, logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	}
+}
+
+// Trace sends the log lines of all processes to w.
+func (w *World) Trace(out io.Writer) { w.logger = slog.New(slog.NewTextHandler(out, nil)) }
+
+type event struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type queue []*event
+
+// Len, Less, Swap, Push and Pop implement heap.Interface.
+func (q queue) Len() int { return len(q) }
+
+// Less orders events by time, then by the order in which they were made.
+func (q queue) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].seq < q[j].seq
+}
+
+// Swap exchanges two events.
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push adds an event.
+func (q *queue) Push(x any) { *q = append(*q, x.(*event)) }
+
+// Pop removes the last event.
+func (q *queue) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return x
+}
+
+// After calls run when d has passed.
+func (w *World) After(d time.Duration, run func()) {
+	w.seq++
+	heap.Push(&w.queue, &event{w.Now.Add(d), w.seq, run})
+}
+
+// on calls run in process p when d has passed, unless p died; a paused process
+// runs it later.
+func (w *World) on(p *Proc, d time.Duration, run func()) {
+	generation := p.generation
+	w.After(d, func() {
+		if p.Dead || p.generation != generation {
+			return
+		}
+		if w.Now.Before(p.pausedUntil) {
+			w.on(p, p.pausedUntil.Sub(w.Now), run)
+			return
+		}
+		run()
+	})
+}
+
+// every calls run in process p again and again.
+func (w *World) every(p *Proc, d time.Duration, run func()) {
+	w.on(p, d, func() {
+		run()
+		w.every(p, d, run)
+	})
+}
+
+// Run lets d pass.
+func (w *World) Run(d time.Duration) {
+	end := w.Now.Add(d)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		e := heap.Pop(&w.queue).(*event)
+		w.Now = e.at
+		e.run()
+	}
+	w.Now = end
+}
+
+// Since returns the time since the world began.
+func (w *World) Since() time.Duration { return w.Now.Sub(Epoch) }
+
+// clock is the time that process p sees.
+func (w *World) clock(p *Proc) time.Time {
+	if p.rate == 0 {
+		return w.Now
+	}
+	return Epoch.Add(time.Duration(float64(w.Now.Sub(Epoch)) * p.rate))
+}
+
+// step reports a step of interest and whether p died of it.
+func (w *World) step(s Step, p *Proc) bool {
+	return w.Hook != nil && w.Hook(s, p)
+}
+
+// Cut loses all messages from one process to another for a while.
+func (w *World) Cut(from, to *Proc, d time.Duration) { w.cuts[[2]*Proc{from, to}] = w.Now.Add(d) }
+
+// Pause stops a process for a while; what happens to it meanwhile is late.
+func (w *World) Pause(p *Proc, d time.Duration) { p.pausedUntil = w.Now.Add(d) }
+
+// Skew makes the clock of a process run at another rate from now on.
+func (w *World) Skew(p *Proc, rate float64) { p.rate = rate }
+
+// send delivers a message, as far as the faults let it.
+func (w *World) send(from, to *Proc, deliver func()) {
+	d := hop + time.Duration(w.rnd.Int64N(int64(hop)))
+	if from.delay > 0 {
+		d, from.delay = d+from.delay, 0
+	}
+	if w.Now.Before(w.cuts[[2]*Proc{from, to}]) || from.lose {
+		from.lose = false
+		return
+	}
+	w.on(to, d, deliver)
+	if from.double {
+		from.double = false
+		w.on(to, d+3*time.Second, deliver)
+	}
+}
+
+// call sends a request and calls done with the answer, or with nil after the
+// timeout. serve gets a function that sends the answer.
+func call[R any](w *World, from, to *Proc, timeout time.Duration, serve func(reply func(*R)), done func(*R)) {
+	answered := false
+	finish := func(r *R) {
+		if !answered {
+			answered = true
+			done(r)
+		}
+	}
+	w.send(from, to, func() {
+		serve(func(r *R) {
+			w.send(to, from, func() { finish(r) })
+		})
+	})
+	w.on(from, timeout, func() { finish(nil) })
+}
+
+func (w *World) logDown() bool { return w.Now.Before(w.LogDownUntil) }
+
+// ProcFaults are the faults of a process's next message or append.
+type ProcFaults struct {
+	Lose, Double, LoseAck, DoubleAppend bool
+	Delay, DelayAppend                  time.Duration
+}
+
+// SetFaults sets what goes wrong next.
+func (p *Proc) SetFaults(f ProcFaults) {
+	p.lose, p.double, p.delay = f.Lose, f.Double, f.Delay
+	p.loseAck, p.doubleAppend, p.delayAppend = f.LoseAck, f.DoubleAppend, f.DelayAppend
+}
+
+// Procs returns all processes.
+func (w *World) Procs() []*Proc {
+	var procs []*Proc
+	for _, e := range w.Entries {
+		procs = append(procs, e.Proc)
+	}
+	for _, v := range w.VMs {
+		procs = append(procs, v.Proc)
+	}
+	return procs
+}
--- a/internal/sched/leader/leader.go
+++ b/internal/sched/leader/leader.go
@@ -71,6 +71,8 @@
 	promise  promise
 	outage   outage
 	snapshot snapshotter
+	// snapshotEvery spaces the snapshots.
+	snapshotEvery time.Duration
 	// pokes holds VMs with attempts that were newly asked to leave.
 	pokes []string
 	stats Stats
@@ -94,10 +96,15 @@
 	at time.Time
 }
 
-// New returns an entry's part in a cell. learned may be nil.
-func New(cell string, f *fold.Fold, w *writer.Writer, members *member.Table, learned place.Slowdown, log *slog.Logger) *Leader {
+// New returns an entry's part in a cell. learned may be nil; snapshotEvery spaces
+// the snapshots of the state, 0 means SnapshotEvery.
+func New(cell string, f *fold.Fold, w *writer.Writer, members *member.Table, learned place.Slowdown, snapshotEvery time.Duration, log *slog.Logger) *Leader {
+	if snapshotEvery == 0 {
+		snapshotEvery = SnapshotEvery
+	}
 	return &Leader{
-		cell: cell, fold: f, writer: w, members: members, learned: learned, log: log,
+		snapshotEvery: snapshotEvery,
+		cell:          cell, fold: f, writer: w, members: members, learned: learned, log: log,
 		vms: map[string]*lease{}, proposals: map[uint64]struct{}{},
 		results: map[ident.Attempt]*schema.Result{}, evicting: map[ident.Attempt]eviction{},
 	}
--- a/internal/sched/leader/snap.go
+++ b/internal/sched/leader/snap.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// snapshotEvery spaces the snapshots of the state in the log.
-	snapshotEvery = 10 * time.Minute
+	// SnapshotEvery spaces the snapshots of the state in the log.
+	SnapshotEvery = 10 * time.Minute
 	// partSize bounds one part, in bytes.
 	partSize = 32 << 10
 	// partEvery spaces the parts, so that a snapshot does not crowd out work.
@@ -34,13 +34,13 @@
 func (l *Leader) tickSnapshot(now time.Time) {
 	s := &l.snapshot
 	if s.nextAt.IsZero() {
-		s.nextAt = now.Add(snapshotEvery)
+		s.nextAt = now.Add(l.snapshotEvery)
 	}
 	if now.Before(s.nextAt) || !l.fold.FirstCell(l.cell) {
 		return
 	}
 	if s.data == nil {
-		l.beginSnapshot(now)
+		l.beginSnapshot()
 	}
 	if s.sent < s.parts {
 		from := int(s.sent) * partSize
@@ -55,10 +55,10 @@
 		Id: s.id, Parts: s.parts, Base: s.base, Crc: crc32.ChecksumIEEE(s.data),
 	}}})
 	l.stats.Snapshots++
-	*s = snapshotter{nextAt: now.Add(snapshotEvery)}
+	*s = snapshotter{nextAt: now.Add(l.snapshotEvery)}
 }
 
-func (l *Leader) beginSnapshot(time.Time) {
+func (l *Leader) beginSnapshot() {
 	s := &l.snapshot
 	state := l.fold.Encode()
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(state)
