sched: a finished attempt's output counts only once the log has it

Cause: an agent cut off past its lease went on to finish attempts that the leader had given to others; an attempt that ended between two listings was evicted and its output thrown away. Stop now says discard, checkpoint or confirm, and an ended attempt stays at the worker until the log settled it.

--- a/internal/node/agent/beat.go
+++ b/internal/node/agent/beat.go
@@ -114,7 +114,7 @@
 func (a *Agent) stopAttempt(ctx context.Context, s runner.Stop) {
 	ctx, cancel := context.WithTimeout(ctx, workerTimeout)
 	defer cancel()
-	token, err := a.worker.Stop(ctx, s.Attempt.Ref(), s.Checkpoint)
+	token, err := a.worker.Stop(ctx, s.Attempt.Ref(), s.Mode)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.host.Runner.Stopped(s.Attempt, token, err)
--- a/internal/plat/port/worker.go
+++ b/internal/plat/port/worker.go
@@ -34,9 +34,9 @@
 	// Start runs an attempt under a lease: the worker stops it when the lease
 	// ends without Renew.
 	Start(ctx context.Context, a *schema.Assignment, lease time.Duration) error
-	// Stop ends an attempt. With checkpoint it returns a token from which any
-	// worker resumes.
-	Stop(ctx context.Context, ref *schema.TaskRef, checkpoint bool) ([]byte, error)
+	// Stop ends an attempt, also one that has not started and then never will.
+	// With Checkpoint it returns a token from which any worker resumes.
+	Stop(ctx context.Context, ref *schema.TaskRef, mode StopMode) ([]byte, error)
 	// Throttle limits an attempt to a share of its speed, in percent.
 	Throttle(ctx context.Context, ref *schema.TaskRef, percent uint32) error
 	// Renew extends the lease of every attempt.
--- a/internal/proof/world/world.go
+++ b/internal/proof/world/world.go
@@ -84,8 +84,17 @@
 	}
 }
 
-// Trace sends the log lines of all processes to w.
-func (w *World) Trace(out io.Writer) { w.logger = slog.New(slog.NewTextHandler(out, nil)) }
+// Trace sends the log lines of all processes to out, with the world's time.
+func (w *World) Trace(out io.Writer) {
+	w.logger = slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{
+		ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
+			if a.Key == slog.TimeKey {
+				return slog.Duration(slog.TimeKey, w.Since())
+			}
+			return a
+		},
+	}))
+}
 
 type event struct {
 	at  time.Time
--- a/internal/sched/leader/lease.go
+++ b/internal/sched/leader/lease.go
@@ -40,7 +40,7 @@
 	v.answered = now
 	v.attempts = attemptsOf(req)
 	reply.Leader, reply.LeaseMs = true, VMLease.Milliseconds()
-	reply.Acknowledged = l.takeResults(vm, req.GetResults())
+	l.takeResults(vm, req.GetResults(), reply)
 	l.fillAssignments(vm, req, reply)
 	return reply
 }
@@ -53,14 +53,20 @@
 	return attempts
 }
 
-// takeResults keeps results for the log and returns those that need not be
-// reported again, because the fold has moved past the attempt.
-func (l *Leader) takeResults(vm string, results []*schema.Result) []*schema.TaskRef {
-	var done []*schema.TaskRef
+// takeResults keeps results for the log, and answers which need not be reported
+// again because the fold has moved past the attempt.
+func (l *Leader) takeResults(vm string, results []*schema.Result, reply *schema.BeatReply) {
 	for _, r := range results {
 		t := l.fold.Task(r.GetTask())
-		if t == nil || t.VM != vm {
-			done = append(done, r.GetTask())
+		switch {
+		case t == nil:
+			reply.Stale = append(reply.Stale, r.GetTask())
+			continue
+		case t.State == fold.Completed:
+			reply.Acknowledged = append(reply.Acknowledged, r.GetTask())
+			continue
+		case t.State != fold.Granted || t.VM != vm:
+			reply.Stale = append(reply.Stale, r.GetTask())
 			continue
 		}
 		r.Vm = vm
@@ -70,7 +76,6 @@
 			l.results[a] = r
 		}
 	}
-	return done
 }
 
 func (l *Leader) fillAssignments(vm string, req *schema.BeatRequest, reply *schema.BeatReply) {
--- a/internal/sched/runner/action.go
+++ b/internal/sched/runner/action.go
@@ -1,9 +1,11 @@
 package runner
 
 import (
+	"errors"
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/base/ident"
+	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
 )
 
@@ -16,8 +18,18 @@
 
 // Stop asks for an attempt to be stopped; Stopped reports what came of it.
 type Stop struct {
-	Attempt    ident.Attempt
-	Checkpoint bool
+	Attempt ident.Attempt
+	Mode    port.StopMode
+}
+
+func (s stopReason) mode() port.StopMode {
+	switch s {
+	case stopEvict:
+		return port.Checkpoint
+	case stopConfirm:
+		return port.Confirm
+	}
+	return port.Discard
 }
 
 // Actions returns what is to be done at the worker now. Each is asked for once,
@@ -32,7 +44,7 @@
 		if a.stop != keep && !a.asked {
 			a.asked = true
 			a.phase = schema.Phase_PHASE_STOPPING
-			stops = append(stops, Stop{id, a.stop == stopEvict})
+			stops = append(stops, Stop{id, a.stop.mode()})
 		}
 	}
 	return stops, r.starts(now)
@@ -46,13 +58,13 @@
 	lapsed := !now.Before(r.leaseUntil.Add(-stopBefore))
 	for id, a := range r.attempts {
 		service := a.assignment.GetService()
-		if a.stop != keep || a.phase == schema.Phase_PHASE_STARTING {
+		if a.stop != keep || a.ended || a.phase == schema.Phase_PHASE_STARTING {
 			continue
 		}
 		as, ok := assigned[id]
 		switch {
 		case r.assigned != nil && !ok && !r.unconfirmed(now):
-			a.stop = stopUnassigned
+			a.stop = stopDiscard
 		case r.leaving && !service, ok && as.GetEvict():
 			a.stop = stopEvict
 		case lapsed && !service && !r.leaseUntil.IsZero():
@@ -132,12 +144,17 @@
 	}
 }
 
-// Stopped reports the outcome of a Stop. After an error it is asked for again.
+// Stopped reports the outcome of a Stop. After an error it is asked for again,
+// but an attempt that ended before it could be evicted is reported as ended.
 func (r *Runner) Stopped(id ident.Attempt, checkpoint []byte, err error) {
 	a := r.attempts[id]
 	if a == nil {
 		return
 	}
+	if errors.Is(err, port.ErrEnded) {
+		a.stop, a.asked = keep, false
+		return
+	}
 	if err != nil {
 		a.asked = false
 		return
--- a/internal/sched/runner/runner.go
+++ b/internal/sched/runner/runner.go
@@ -68,8 +68,8 @@
 const (
 	keep stopReason = iota
 	stopEvict
-	stopUnassigned
-	stopEnded
+	stopDiscard
+	stopConfirm
 )
 
 // New returns the runner of a VM.
@@ -153,7 +153,13 @@
 	if !reply.GetLeader() {
 		return
 	}
-	r.acknowledge(reply.GetAcknowledged())
+	r.settle(reply.GetAcknowledged(), stopConfirm)
+	r.settle(reply.GetStale(), stopDiscard)
+	for id, result := range r.results {
+		if result.GetOutcome() == schema.Outcome_OUTCOME_CHECKPOINT {
+			delete(r.results, id) // sent once; the next one replaces it
+		}
+	}
 	lease := time.Duration(reply.GetLeaseMs()) * time.Millisecond
 	if until := sent.Add(lease); until.After(r.leaseUntil) {
 		r.leaseUntil = until
@@ -171,19 +177,14 @@
 	}
 }
 
-// acknowledge forgets results that the leader has in the log. The worker keeps
-// an ended attempt until then, so that an agent that restarts reports it again.
-func (r *Runner) acknowledge(refs []*schema.TaskRef) {
+// settle forgets results that the log has, or never will. The worker keeps an
+// ended attempt until then, so that an agent that restarts reports it again.
+func (r *Runner) settle(refs []*schema.TaskRef, reason stopReason) {
 	for _, ref := range refs {
 		id := ident.AttemptOf(ref)
 		delete(r.results, id)
 		if a := r.attempts[id]; a != nil && a.ended {
-			a.stop = stopEnded
-		}
-	}
-	for id, result := range r.results {
-		if result.GetOutcome() == schema.Outcome_OUTCOME_CHECKPOINT {
-			delete(r.results, id) // sent once; the next one replaces it
+			a.stop = reason
 		}
 	}
 }
@@ -224,6 +225,7 @@
 			r.finish(id, a, schema.Outcome_OUTCOME_COMPLETED, nil, "")
 		}
 		r.ledger.Free(id)
+		a.stop, a.asked = keep, false // a stop that is due now would lose the result
 	}
 	if !a.ended && len(task.GetCheckpoint()) > 0 && now.Sub(a.reportedAt) >= CheckpointEvery {
 		a.reportedAt = now
