core: entries that are cut off refuse ids they cannot judge

An entry now knows until when its view is as fresh as the others' and answers staleID beyond that. Entries that fall silent in the log count as gone. - An entry that joined after the former leader's last renewal waited 75 min to revoke a silent VM, though others could tell that no extension was promised.

--- a/internal/front/flow/flow.go
+++ b/internal/front/flow/flow.go
@@ -93,7 +93,7 @@
 
 func (f *Flow) pick(now time.Time, rnd route.Rand) (*route.Upstream, error) {
 	if !f.req.Stamp.IsZero() && !f.req.Idempotent {
-		return f.pickHome()
+		return f.pickHome(now)
 	}
 	if u := f.service.Balancer.Pick(now, rnd, f.tried); u != nil {
 		return u, nil
@@ -103,8 +103,11 @@
 
 // pickHome returns the one upstream that may run a caller's non-idempotent
 // request, so that a second sending meets the memory of the first.
-func (f *Flow) pickHome() (*route.Upstream, error) {
+func (f *Flow) pickHome(now time.Time) (*route.Upstream, error) {
 	u := f.service.Balancer.Get(f.service.Homes.Home(f.req.ID, f.req.Stamp))
+	if !now.Before(f.service.FreshUntil) {
+		return nil, codes.New(codes.StaleID, "other entries may know other upstreams; whether it ran is not known")
+	}
 	if u == nil {
 		return nil, codes.New(codes.StaleID, "the upstreams changed since the id was made; whether it ran is not known")
 	}
--- a/internal/front/flow/service.go
+++ b/internal/front/flow/service.go
@@ -19,6 +19,8 @@
 	Homes    route.Homes
 	// RetryShare is the load that retries and hedges may add, as a fraction.
 	RetryShare float64
+	// FreshUntil is until when this entry knows the same upstreams as the others.
+	FreshUntil time.Time
 	budget     retry.Budget
 	answers    retry.Quantile
 	stats      Stats
--- a/internal/front/once/table.go
+++ b/internal/front/once/table.go
@@ -14,6 +14,9 @@
 	// ClockSkew bounds how much the clocks of callers, entries and upstreams
 	// differ.
 	ClockSkew = 2 * time.Second
+	// Settle is the time after which every entry knows of an upstream that
+	// started; it runs no id that is older than that.
+	Settle = 5 * time.Second
 )
 
 // Verdict is what may be done with an id.
@@ -77,7 +80,7 @@
 }
 
 func (t *Table) stale(now, stamp time.Time) bool {
-	return now.Sub(stamp) > Keep-ClockSkew || stamp.Sub(now) > ClockSkew || stamp.Before(t.since.Add(ClockSkew))
+	return now.Sub(stamp) > Keep-ClockSkew || stamp.Sub(now) > ClockSkew || stamp.Before(t.since.Add(Settle))
 }
 
 // Start marks an entered id as running. It returns false if it was revoked.
--- a/internal/front/route/homes.go
+++ b/internal/front/route/homes.go
@@ -4,12 +4,14 @@
 	"hash/fnv"
 	"slices"
 	"time"
+
+	"github.com/ebonyarch/ebonyarch/internal/front/once"
 )
 
 const (
-	// Settle is the time in which a change of upstreams reaches every entry that
+	// settle is the time in which a change of upstreams reaches every entry that
 	// still hears from the others.
-	Settle = 5 * time.Second
+	settle = once.Settle
 	// keepViews is how long former sets of upstreams are remembered; it exceeds
 	// the age up to which a request id is accepted.
 	keepViews = 3 * time.Minute
@@ -51,7 +53,7 @@
 // or "" if that is not certain.
 func (h *Homes) Home(id string, stamp time.Time) string {
 	home := ""
-	from := stamp.Add(-Settle)
+	from := stamp.Add(-settle)
 	for i, v := range h.views {
 		if i+1 < len(h.views) && !h.views[i+1].since.After(from) {
 			continue // this view had ended when the id was made
--- a/internal/node/core/core.go
+++ b/internal/node/core/core.go
@@ -47,6 +47,8 @@
 	// that became certain since the last call of Fates.
 	commits []commit
 	fates   []Fate
+	// synced holds the other entries' latest answers by writer.
+	synced map[string]sync
 	// ready is set once the log was read to its end for the first time.
 	ready   bool
 	leaving bool
@@ -132,6 +134,7 @@
 func (c *Core) Tick(now time.Time) {
 	c.members.Expire(now)
 	c.tickCommits(now)
+	c.tickAlive(now)
 	if c.leaving || !c.ready {
 		return
 	}
@@ -186,15 +189,3 @@
 	}
 	return vms
 }
-
-// MembersSince answers another entry's question for changed VMs. Versions of
-// another incarnation of this entry mean nothing, so the answer is whole then.
-func (c *Core) MembersSince(req *schema.MembersRequest) *schema.MembersReply {
-	reply := &schema.MembersReply{Version: c.members.Version(), Epoch: c.writer.ID()}
-	since := req.GetSince()
-	if req.GetEpoch() != reply.Epoch {
-		since, reply.Whole = 0, true
-	}
-	reply.Members = c.members.Since(since)
-	return reply
-}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -52,7 +52,6 @@
 	changed chan struct{}
 	// routedMembers and routedConfig are the versions that routes is made of.
 	routedMembers, routedConfig uint64
-	synced                      map[netip.AddrPort]time.Time
 }
 
 // Start opens the entry's addresses and begins to follow the log.
@@ -63,7 +62,6 @@
 		cfg: cfg, platform: platform, log: log, ctx: ctx, stop: cancel,
 		appends: make(chan struct{}, 1), ticks: make(chan struct{}, 1),
 		waiters: map[uint64]chan core.Fate{}, changed: make(chan struct{}),
-		synced: map[netip.AddrPort]time.Time{},
 	}
 	registry := admin.NewRegistry()
 	e.metrics = newMetrics(registry, e)
--- a/internal/node/entry/journal.go
+++ b/internal/node/entry/journal.go
@@ -188,8 +188,10 @@
 		e.deliver()
 		e.notice()
 		poke := e.core.Poke()
+		fresh := e.core.FreshUntil(time.Now())
 		e.mu.Unlock()
 		e.reroute()
+		e.setFresh(fresh)
 		e.poke(poke)
 		wake(e.appends)
 	}
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -11,7 +11,7 @@
 
 const (
 	// syncWait is how long a question for changed members waits for one.
-	syncWait = 2 * time.Second
+	syncWait = time.Second
 	// syncRetry spaces the questions to an entry that does not answer.
 	syncRetry = 500 * time.Millisecond
 	// scanPeers spaces the looks for entries that joined or left.
@@ -37,7 +37,7 @@
 	defer timer.Stop()
 	for {
 		e.mu.Lock()
-		reply := e.core.MembersSince(req)
+		reply := e.core.MembersSince(time.Now(), req)
 		changed := e.changed
 		e.mu.Unlock()
 		if len(reply.Members) > 0 || reply.Whole {
@@ -116,6 +116,7 @@
 func (e *Entry) follow(ctx context.Context, addr netip.AddrPort) {
 	req := &schema.MembersRequest{WaitMs: syncWait.Milliseconds()}
 	for ctx.Err() == nil {
+		asked := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, syncWait+peerTimeout)
 		reply, err := e.links.To(addr).Entry().Members(callCtx, req)
 		cancel()
@@ -125,11 +126,7 @@
 		}
 		req.Since, req.Epoch = reply.GetVersion(), reply.GetEpoch()
 		e.mu.Lock()
-		now := time.Now()
-		e.synced[addr] = now
-		for _, m := range reply.GetMembers() {
-			e.core.Members().Merge(now, m)
-		}
+		e.core.Synced(time.Now(), asked, reply)
 		e.notice()
 		e.mu.Unlock()
 	}
--- a/internal/node/entry/routes.go
+++ b/internal/node/entry/routes.go
@@ -89,3 +89,13 @@
 	}
 	e.links.Keep(func(addr netip.AddrPort) bool { return known[addr] })
 }
+
+// setFresh tells the services until when they know the same upstreams as the
+// other entries.
+func (e *Entry) setFresh(until time.Time) {
+	for _, s := range e.routes.Load().services {
+		s.shared.mu.Lock()
+		s.shared.flow.FreshUntil = until
+		s.shared.mu.Unlock()
+	}
+}
--- a/internal/proof/world/world.go
+++ b/internal/proof/world/world.go
@@ -20,16 +20,18 @@
 
 // Latencies of the fakes.
 const (
-	hop           = 500 * time.Microsecond
-	appendLatency = 8 * time.Millisecond
-	readEvery     = 20 * time.Millisecond
-	tickEvery     = 50 * time.Millisecond
-	beatEvery     = time.Second
-	syncEvery     = 500 * time.Millisecond
-	callTimeout   = time.Second
-	serviceTime   = 4 * time.Millisecond
+	hop         = 500 * time.Microsecond
+	readEvery   = 20 * time.Millisecond
+	tickEvery   = 50 * time.Millisecond
+	beatEvery   = time.Second
+	syncEvery   = 500 * time.Millisecond
+	callTimeout = time.Second
+	serviceTime = 4 * time.Millisecond
 )
 
+// AppendLatency is how long an append takes while the log is well.
+const AppendLatency = 8 * time.Millisecond
+
 // Epoch is when every world begins.
 var Epoch = time.Date(2027, 3, 1, 6, 0, 0, 0, time.UTC)
 
@@ -78,7 +80,7 @@
 // New returns an empty world whose random choices follow from seed.
 func New(seed uint64) *World {
 	return &World{
-		Now: Epoch, Log: &plog.Log{}, Witness: &worker.Witness{}, LogLatency: appendLatency,
+		Now: Epoch, Log: &plog.Log{}, Witness: &worker.Witness{}, LogLatency: AppendLatency,
 		rnd: rand.New(rand.NewPCG(seed, 0)), cuts: map[[2]*Proc]time.Time{},
 		addrs: map[netip.AddrPort]any{}, logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
--- a/internal/sched/leader/leader.go
+++ b/internal/sched/leader/leader.go
@@ -69,6 +69,8 @@
 	learned  place.Slowdown
 	failures failures
 	promise  promise
+	// heard holds what other entries say of their promises, by writer.
+	heard    map[string]heard
 	outage   outage
 	snapshot snapshotter
 	// snapshotEvery spaces the snapshots.
--- a/internal/sched/leader/outage.go
+++ b/internal/sched/leader/outage.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/state/fold"
+	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
 )
 
 // promise is what this entry promised to a leader that lost the log: not to
@@ -93,7 +94,7 @@
 //
 // An extension needs the promise of every entry that the former leader knew. If
 // this entry is certainly one of them, its own promise decides. If it joined
-// later, it cannot know and waits for the longest extension.
+// later, one of them can tell; if none does, it waits for the longest extension.
 func (l *Leader) extensionEnd() time.Time {
 	c := l.fold.Cell(l.cell)
 	if c.Term <= 1 || c.PriorKnown == 0 {
@@ -106,5 +107,38 @@
 		}
 		return time.Time{}
 	}
+	for id, h := range l.heard {
+		w, known := l.fold.Writer(id)
+		if !known || w.JoinedAt >= c.PriorKnown || h.readTerm < c.Term {
+			continue
+		}
+		if h.term != c.Term-1 {
+			return time.Time{} // the former leader needed its promise and has none
+		}
+		return h.until.Add(withMargin(VMLease))
+	}
 	return l.tookOver.Add(withMargin(MaxExtension))
 }
+
+// heard is what another entry said of its promises.
+type heard struct {
+	readTerm uint64
+	promise
+}
+
+// Promises returns what this entry promised, for other entries.
+func (l *Leader) Promises(now time.Time) *schema.CellPromise {
+	return &schema.CellPromise{
+		Cell: l.cell, ReadTerm: l.fold.Cell(l.cell).Term, Term: l.promise.term,
+		LeftMs: max(0, l.promise.until.Sub(now)).Milliseconds(),
+	}
+}
+
+// HeardPromise takes what another entry says of its promises.
+func (l *Leader) HeardPromise(now time.Time, writerID string, p *schema.CellPromise) {
+	if l.heard == nil {
+		l.heard = map[string]heard{}
+	}
+	left := withMargin(time.Duration(p.GetLeftMs()) * time.Millisecond)
+	l.heard[writerID] = heard{p.GetReadTerm(), promise{p.GetTerm(), now.Add(left)}}
+}
--- a/internal/state/fold/fold.go
+++ b/internal/state/fold/fold.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// maxClockStep bounds how far one leader's record moves the fold's clock.
-	maxClockStep = 10 * time.Second
+	// maxClockStep bounds how far one leader's record moves the fold's clock. It is
+	// well below EntryLapse, so that no entry counts as gone because of a jump.
+	maxClockStep = 2 * time.Second
 	// KeepJobs is how long an ended job and its idempotency key are kept.
 	KeepJobs = 24 * time.Hour
 	// KeepTasks is how long the single tasks of an ended job are kept.
@@ -26,6 +27,8 @@
 	// KeepWriters is how long a silent writer is kept. It exceeds the time that
 	// the platform may delay an append.
 	KeepWriters = 48 * time.Hour
+	// EntryLapse is the silence in the log after which an entry counts as gone.
+	EntryLapse = 20 * time.Second
 	// forgetEvery spaces the passes that drop expired state.
 	forgetEvery = time.Minute
 )
@@ -37,6 +40,8 @@
 	next uint64
 	// clock only grows, and only by records of current leaders.
 	clock time.Time
+	// at is the time that the batch under way bears, for people.
+	at time.Time
 	// forgetAt is the clock's value at which expired state is dropped next.
 	forgetAt time.Time
 	writers  map[string]*Writer
@@ -150,6 +155,7 @@
 	}
 	effect := Effect{Writer: batch.GetWriter(), Seq: batch.GetSeq()}
 	f.stats.Batches++
+	f.at = time.UnixMilli(batch.GetAtMs())
 	for _, r := range batch.GetRecords() {
 		f.stats.Records++
 		applied := f.record(offset, batch, r)
@@ -177,14 +183,13 @@
 		return Applied{Code: codes.Leaving}
 	}
 	switch body := r.GetBody().(type) {
-	case *schema.Record_Hello:
-		return Applied{}
+	case *schema.Record_Hello, *schema.Record_Alive:
 	case *schema.Record_Goodbye:
 		f.writers[b.GetWriter()].Left = true
 	case *schema.Record_Claim:
 		return f.claim(offset, b, r.GetCell(), body.Claim)
 	case *schema.Record_Job:
-		return f.accept(r.GetCell(), body.Job)
+		return f.accept(r.GetCell(), body.Job, time.UnixMilli(b.GetAtMs()))
 	case *schema.Record_Cancel:
 		return f.cancel(body.Cancel)
 	case *schema.Record_Grants:
@@ -231,10 +236,10 @@
 		if job.Ended.IsZero() {
 			continue
 		}
-		if f.clock.Sub(job.Ended) > KeepTasks {
+		if f.clock.Sub(job.endedClock) > KeepTasks {
 			job.Tasks = nil
 		}
-		if f.clock.Sub(job.Ended) > KeepJobs {
+		if f.clock.Sub(job.endedClock) > KeepJobs {
 			delete(f.jobs, id)
 		}
 	}
--- a/internal/state/fold/job.go
+++ b/internal/state/fold/job.go
@@ -28,10 +28,13 @@
 	WorkMs  uint32
 	Input   []byte
 	// Order numbers the jobs by acceptance.
-	Order     uint64
-	Accepted  time.Time
-	Ended     time.Time
-	Cancelled bool
+	Order uint64
+	// Accepted and Ended are the writers' times, for people.
+	Accepted time.Time
+	Ended    time.Time
+	// endedClock is the fold's clock when the job ended.
+	endedClock time.Time
+	Cancelled  bool
 	// Tasks is nil once an ended job's tasks are forgotten.
 	Tasks []*Task
 	// Count and Done are the tasks accepted and completed.
@@ -102,7 +105,7 @@
 	}
 }
 
-func (f *Fold) accept(cell string, a *schema.JobAccept) Applied {
+func (f *Fold) accept(cell string, a *schema.JobAccept, at time.Time) Applied {
 	if old := f.jobs[a.GetJob()]; old != nil {
 		if bytes.Equal(old.Hash, a.GetBodyHash()) {
 			return Applied{}
@@ -123,7 +126,7 @@
 	job := &Job{
 		ID: a.GetJob(), Team: a.GetTeam(), Cell: cell, Kind: a.GetKind(), Key: a.GetKey(),
 		Hash: a.GetBodyHash(), Urgent: a.GetUrgent(), Size: a.GetSize(), WorkMs: a.GetWorkMs(),
-		Input: a.GetInput(), Order: f.order, Accepted: f.clock, Count: a.GetTasks(),
+		Input: a.GetInput(), Order: f.order, Accepted: at, Count: a.GetTasks(),
 		maxFailures: max(a.GetMaxFailures(), 1), open: a.GetTasks(),
 	}
 	tasks := make([]Task, a.GetTasks())
--- a/internal/state/fold/snap.go
+++ b/internal/state/fold/snap.go
@@ -53,7 +53,7 @@
 		AcceptedMs: j.Accepted.UnixMilli(), Done: j.Done, Epochs: j.epochs,
 	}
 	if !j.Ended.IsZero() {
-		s.EndedMs = j.Ended.UnixMilli()
+		s.EndedMs, s.EndedClockMs = j.Ended.UnixMilli(), j.endedClock.UnixMilli()
 	}
 	for _, t := range j.Tasks {
 		s.Tasks = append(s.Tasks, &schema.TaskState{
@@ -107,7 +107,7 @@
 		Done: s.GetDone(), maxFailures: a.GetMaxFailures(), epochs: s.GetEpochs(),
 	}
 	if s.GetEndedMs() != 0 {
-		job.Ended = time.UnixMilli(s.GetEndedMs())
+		job.Ended, job.endedClock = time.UnixMilli(s.GetEndedMs()), time.UnixMilli(s.GetEndedClockMs())
 	}
 	f.jobs[job.ID] = job
 	for i, ts := range s.GetTasks() {
--- a/internal/state/fold/task.go
+++ b/internal/state/fold/task.go
@@ -157,7 +157,7 @@
 	t.Job.open--
 	f.teams[t.Job.Team].open--
 	if t.Job.open == 0 {
-		t.Job.Ended, t.Job.Input = f.clock, nil
+		t.Job.Ended, t.Job.endedClock, t.Job.Input = f.at, f.clock, nil
 	}
 }
 
--- a/internal/state/fold/writer.go
+++ b/internal/state/fold/writer.go
@@ -15,7 +15,8 @@
 	Seq uint64
 	// Seen is the fold's clock at the writer's latest batch.
 	Seen time.Time
-	// JoinedAt is the offset of the writer's Hello.
+	// JoinedAt is the offset of the writer's Hello, or of its first batch after it
+	// was silent for so long that it counted as gone.
 	JoinedAt uint64
 	Name     string
 	Zone     string
@@ -46,10 +47,18 @@
 		f.stats.Duplicates++
 		return false
 	}
+	if w.silent(f.clock) {
+		w.JoinedAt = offset // others may have counted it as gone
+	}
 	w.Seq, w.Seen = b.GetSeq(), f.clock
 	return true
 }
 
+// silent reports whether the writer counts as gone for now.
+func (w *Writer) silent(clock time.Time) bool {
+	return !w.Seen.IsZero() && clock.Sub(w.Seen) > EntryLapse
+}
+
 func firstHello(b *schema.Batch) *schema.Hello {
 	if len(b.GetRecords()) == 0 {
 		return nil
@@ -57,11 +66,12 @@
 	return b.GetRecords()[0].GetHello()
 }
 
-// Entries returns the writers that have joined and not left, by id.
+// Entries returns the writers that have joined, not left, and wrote of late, by
+// id.
 func (f *Fold) Entries() []Writer {
 	var entries []Writer
 	for _, w := range f.writers {
-		if !w.Left {
+		if !w.Left && !w.silent(f.clock) {
 			entries = append(entries, *w)
 		}
 	}
--- a/internal/state/writer/writer.go
+++ b/internal/state/writer/writer.go
@@ -90,6 +90,14 @@
 // Stats returns counts of the appends so far.
 func (w *Writer) Stats() Stats { return w.stats }
 
+// Idle returns how long ago the last batch was made; it is 0 while one is due.
+func (w *Writer) Idle(now time.Time) time.Duration {
+	if len(w.pending) > 0 || w.flyingAt.IsZero() {
+		return 0
+	}
+	return now.Sub(w.flyingAt)
+}
+
 // Pending returns the number of records whose fate is open.
 func (w *Writer) Pending() int { return len(w.pending) }
 
