--- a/internal/conf/teams/service.go
+++ b/internal/conf/teams/service.go
@@ -97,3 +97,12 @@
 func (s *Service) TimeoutOf(kind string) time.Duration {
 	return s.Kinds[kind].Timeout.Or(s.Timeout.Or(DefaultTimeout))
 }
+
+// Shares returns the guaranteed share of each kind of request, in percent.
+func (s *Service) Shares() map[string]uint32 {
+	shares := make(map[string]uint32, len(s.Kinds))
+	for name, k := range s.Kinds {
+		shares[name] = k.Share
+	}
+	return shares
+}
--- a/internal/front/flow/flow.go
+++ b/internal/front/flow/flow.go
@@ -18,7 +18,9 @@
 
 // Request is what a flow needs to know of a request.
 type Request struct {
-	ID         string
+	ID string
+	// Kind is the kind of the request within its service.
+	Kind       string
 	Idempotent bool
 	// Stamp is when the caller made the id, zero if the entry did.
 	Stamp    time.Time
@@ -63,7 +65,9 @@
 	open    int
 	// mayHaveRun is set once a try ended with an unknown fate.
 	mayHaveRun bool
-	done       bool
+	// admitted is set while the request counts against its kind's limit.
+	admitted bool
+	done     bool
 }
 
 type try struct {
@@ -83,10 +87,15 @@
 // Begin returns the first step.
 func (f *Flow) Begin(now time.Time, rnd route.Rand) Step {
 	f.service.stats.Requests++
+	if !f.service.limiter(f.req.Kind).Acquire() {
+		err := codes.New(codes.Overloaded, "the upstreams refuse more requests of kind %q", f.req.Kind)
+		return f.finish(now, nil, codes.After(err, f.service.Balancer.Mean()))
+	}
+	f.admitted = true
 	f.service.budget.Sent(f.service.RetryShare)
 	u, err := f.pick(now, rnd)
 	if err != nil {
-		return f.finish(nil, err)
+		return f.finish(now, nil, err)
 	}
 	return f.send(now, u)
 }
@@ -170,7 +179,7 @@
 		return f.failed(now, rnd, i, codes.New(codes.Truncated, "the answer arrived incomplete"))
 	}
 	f.service.answers.Add(now.Sub(f.tries[i].sent))
-	return f.finish(reply, nil)
+	return f.finish(now, reply, nil)
 }
 
 // Failed takes the failure of a try that brought no answer. Calls that were cut
@@ -212,7 +221,7 @@
 		return f.again(now, rnd, codes.Wrap(err, codes.Revoked, "revoked before it started"))
 	}
 	f.mayHaveRun = true
-	return f.finish(nil, err)
+	return f.finish(now, nil, err)
 }
 
 // again sends the request to another upstream if that is safe and within the
@@ -224,25 +233,37 @@
 	code := codes.Of(err)
 	home := !f.req.Stamp.IsZero() && !f.req.Idempotent
 	if code == codes.Truncated || home {
-		return f.finish(nil, err)
+		return f.finish(now, nil, err)
 	}
 	allowed := f.service.budget.Again(now, retry.Try{
 		NotRun: code.Info().Ran == codes.RanNo, Idempotent: f.req.Idempotent,
 		Tries: len(f.tries), Deadline: f.req.Deadline, Expected: f.service.Balancer.Mean(),
 	})
 	if !allowed {
-		return f.finish(nil, err)
+		return f.finish(now, nil, err)
 	}
 	u, pickErr := f.pick(now, rnd)
 	if pickErr != nil {
-		return f.finish(nil, err)
+		return f.finish(now, nil, err)
 	}
 	f.service.stats.Retries++
 	return f.send(now, u)
 }
 
-func (f *Flow) finish(reply *schema.ForwardReply, err error) Step {
+// full reports whether an upstream had no room for a request.
+func full(err error) bool {
+	switch codes.Of(err) {
+	case codes.UpstreamFull, codes.DeadlineTooNear, codes.TimedOutNotRun:
+		return true
+	}
+	return false
+}
+
+func (f *Flow) finish(now time.Time, reply *schema.ForwardReply, err error) Step {
 	f.done = true
+	if f.admitted {
+		f.service.limiter(f.req.Kind).Release(now, full(err))
+	}
 	if err != nil && f.mayHaveRun && codes.Of(err).Info().Ran == codes.RanNo {
 		// An earlier try may have run, so the whole request may have.
 		err = codes.Wrap(err, codes.ConnectionLost, "an earlier try may have run")
--- a/internal/front/flow/service.go
+++ b/internal/front/flow/service.go
@@ -8,6 +8,7 @@
 import (
 	"time"
 
+	"github.com/ebonyarch/ebonyarch/internal/front/limit"
 	"github.com/ebonyarch/ebonyarch/internal/front/retry"
 	"github.com/ebonyarch/ebonyarch/internal/front/route"
 )
@@ -22,6 +23,7 @@
 	// FreshUntil is until when this entry knows the same upstreams as the others.
 	FreshUntil time.Time
 	budget     retry.Budget
+	limits     map[string]*limit.Limiter
 	answers    retry.Quantile
 	stats      Stats
 }
@@ -37,12 +39,36 @@
 // Stats returns counts of what was sent so far.
 func (s *Service) Stats() Stats { return s.stats }
 
-// Update makes the upstreams those of targets.
-func (s *Service) Update(now time.Time, targets []route.Target) {
+// Update makes the upstreams those of targets. shares holds the guaranteed share
+// of each kind of request in percent, and entries is how many entries there are.
+func (s *Service) Update(now time.Time, targets []route.Target, shares map[string]uint32, entries int) {
 	s.Balancer.Update(targets)
 	s.Homes.Update(now, targets)
+	if s.limits == nil {
+		s.limits = map[string]*limit.Limiter{}
+	}
+	slots := float64(s.Balancer.Slots()) / float64(max(entries, 1))
+	for kind, share := range shares {
+		s.limiter(kind).Floor = slots * float64(share) / 100
+	}
+}
+
+// limiter returns the limiter of a kind.
+func (s *Service) limiter(kind string) *limit.Limiter {
+	l := s.limits[kind]
+	if l == nil {
+		if s.limits == nil {
+			s.limits = map[string]*limit.Limiter{}
+		}
+		l = &limit.Limiter{}
+		s.limits[kind] = l
+	}
+	return l
 }
 
+// Limit returns the bound on requests in flight of a kind, 0 for none.
+func (s *Service) Limit(kind string) float64 { return s.limiter(kind).Limit() }
+
 const (
 	// hedgeFactor is how far beyond the high quantile a hedge waits.
 	hedgeFactor = 1.5
--- a/internal/node/entry/route.go
+++ b/internal/node/entry/route.go
@@ -36,7 +36,7 @@
 	defer cancel() // ends tries that are not needed any more
 	j := &journey{entry: e, req: req, ctx: ctx, events: make(chan flow.Step, maxEvents)}
 	j.flow = flow.New(&req.service.shared.flow, flow.Request{
-		ID: req.msg.Id, Idempotent: req.msg.Idempotent, Stamp: req.stamp, Deadline: req.deadline,
+		ID: req.msg.Id, Kind: req.msg.Kind, Idempotent: req.msg.Idempotent, Stamp: req.stamp, Deadline: req.deadline,
 	})
 	step := j.decide(func(now time.Time) flow.Step { return j.flow.Begin(now, random{}) })
 	for step.Action != flow.Done {
--- a/internal/node/entry/routes.go
+++ b/internal/node/entry/routes.go
@@ -56,7 +56,7 @@
 			if was := old.services[key]; was != nil {
 				s.shared = was.shared
 			}
-			s.shared.update(targets[key], t.Config.Retry.Share())
+			s.shared.update(targets[key], &cfg, t.Config.Retry.Share(), len(f.Entries()))
 			next.services[key] = s
 		}
 	}
@@ -64,10 +64,10 @@
 	e.keepLinks(members.Present())
 }
 
-func (s *shared) update(targets []route.Target, retryShare float64) {
+func (s *shared) update(targets []route.Target, cfg *teams.Service, retryShare float64, entries int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.flow.Update(time.Now(), targets)
+	s.flow.Update(time.Now(), targets, cfg.Shares(), entries)
 	s.flow.RetryShare = retryShare
 }
 
--- /dev/null
+++ b/internal/proof/slots/bench_test.go
@@ -0,0 +1,80 @@
+package slots_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/ebonyarch/ebonyarch/internal/proof/slots"
+)
+
+const seeds = 5
+
+var policies = []slots.Policy{
+	slots.Own(), slots.Random(), slots.RoundRobin(), slots.LeastInFlight(), slots.NoAdmission(),
+}
+
+// mean runs a configuration with all seeds and reports means.
+func report(b *testing.B, config func(seed uint64) slots.Config) {
+	for b.Loop() {
+		var p50, p99, p999, sent, wasted, offered float64
+		kept := map[string]float64{}
+		for seed := range uint64(seeds) {
+			c := config(seed + 1)
+			r := slots.Run(c)
+			v := r.Kinds["validate"]
+			p50 += ms(v.Quantile(0.5))
+			p99 += ms(v.Quantile(0.99))
+			p999 += ms(v.Quantile(0.999))
+			for name, k := range r.Kinds {
+				kept[name] += c.Kept(r, name)
+				offered += float64(k.Offered)
+			}
+			sent += float64(r.Sent)
+			wasted += float64(r.Wasted)
+		}
+		b.ReportMetric(p50/seeds, "p50-ms")
+		b.ReportMetric(p99/seeds, "p99-ms")
+		b.ReportMetric(p999/seeds, "p999-ms")
+		b.ReportMetric(sent/offered, "sent/request")
+		b.ReportMetric(wasted/offered, "wasted/request")
+		for name, sum := range kept {
+			b.ReportMetric(sum/seeds, "kept-"+name)
+		}
+		b.ReportMetric(0, "ns/op")
+	}
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func BenchmarkCalm(b *testing.B) {
+	for _, p := range policies {
+		b.Run(p.Name, func(b *testing.B) {
+			report(b, func(seed uint64) slots.Config { return slots.Registry(seed, p) })
+		})
+	}
+}
+
+func BenchmarkNoisy(b *testing.B) {
+	for _, p := range policies {
+		b.Run(p.Name, func(b *testing.B) {
+			report(b, func(seed uint64) slots.Config { return slots.Registry(seed, p).Noisy(4) })
+		})
+	}
+}
+
+func BenchmarkFlood(b *testing.B) {
+	for _, kind := range []string{"bulk", "validate"} {
+		for _, times := range []float64{2, 5, 20} {
+			for _, p := range []slots.Policy{slots.Own(), slots.NoAdmission()} {
+				b.Run(fmt.Sprintf("%s/%g/%s", kind, times, p.Name), func(b *testing.B) {
+					report(b, func(seed uint64) slots.Config {
+						c := slots.Registry(seed, p).Flood(kind, times)
+						c.For = 8 * time.Second
+						return c
+					})
+				})
+			}
+		}
+	}
+}
--- a/internal/proof/world/entry.go
+++ b/internal/proof/world/entry.go
@@ -185,12 +185,12 @@
 	e.members, e.config = members.Version(), f.ConfigVersion()
 	targets := e.Core.Targets(hop)
 	for _, t := range f.Teams() {
-		for name := range t.Config.Services {
+		for name, cfg := range t.Config.Services {
 			key := t.Name + "/" + name
 			if e.services[key] == nil {
 				e.services[key] = &flow.Service{}
 			}
-			e.services[key].Update(e.clock(), targets[key])
+			e.services[key].Update(e.clock(), targets[key], cfg.Shares(), len(f.Entries()))
 			e.services[key].RetryShare = t.Config.Retry.Share()
 		}
 	}
