front: survive lagging reports, a lost zone and many entries

Causes: loads reported 2 s late drew all entries to the same upstreams; an upstream that fell silent cost its entry five deadlines; a limit at its smallest still sent one request after each refusal. Now old loads give way to the assumption that other entries send what this one does, a slower answer than that of a later try counts against the upstream, and refusals at the floor hold requests back.

--- a/internal/front/flow/flow.go
+++ b/internal/front/flow/flow.go
@@ -87,7 +87,7 @@
 // Begin returns the first step.
 func (f *Flow) Begin(now time.Time, rnd route.Rand) Step {
 	f.service.stats.Requests++
-	if !f.service.limiter(f.req.Kind).Acquire() {
+	if !f.service.limiter(f.req.Kind).Acquire(now) {
 		err := codes.New(codes.Overloaded, "the upstreams refuse more requests of kind %q", f.req.Kind)
 		return f.finish(now, nil, codes.After(err, f.service.Balancer.Mean()))
 	}
@@ -169,6 +169,7 @@
 	}
 	if l := reply.GetLoad(); l != nil {
 		report.Loaded, report.Running, report.Queued = true, int(l.GetRunning()), int(l.GetQueued())
+		report.Age = time.Duration(l.GetAgeMs()) * time.Millisecond
 		report.Service = time.Duration(l.GetServiceUs()) * time.Microsecond
 	}
 	f.closeTry(now, i, report)
@@ -180,13 +181,26 @@
 		return f.failed(now, rnd, i, codes.New(codes.Truncated, "the answer arrived incomplete"))
 	}
 	f.service.answers.Add(now.Sub(f.tries[i].sent))
+	f.suspect(now, i)
 	return f.finish(now, reply, nil)
 }
 
+// suspect notes the upstreams that still owe an answer to tries that were sent
+// before the one that was answered.
+func (f *Flow) suspect(now time.Time, answered int) {
+	for _, t := range f.tries[:answered] {
+		if t.open {
+			f.service.Balancer.Suspect(now, t.upstream)
+		}
+	}
+}
+
 // Failed takes the failure of a try that brought no answer. Calls that were cut
 // off because the request is done are reported too.
 func (f *Flow) Failed(now time.Time, rnd route.Rand, i int, err error) Step {
-	f.closeTry(now, i, route.Report{Failed: !f.done && codes.Of(err) != codes.TimedOutNotRun})
+	report := route.Report{Unknown: f.done || codes.Of(err) == codes.TimedOutNotRun}
+	report.Failed = !report.Unknown
+	f.closeTry(now, i, report)
 	return f.failed(now, rnd, i, err)
 }
 
--- a/internal/front/flow/service.go
+++ b/internal/front/flow/service.go
@@ -42,7 +42,7 @@
 // Update makes the upstreams those of targets. shares holds the guaranteed share
 // of each kind of request in percent, and entries is how many entries there are.
 func (s *Service) Update(now time.Time, targets []route.Target, shares map[string]uint32, entries int) {
-	s.Balancer.Update(targets)
+	s.Balancer.Update(targets, entries)
 	s.Homes.Update(now, targets)
 	if s.limits == nil {
 		s.limits = map[string]*limit.Limiter{}
--- a/internal/front/limit/limiter.go
+++ b/internal/front/limit/limiter.go
@@ -13,6 +13,9 @@
 	slack = 2.0
 	// smallest is the limit of a kind without any guarantee.
 	smallest = 1.0
+	// minHold and maxHold bound the wait after a refusal at the smallest limit.
+	minHold = 2 * time.Millisecond
+	maxHold = 50 * time.Millisecond
 )
 
 // Limiter bounds the requests of one kind that an entry has in flight. The bound
@@ -24,16 +27,23 @@
 	limit    float64
 	inFlight int
 	cutAt    time.Time
+	// hold is how long further requests are held back after a refusal at the
+	// smallest limit, until holdUntil; it doubles with each.
+	hold      time.Duration
+	holdUntil time.Time
 	// Floor is what the kind's guaranteed share lets this entry have in flight at
 	// least.
 	Floor float64
 }
 
 // Acquire counts a request in flight if the limit allows one more.
-func (l *Limiter) Acquire() bool {
+func (l *Limiter) Acquire(now time.Time) bool {
 	if l.limit > 0 && float64(l.inFlight) >= max(l.limit, l.Floor, smallest) {
 		return false
 	}
+	if now.Before(l.holdUntil) && float64(l.inFlight) >= l.Floor {
+		return false
+	}
 	l.inFlight++
 	return true
 }
@@ -48,6 +58,13 @@
 		l.limit = max(l.limit*cut, l.Floor, smallest)
 		l.cutAt = now
 	}
+	switch {
+	case !refused:
+		l.hold = 0
+	case l.limit <= max(l.Floor, smallest)+1:
+		l.hold = min(max(2*l.hold, minHold), maxHold)
+		l.holdUntil = now.Add(l.hold)
+	}
 	if !refused && l.limit > 0 {
 		l.limit += 1 / max(l.limit, 1)
 		l.limit = min(l.limit, slack*float64(l.inFlight)+l.Floor+1)
--- a/internal/front/route/balancer.go
+++ b/internal/front/route/balancer.go
@@ -50,8 +50,9 @@
 	Distance time.Duration
 }
 
-// Update makes the upstreams those of targets, keeping what was learned.
-func (b *Balancer) Update(targets []Target) {
+// Update makes the upstreams those of targets, keeping what was learned. entries
+// is the number of entries that send to them.
+func (b *Balancer) Update(targets []Target, entries int) {
 	byVM := make(map[string]*Upstream, len(targets))
 	upstreams := make([]*Upstream, 0, len(targets))
 	b.ejected = 0
@@ -61,7 +62,7 @@
 			u = &Upstream{VM: t.VM}
 		}
 		u.Addr, u.Zone, u.Slots, u.Distance = t.Addr, t.Zone, t.Slots, t.Distance
-		u.index = len(upstreams)
+		u.peers = max(entries-1, 0)
 		byVM[t.VM] = u
 		upstreams = append(upstreams, u)
 		if u.Ejected() {
@@ -178,15 +179,29 @@
 
 // Report is what came of a request at an upstream.
 type Report struct {
+	// Unknown is set if nothing was learned of the upstream.
+	Unknown bool
 	// Failed is set if the upstream did not answer properly.
 	Failed bool
 	// Kind is the kind of the request, and Service the time that the upstream took
 	// for it, 0 if not known.
 	Kind    string
 	Service time.Duration
-	// Running and Queued are the upstream's load when it answered, if Loaded.
+	// Running and Queued are the upstream's load, Age ago, if Loaded.
 	Loaded          bool
 	Running, Queued int
+	Age             time.Duration
+}
+
+// Suspect reports that an upstream was slower than another that was asked later.
+func (b *Balancer) Suspect(now time.Time, u *Upstream) { b.fail(now, u) }
+
+// fail counts a failure and ejects the upstream if it is one too many.
+func (b *Balancer) fail(now time.Time, u *Upstream) {
+	allowed := (b.ejected+1)*100 <= len(b.upstreams)*probe.MaxEjectedPercent
+	if u.outlier.Failed(now, allowed) && b.byVM[u.VM] == u {
+		b.ejected++
+	}
 }
 
 // Done reports the end of a request that Pick or Sent counted.
@@ -194,14 +209,14 @@
 	u.inFlight--
 	if r.Loaded {
 		u.others = max(0, float64(r.Running+r.Queued-u.inFlight-1))
-		u.othersAt = now
+		u.othersAt = now.Add(-r.Age)
 	}
 	if r.Failed {
 		u.failed++
-		allowed := (b.ejected+1)*100 <= len(b.upstreams)*probe.MaxEjectedPercent
-		if u.outlier.Failed(now, allowed) && b.byVM[u.VM] == u {
-			b.ejected++
-		}
+		b.fail(now, u)
+		return
+	}
+	if r.Unknown {
 		return
 	}
 	u.failed = 0
--- a/internal/front/route/upstream.go
+++ b/internal/front/route/upstream.go
@@ -14,8 +14,9 @@
 	// staleAfter is the age at which half of what was measured of an upstream
 	// gives way to the average over all.
 	staleAfter = 3 * time.Second
-	// loadStaleAfter is the same for the load that other entries cause.
-	loadStaleAfter = 500 * time.Millisecond
+	// loadStaleAfter is the age at which the load that other entries cause counts
+	// half; it changes much faster than the service time.
+	loadStaleAfter = 200 * time.Millisecond
 	// fastFailurePenalty multiplies the expected time of an upstream after each
 	// failure, so that one that fails at once does not look fast.
 	fastFailurePenalty = 2
@@ -43,9 +44,10 @@
 	// others is the load that the upstream reported beyond this entry's own.
 	others   float64
 	othersAt time.Time
-	failed   int
-	outlier  probe.Outlier
-	index    int
+	// peers is the number of other entries.
+	peers   int
+	failed  int
+	outlier probe.Outlier
 }
 
 // InFlight returns the requests of this entry that are not answered.
@@ -60,12 +62,17 @@
 
 // Expected returns how long a request sent now would take that takes service on
 // average over all upstreams.
+//
+// What the upstream said of other entries' requests counts while it is fresh; as
+// it ages, the others are assumed to send what this entry sends.
 func (u *Upstream) Expected(now time.Time, average time.Duration) time.Duration {
 	service := float64(average)
 	if u.slowness > 0 {
 		service *= 1 + fade(now.Sub(u.learnedAt), staleAfter)*(u.slowness-1)
 	}
-	load := float64(u.inFlight) + u.others*fade(now.Sub(u.othersAt), loadStaleAfter)
+	known := halved(now.Sub(u.othersAt), loadStaleAfter)
+	own := float64(u.inFlight)
+	load := own + known*u.others + (1-known)*own*float64(u.peers)
 	slots := float64(max(u.Slots, 1))
 	// A request beyond the slots waits for earlier ones; below that, load still
 	// costs a little, which keeps equal upstreams evenly used.
@@ -78,6 +85,14 @@
 	return time.Duration(expected) + 2*u.Distance
 }
 
+// halved returns what is left of a figure that halves with each half.
+func halved(age, half time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
+	return math.Exp2(-float64(age) / float64(half))
+}
+
 func fade(age, half time.Duration) float64 {
 	if age <= 0 {
 		return 1
--- a/internal/proof/slots/slots.go
+++ b/internal/proof/slots/slots.go
@@ -110,8 +110,6 @@
 	busy int
 	// reports holds the load of the last while, every reportEvery.
 	reports []*schema.Load
-	// took is the latest service time.
-	took time.Duration
 }
 
 const reportEvery = 50 * time.Millisecond
@@ -178,7 +176,7 @@
 
 // report notes the load of an upstream, for answers that report it late.
 func (s *Sim) report(u *upstream) {
-	u.reports = append(u.reports, u.load(u.took))
+	u.reports = append(u.reports, u.load(0))
 	if n := int(s.cfg.ReportLag / reportEvery); len(u.reports) > n {
 		u.reports = u.reports[len(u.reports)-n:]
 	}
@@ -321,7 +319,6 @@
 	s.running++
 	s.result.MostRunning = max(s.result.MostRunning, s.running)
 	took := s.serviceTime(t.request.kind, t.upstream)
-	t.upstream.took = took
 	s.after(took, func() {
 		s.running--
 		if t.ticket == nil {
@@ -360,7 +357,11 @@
 
 func (t *try) load(took time.Duration) *schema.Load {
 	if t.request.sim.cfg.ReportLag > 0 && len(t.upstream.reports) > 0 {
-		return t.upstream.reports[0]
+		l := t.upstream.reports[0]
+		return &schema.Load{
+			Running: l.GetRunning(), Queued: l.GetQueued(), Slots: l.GetSlots(), ServiceUs: uint32(took.Microseconds()),
+			AgeMs: uint32(t.request.sim.cfg.ReportLag.Milliseconds()),
+		}
 	}
 	return t.upstream.load(took)
 }
