--- /dev/null
+++ b/internal/conf/jsonc/jsonc_test.go
@@ -0,0 +1,69 @@
+package jsonc_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ebonyarch/ebonyarch/internal/conf/jsonc"
+)
+
+type document struct {
+	Name  string         `json:"name"`
+	Count int            `json:"count"`
+	Wait  jsonc.Duration `json:"wait"`
+	Size  jsonc.Memory   `json:"size"`
+	Items map[string]struct {
+		N uint8 `json:"n"`
+	} `json:"items"`
+	List []string `json:"list"`
+}
+
+var _ = Describe("strict decoding", func() {
+	It("reads comments, trailing commas and units", func() {
+		var d document
+		src := jsonc.Decode("f", []byte("{\n // why\n\"name\": \"a\", \"wait\": \"250ms\", \"size\": \"2GB\", \"items\": {\"x\": {\"n\": 1}}, \"list\": [\"b\",],\n}"), &d)
+		Expect(src.Faults()).To(BeEmpty())
+		Expect(d.Name).To(Equal("a"))
+		Expect(d.Wait.Milliseconds()).To(BeEquivalentTo(250))
+		Expect(d.Size).To(BeEquivalentTo(2048))
+		Expect(d.Items["x"].N).To(BeEquivalentTo(1))
+		Expect(d.List).To(Equal([]string{"b"}))
+	})
+
+	DescribeTable("reports faults with line and field",
+		func(text string, want ...string) {
+			var d document
+			var got []string
+			for _, f := range jsonc.Decode("f", []byte(text), &d).Faults() {
+				got = append(got, f.String())
+			}
+			Expect(got).To(HaveLen(len(want)))
+			for i := range want {
+				Expect(got[i]).To(HavePrefix(want[i]))
+			}
+		},
+		Entry("syntax", "{\n\"name\" 1}", "f:2: : "),
+		Entry("unknown", "{\n\n\"nam\": 1}", "f:3: nam: unknown field"),
+		Entry("twice", "{\"count\": 1,\n\"count\": 2}", "f:1: count: field stands twice"),
+		Entry("type", "{\n\"name\": 1}", "f:2: name: want string, got number"),
+		Entry("duration", "{\"wait\": \"soon\"}", "f:1: wait: want a duration"),
+		Entry("memory", "{\"size\": \"4 apples\"}", "f:1: size: want an amount"),
+		Entry("nested", "{\"items\":\n{\"x\": {\"n\": 300}}}", "f:2: items.x.n: want uint8"),
+		Entry("all at once", "{\n\"a\": 1,\n\"count\": \"x\"}", "f:2: a:", "f:3: count:"),
+		Entry("not an object", "[]", "f:1: : want an object"),
+	)
+})
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"name": "a", /* c */ "items": {"x": {"n": 1}}, "wait": "1s",}`))
+	f.Add([]byte(`{"list": [1, {"a": null}], "size": "9TB"}`))
+	f.Add([]byte(`{"count": 1e999, "count": -0}`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var d document
+		src := jsonc.Decode("f", data, &d)
+		src.Add("items.x.n", "a check")
+		_ = src.Faults().Error()
+	})
+}
--- /dev/null
+++ b/internal/conf/proc/proc_test.go
@@ -0,0 +1,54 @@
+package proc_test
+
+import (
+	"os"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ebonyarch/ebonyarch/internal/conf/proc"
+)
+
+var _ = Describe("process settings", func() {
+	It("have no faults in the examples", func() {
+		data, err := os.ReadFile("../../../examples/entry.jsonc")
+		Expect(err).NotTo(HaveOccurred())
+		entry, faults := proc.ParseEntry("entry.jsonc", data)
+		Expect(faults).To(BeEmpty())
+		Expect(entry.Name).To(Equal("entry-1"))
+		data, err = os.ReadFile("../../../examples/agent.jsonc")
+		Expect(err).NotTo(HaveOccurred())
+		agent, faults := proc.ParseAgent("agent.jsonc", data)
+		Expect(faults).To(BeEmpty())
+		Expect(agent.Capacity().GetCpuMilli()).To(BeEquivalentTo(64000))
+	})
+
+	It("report all faults at once", func() {
+		_, faults := proc.ParseEntry("e", []byte("{\n\"name\": \"a b\",\n\"callers\": \"nowhere\",\n\"drainTimeout\": \"-1s\",\n\"colour\": 1}"))
+		var fields []string
+		for _, f := range faults {
+			fields = append(fields, f.Field)
+		}
+		Expect(fields).To(ConsistOf("zone", "peers", "admin", "log", "name", "callers", "drainTimeout", "colour"))
+	})
+
+	It("refuse impossible sizes", func() {
+		_, faults := proc.ParseAgent("a", []byte(`{"vm": "v", "zone": "z", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0",
+			"worker": "127.0.0.1:0", "entries": [], "cpu": -1, "memory": "0MB", "connections": -4}`))
+		var fields []string
+		for _, f := range faults {
+			fields = append(fields, f.Field)
+		}
+		Expect(fields).To(ConsistOf("worker", "entries", "cpu", "memory", "connections"))
+	})
+})
+
+func FuzzSettings(f *testing.F) {
+	f.Add([]byte(`{"name": "a", "callers": "127.0.0.1:0", "entries": ["[::1]:1"]}`))
+	f.Add([]byte(`{"vm": "v", "cpu": 1, "memory": "1GB", "worker": "127.0.0.1:1"}`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		proc.ParseEntry("e", data)
+		proc.ParseAgent("a", data)
+	})
+}
--- /dev/null
+++ b/internal/front/retry/retry_test.go
@@ -0,0 +1,56 @@
+package retry_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ebonyarch/ebonyarch/internal/front/retry"
+)
+
+var _ = Describe("the retry budget", func() {
+	now := time.Unix(1e9, 0)
+	safe := retry.Try{NotRun: true, Tries: 1, Deadline: now.Add(time.Second), Expected: time.Millisecond}
+
+	It("is a share of what was sent", func() {
+		var b retry.Budget
+		retries := 0
+		for range 1000 {
+			b.Sent(0.1)
+			if b.Again(now, safe) {
+				retries++
+			}
+		}
+		Expect(retries).To(BeNumerically("~", 100, 1))
+	})
+
+	DescribeTable("allows only what is safe and can help",
+		func(change func(t *retry.Try), want bool) {
+			var b retry.Budget
+			for range 20 {
+				b.Sent(1)
+			}
+			t := safe
+			change(&t)
+			Expect(b.Again(now, t)).To(Equal(want))
+		},
+		Entry("not run", func(*retry.Try) {}, true),
+		Entry("may have run", func(t *retry.Try) { t.NotRun = false }, false),
+		Entry("may have run, idempotent", func(t *retry.Try) { t.NotRun, t.Idempotent = false, true }, true),
+		Entry("past the deadline", func(t *retry.Try) { t.Expected = time.Minute }, false),
+		Entry("too many tries", func(t *retry.Try) { t.Tries = retry.MaxTries }, false),
+	)
+
+	It("follows a high quantile of answer times", func() {
+		var q retry.Quantile
+		_, ok := q.Value()
+		Expect(ok).To(BeFalse())
+		for i := range 10_000 {
+			q.Add(time.Duration(i%100+1) * time.Millisecond)
+		}
+		v, ok := q.Value()
+		Expect(ok).To(BeTrue())
+		Expect(v).To(BeNumerically("~", 95*time.Millisecond, 12*time.Millisecond))
+	})
+})
