node: tests over true TCP, with connections that go silent

The gate's queues are bounded by expected wait, 100 ms, instead of two requests a slot: a burst of 200 quick requests was refused that 25 ms would have served.

--- /dev/null
+++ b/internal/fake/relay/relay.go
@@ -0,0 +1,115 @@
+// Package relay is a stand-in for what lies between two processes: it passes
+// bytes on and can lose track of open connections while new ones work.
+package relay
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+)
+
+// Relay passes TCP connections on to one address. Make it with Listen.
+type Relay struct {
+	listener net.Listener
+	to       netip.AddrPort
+
+	mu    sync.Mutex
+	pairs []*pair
+	done  bool
+}
+
+// pair is one connection and its continuation.
+type pair struct {
+	in, out net.Conn
+	silent  atomic.Bool
+}
+
+// Listen opens a loopback address that leads to another.
+func Listen(to netip.AddrPort) (*Relay, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &Relay{listener: listener, to: to}
+	go r.accept()
+	return r, nil
+}
+
+// Addr returns the address to connect to.
+func (r *Relay) Addr() netip.AddrPort { return r.listener.Addr().(*net.TCPAddr).AddrPort() }
+
+func (r *Relay) accept() {
+	for {
+		in, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", r.to.String())
+		if err != nil {
+			in.Close()
+			continue
+		}
+		p := &pair{in: in, out: out}
+		r.mu.Lock()
+		r.pairs = append(r.pairs, p)
+		r.mu.Unlock()
+		go p.copy(in, out)
+		go p.copy(out, in)
+	}
+}
+
+// copy passes bytes on until an end closes. Once the pair is silent, it takes
+// bytes and passes nothing on, closing included.
+func (p *pair) copy(from, to net.Conn) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		if p.silent.Load() {
+			if err != nil {
+				return
+			}
+			continue
+		}
+		if n > 0 {
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				return
+			}
+		}
+		if err != nil {
+			if err == io.EOF {
+				to.Close()
+			}
+			return
+		}
+	}
+}
+
+// Silence loses track of all connections that are open now; it returns how many.
+func (r *Relay) Silence() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.pairs {
+		p.silent.Store(true)
+	}
+	return len(r.pairs)
+}
+
+// Connections returns how many connections came so far.
+func (r *Relay) Connections() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.pairs)
+}
+
+// Close closes everything.
+func (r *Relay) Close() {
+	r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.pairs {
+		p.in.Close()
+		p.out.Close()
+	}
+}
--- a/internal/front/gate/gate.go
+++ b/internal/front/gate/gate.go
@@ -25,8 +25,10 @@
 const (
 	// recentFor is how long the guarantee of a kind that falls idle stays free.
 	recentFor = 2 * time.Second
-	// queueFactor bounds the queue of a kind, in multiples of the slots.
-	queueFactor = 2
+	// maxWait bounds the expected wait in a kind's queue, and maxQueue its length
+	// in multiples of the slots.
+	maxWait  = 100 * time.Millisecond
+	maxQueue = 64
 	// initialService is the service time assumed before any measurement.
 	initialService = 5 * time.Millisecond
 	learnRate      = 0.1
@@ -136,19 +138,20 @@
 		g.start(now, k)
 		return t, Granted
 	}
-	if len(k.queue) >= queueFactor*g.slots {
+	wait := k.wait()
+	if wait > maxWait || len(k.queue) >= maxQueue*g.slots {
 		return t, Full
 	}
-	if now.Add(g.wait(k) + k.service).After(deadline) {
+	if now.Add(wait + k.service).After(deadline) {
 		return t, Late
 	}
 	k.queue = append(k.queue, t)
 	return t, Queued
 }
 
-// wait is how long a new request of a kind is expected to wait.
-func (g *Gate) wait(k *kind) time.Duration {
-	lanes := max(k.guaranteed, 1)
+// wait is how long a new request of the kind is expected to wait.
+func (k *kind) wait() time.Duration {
+	lanes := max(k.guaranteed, float64(k.running), 1)
 	return time.Duration(float64(k.service) * float64(len(k.queue)) / lanes)
 }
 
--- /dev/null
+++ b/internal/node/link/link_test.go
@@ -0,0 +1,106 @@
+package link_test
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ebonyarch/ebonyarch/internal/fake/relay"
+	"github.com/ebonyarch/ebonyarch/internal/node/link"
+	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
+)
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// pinger answers pings and nothing else.
+type pinger struct {
+	schema.Agent
+}
+
+func (pinger) Ping(context.Context, *schema.PingRequest) (*schema.PingReply, error) {
+	return &schema.PingReply{Vm: "vm"}, nil
+}
+
+func serve(limit int) *link.Server {
+	s, err := link.Listen(loopback, schema.NewAgentServer(pinger{}), limit)
+	Expect(err).NotTo(HaveOccurred())
+	go func() { _ = s.Serve() }()
+	DeferCleanup(s.Close)
+	return s
+}
+
+func ping(l *link.Link, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	_, err := l.Agent().Ping(ctx, &schema.PingRequest{})
+	return err
+}
+
+var _ = Describe("a link", func() {
+	It("carries many calls on one connection", func() {
+		s := serve(0)
+		l := link.New(s.Addr())
+		for range 50 {
+			Expect(ping(l, 5*time.Second)).To(Succeed())
+		}
+		Expect(s.Most()).To(BeEquivalentTo(1))
+	})
+
+	It("never uses a connection again that let a call time out", func() {
+		s := serve(0)
+		r, err := relay.Listen(s.Addr())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(r.Close)
+		l := link.New(r.Addr())
+		Expect(ping(l, 5*time.Second)).To(Succeed())
+		Expect(r.Silence()).To(Equal(1))
+		Expect(ping(l, 50*time.Millisecond)).NotTo(Succeed())
+		Expect(ping(l, 5*time.Second)).To(Succeed())
+		Expect(l.Discarded()).To(Equal(1))
+		Expect(r.Connections()).To(Equal(2))
+	})
+
+	It("finds a silent connection without waiting for a call's deadline", func() {
+		s := serve(0)
+		r, err := relay.Listen(s.Addr())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(r.Close)
+		l := link.New(r.Addr())
+		Expect(ping(l, 5*time.Second)).To(Succeed())
+		r.Silence()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		_, err = l.Agent().Ping(ctx, &schema.PingRequest{})
+		Expect(err).To(HaveOccurred())
+		Expect(ctx.Err()).NotTo(HaveOccurred(), "the test of the idle connection ended the call")
+		Expect(ping(l, 5*time.Second)).To(Succeed())
+	})
+
+	It("is refused beyond the connections that a server takes", func() {
+		s := serve(1)
+		Expect(ping(link.New(s.Addr()), 5*time.Second)).To(Succeed())
+		Expect(ping(link.New(s.Addr()), 5*time.Second)).NotTo(Succeed())
+		Expect(s.Refused()).To(BeNumerically(">=", 1))
+	})
+
+	It("closes what is not kept", func() {
+		var set link.Set
+		s := serve(0)
+		first := set.To(s.Addr())
+		Expect(set.To(s.Addr())).To(BeIdenticalTo(first))
+		set.Keep(func(netip.AddrPort) bool { return false })
+		Expect(set.To(s.Addr())).NotTo(BeIdenticalTo(first))
+	})
+
+	It("speaks HTTP/1 too, for callers", func() {
+		s := serve(0)
+		resp, err := http.Post("http://"+s.Addr().String()+"/nothing", "text/plain", nil)
+		Expect(err).NotTo(HaveOccurred())
+		resp.Body.Close()
+		Expect(resp.StatusCode).To(Equal(http.StatusNotFound))
+	})
+})
--- /dev/null
+++ b/internal/tool/trial/fleet_test.go
@@ -0,0 +1,198 @@
+package trial_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ebonyarch/ebonyarch/internal/base/codes"
+	"github.com/ebonyarch/ebonyarch/internal/fake/plog"
+	"github.com/ebonyarch/ebonyarch/internal/fake/worker"
+	"github.com/ebonyarch/ebonyarch/internal/node/entry"
+	"github.com/ebonyarch/ebonyarch/internal/tool/client"
+	"github.com/ebonyarch/ebonyarch/internal/tool/trial"
+)
+
+const (
+	patience = 30 * time.Second
+	teamBody = `{
+  "quota": {"cpu": 30, "waitingTasks": 50},
+  "services": {"s": {"replicas": 2, "cpu": 1, "memory": "1GB", "slots": 4, "bodyLimit": "1MB"}},
+  "batch": {"b": {"cpu": 1, "memory": "1GB", "work": "200ms"}, "huge": {"cpu": 16, "memory": "50GB"}},
+}`
+)
+
+var _ = Describe("processes over TCP", Ordered, func() {
+	var f *trial.Fleet
+	ctx := context.Background()
+
+	at := func(i int) *client.Client { return &client.Client{Addr: f.Entries[i].Addr()} }
+	send := func(i int, header http.Header, method, body string) client.Answer {
+		a, err := at(i).Do(ctx, method, "/v1/teams/t/services/s/x", header, []byte(body))
+		Expect(err).NotTo(HaveOccurred())
+		return a
+	}
+	code := func(a client.Answer) codes.Code { return codes.Of(a.Problem()) }
+
+	BeforeAll(func() {
+		var err error
+		log := slog.New(slog.NewTextHandler(io.Discard, nil))
+		f, err = trial.Start(trial.Size{Entries: 2, Agents: 2, CPU: 16, Memory: 60 << 10, ServiceTime: time.Millisecond}, log)
+		DeferCleanup(func() { f.Stop() })
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() error {
+			_, err := at(0).Publish(ctx, "t", 0, "test", []byte(teamBody))
+			return err
+		}, patience).Should(Succeed())
+		for i := range f.Entries {
+			Eventually(func() int { return send(i, nil, "GET", "").Status }, patience).Should(Equal(200))
+		}
+	})
+
+	It("answers each caller with the answer to its own request", func() {
+		var wg sync.WaitGroup
+		for i := range 100 {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				body := fmt.Sprint("body ", i)
+				a := send(i%2, http.Header{"Idempotent": {"true"}}, "POST", body)
+				Expect(a.Status).To(Equal(200))
+				var got struct{ ID, Path, Sum string }
+				Expect(json.Unmarshal(a.Body, &got)).To(Succeed())
+				Expect(got.ID).To(Equal(a.Header.Get("Request-Id")))
+			})
+		}
+		wg.Wait()
+	})
+
+	It("refuses bad requests with a code that says why", func() {
+		Expect(code(send(0, http.Header{"Request-Timeout": {"soon"}}, "GET", ""))).To(Equal(codes.BadRequest))
+		Expect(code(send(0, http.Header{"Idempotent": {"maybe"}}, "GET", ""))).To(Equal(codes.BadRequest))
+		Expect(code(send(0, http.Header{"Request-Id": {"mine"}}, "POST", ""))).To(Equal(codes.BadRequest))
+		Expect(code(send(0, nil, "POST", strings.Repeat("x", 1<<20+1)))).To(Equal(codes.BodyTooLarge))
+		a, err := at(0).Do(ctx, "GET", "/v1/teams/nobody/services/s/", nil, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(code(a)).To(Equal(codes.UnknownTeam))
+		Expect(a.Header.Get("Ebonyarch-Ran")).To(Equal("no"))
+	})
+
+	It("runs a non-idempotent request once, however often its caller sends it", func() {
+		// An entry cannot judge ids made just before or after it started.
+		Eventually(func() int {
+			return send(0, http.Header{"Request-Id": {ulid.Make().String()}}, "POST", "").Status
+		}, patience).Should(Equal(200))
+		id := ulid.Make().String()
+		var wg sync.WaitGroup
+		for i := range 10 {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				send(i%2, http.Header{"Request-Id": {id}}, "POST", "assign")
+			})
+		}
+		wg.Wait()
+		Expect(f.Witness.Served(id)).To(Equal(1))
+		again := send(1, http.Header{"Request-Id": {id}}, "POST", "assign")
+		Expect(code(again)).To(Equal(codes.DuplicateID))
+	})
+
+	It("accepts a job once under its key and finishes it", func() {
+		spec := entry.JobSpec{Kind: "b", Tasks: 5}
+		first, err := at(0).Submit(ctx, "t", "k", spec)
+		Expect(err).NotTo(HaveOccurred())
+		second, err := at(1).Submit(ctx, "t", "k", spec)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second).To(Equal(first))
+		spec.Tasks = 6
+		_, err = at(1).Submit(ctx, "t", "k", spec)
+		Expect(codes.Of(err)).To(Equal(codes.KeyConflict))
+		Eventually(func() int {
+			v, _ := at(1).Job(ctx, "t", first)
+			return v.Counts["completed"]
+		}, patience).Should(Equal(5))
+	})
+
+	DescribeTable("refuses jobs with the reason",
+		func(team, key string, spec entry.JobSpec, want codes.Code) {
+			_, err := at(0).Submit(ctx, team, key, spec)
+			Expect(codes.Of(err)).To(Equal(want))
+		},
+		Entry("unknown team", "x", "1", entry.JobSpec{Kind: "b", Tasks: 1}, codes.UnknownTeam),
+		Entry("unknown kind", "t", "1", entry.JobSpec{Kind: "x", Tasks: 1}, codes.JobInvalid),
+		Entry("no tasks", "t", "1", entry.JobSpec{Kind: "b"}, codes.JobInvalid),
+		Entry("bad work", "t", "1", entry.JobSpec{Kind: "b", Tasks: 1, Work: "-1s"}, codes.JobInvalid),
+		Entry("no key", "t", "", entry.JobSpec{Kind: "b", Tasks: 1}, codes.BadRequest),
+		Entry("quota", "t", "2", entry.JobSpec{Kind: "b", Tasks: 51}, codes.QuotaExceeded),
+	)
+
+	It("refuses configuration with faults, with what fits nowhere, and stale revisions", func() {
+		_, err := at(0).Publish(ctx, "t", 1, "test", []byte("{\n\"quota\": 3}"))
+		Expect(codes.Of(err)).To(Equal(codes.ConfigInvalid))
+		Expect(err.Error()).To(ContainSubstring("t:2: quota"))
+		_, err = at(0).Publish(ctx, "t", 1, "test", []byte(`{"batch": {"b": {"cpu": 17}}}`))
+		Expect(err).To(MatchError(ContainSubstring("fits on no VM")))
+		_, err = at(0).Publish(ctx, "t", 7, "test", []byte(teamBody))
+		Expect(codes.Of(err)).To(Equal(codes.ConfigStale))
+	})
+
+	It("keeps the history and rolls back as a new revision", func() {
+		_, err := at(0).Publish(ctx, "u", 0, "ana", []byte(`{"weight": 1}`))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = at(0).Publish(ctx, "u", 1, "eva", []byte(`{"weight": 2}`))
+		Expect(err).NotTo(HaveOccurred())
+		p, err := at(0).Rollback(ctx, "u", 2, 1, "ana")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(p.Revision).To(BeEquivalentTo(3))
+		Eventually(func() string {
+			body, _, _ := at(1).Config(ctx, "u")
+			return string(body)
+		}, patience).Should(Equal(`{"weight": 1}`))
+		changes, err := at(0).History(ctx, "u")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(changes[1].Author).To(Equal("eva"))
+		_, err = at(0).Delete(ctx, "u", 3, "ana")
+		Expect(err).NotTo(HaveOccurred())
+		_, _, err = at(0).Config(ctx, "u")
+		Expect(codes.Of(err)).To(Equal(codes.UnknownTeam))
+	})
+
+	It("says 'not run' at once while the log is down, and answers requests", func() {
+		f.Log.Set(plog.Faults{Down: true})
+		defer f.Log.Set(plog.Faults{})
+		Eventually(func() codes.Code {
+			_, err := at(0).Submit(ctx, "t", "down", entry.JobSpec{Kind: "b", Tasks: 1})
+			return codes.Of(err)
+		}, patience).Should(Equal(codes.LogDown))
+		Expect(send(0, nil, "GET", "").Status).To(Equal(200))
+	})
+
+	It("cuts off nothing in flight when an entry or an agent leaves", func() {
+		for _, v := range f.VMs {
+			v.Worker.Set(worker.Faults{Stall: 300 * time.Millisecond})
+		}
+		Eventually(func() error { _, err := at(0).Jobs(ctx, "t"); return err }, patience).Should(Succeed())
+		var wg sync.WaitGroup
+		for range 6 {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				Expect(send(1, nil, "GET", "").Status).To(Equal(200))
+			})
+		}
+		Eventually(func() int64 { return f.Entries[1].State().(entry.State).InFlight }, patience).Should(BeEquivalentTo(6))
+		stopCtx, cancel := context.WithTimeout(ctx, patience)
+		defer cancel()
+		Expect(f.Entries[1].Shutdown(stopCtx)).To(Succeed())
+		wg.Wait()
+		Expect(f.VMs[0].Agent.Shutdown(stopCtx)).To(Succeed())
+		Expect(send(0, nil, "GET", "").Status).To(Equal(200))
+	})
+})
