--- a/internal/node/agent/beat.go
+++ b/internal/node/agent/beat.go
@@ -38,6 +38,7 @@
 
 func (a *Agent) cycle(ctx context.Context) {
 	a.list(ctx)
+	a.protect(ctx)
 	a.beat(ctx)
 	if a.act(ctx) {
 		// What changed on the VM is announced at once.
@@ -97,6 +98,19 @@
 	}
 }
 
+// protect throttles batch attempts beside services that answer late.
+func (a *Agent) protect(ctx context.Context) {
+	a.mu.Lock()
+	throttles := a.host.Protect(time.Now())
+	a.mu.Unlock()
+	for _, t := range throttles {
+		callCtx, cancel := context.WithTimeout(ctx, workerTimeout)
+		err := a.worker.Throttle(callCtx, t.Attempt.Ref(), t.Percent)
+		cancel()
+		a.log.Info("throttles", "attempt", t.Attempt, "percent", t.Percent, "err", err)
+	}
+}
+
 // act does what the runner asks for and reports whether anything changed.
 func (a *Agent) act(ctx context.Context) bool {
 	a.mu.Lock()
--- a/internal/node/agent/state.go
+++ b/internal/node/agent/state.go
@@ -6,6 +6,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
 	"github.com/ebonyarch/ebonyarch/internal/base/ident"
 	"github.com/ebonyarch/ebonyarch/internal/front/gate"
+	"github.com/ebonyarch/ebonyarch/internal/sched/guard"
 	"github.com/ebonyarch/ebonyarch/internal/sched/runner"
 	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
 )
@@ -29,6 +30,7 @@
 	Connections int64        `json:"connections"`
 	MostOpen    int64        `json:"mostConnections"`
 	Stats       runner.Stats `json:"stats"`
+	Guard       guard.Stats  `json:"guard"`
 }
 
 // ConfigState says which configuration is in force.
@@ -56,7 +58,7 @@
 		Role: "agent", VM: a.cfg.VM, Cell: a.cfg.Cell, Leaving: a.host.Leaving(), Entry: a.host.Entry().String(),
 		Term: r.Term(), Lease: r.Lease(now).String(), Capacity: a.cfg.Capacity(),
 		Used: r.Used(), RequestIDs: a.host.RequestIDs(), Connections: a.peers.Open(),
-		MostOpen: a.peers.Most(), Stats: r.Stats(),
+		MostOpen: a.peers.Most(), Stats: r.Stats(), Guard: a.host.GuardStats(),
 		Config: ConfigState{version, now.Sub(answeredAt).Round(time.Millisecond).String()},
 	}
 	req := &schema.BeatRequest{}
--- a/internal/node/entry/route.go
+++ b/internal/node/entry/route.go
@@ -11,12 +11,8 @@
 	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
 )
 
-const (
-	// revokeTimeout bounds the question whether a request started.
-	revokeTimeout = 250 * time.Millisecond
-	// maxEvents is more than the steps that one flow can have under way.
-	maxEvents = 8
-)
+// revokeTimeout bounds the question whether a request started.
+const revokeTimeout = 250 * time.Millisecond
 
 // journey carries out the steps of one request's flow.
 type journey struct {
@@ -24,17 +20,15 @@
 	req   *request
 	ctx   context.Context
 	flow  *flow.Flow
-	// events gets the steps that follow from tries under way, open of them.
-	events chan flow.Step
-	open   int
-	late   <-chan time.Time
+	// hedged gets the step that follows from a second try.
+	hedged chan flow.Step
 }
 
 // route sends a request to upstreams until its flow is done.
 func (e *Entry) route(ctx context.Context, req *request) (*schema.ForwardReply, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // ends tries that are not needed any more
-	j := &journey{entry: e, req: req, ctx: ctx, events: make(chan flow.Step, maxEvents)}
+	j := &journey{entry: e, req: req, ctx: ctx}
 	j.flow = flow.New(&req.service.shared.flow, flow.Request{
 		ID: req.msg.Id, Kind: req.msg.Kind, Idempotent: req.msg.Idempotent, Stamp: req.stamp, Deadline: req.deadline,
 	})
@@ -47,27 +41,42 @@
 
 // next carries out a step and returns the one that follows.
 func (j *journey) next(step flow.Step) flow.Step {
-	switch step.Action {
-	case flow.Revoke:
+	switch {
+	case step.Action == flow.Revoke:
 		return j.revoke(step)
-	case flow.Send:
-		if step.HedgeAfter == 0 && j.open == 0 {
-			return j.send(step) // nothing else can happen meanwhile
+	case step.Action == flow.Send && step.HedgeAfter > 0:
+		return j.hedge(step)
+	case step.Action == flow.Send:
+		return j.send(j.ctx, step)
+	}
+	// Nothing is under way, so nothing can follow: a fault of the flow.
+	return flow.Step{Action: flow.Done, Err: codes.New(codes.Internal, "the request's flow came to a halt")}
+}
+
+// hedge sends the request, and to a second upstream if no answer comes for a
+// while. Only then does a second goroutine run.
+func (j *journey) hedge(step flow.Step) flow.Step {
+	ctx, cancel := context.WithCancel(j.ctx)
+	defer cancel()
+	j.hedged = make(chan flow.Step, 1)
+	timer := time.AfterFunc(step.HedgeAfter, func() {
+		next := j.decide(func(now time.Time) flow.Step { return j.flow.Late(now, random{}) })
+		if next.Action == flow.Send {
+			next = j.send(j.ctx, next)
 		}
-		j.open++
-		go func() { j.events <- j.send(step) }()
-		if step.HedgeAfter > 0 {
-			j.late = time.After(step.HedgeAfter)
+		j.hedged <- next
+		if next.Action == flow.Done {
+			cancel()
 		}
+	})
+	first := j.send(ctx, step)
+	if timer.Stop() || first.Action == flow.Done {
+		return first
 	}
-	select {
-	case next := <-j.events:
-		j.open--
-		return next
-	case <-j.late:
-		j.late = nil
-		return j.decide(func(now time.Time) flow.Step { return j.flow.Late(now, random{}) })
+	if second := <-j.hedged; second.Action != flow.Wait {
+		return second
 	}
+	return first
 }
 
 // decide asks the flow for its next step under the lock of its service.
@@ -79,10 +88,10 @@
 }
 
 // send sends the request to one upstream and returns the step that follows.
-func (j *journey) send(step flow.Step) flow.Step {
-	reply, err := j.entry.links.To(step.Upstream.Addr).Agent().Forward(j.ctx, j.message(step.Timeout))
+func (j *journey) send(ctx context.Context, step flow.Step) flow.Step {
+	reply, err := j.entry.links.To(step.Upstream.Addr).Agent().Forward(ctx, j.message(step.Timeout))
 	if err != nil {
-		err = callError(j.ctx, err)
+		err = callError(ctx, err)
 		return j.decide(func(now time.Time) flow.Step { return j.flow.Failed(now, random{}, step.Try, err) })
 	}
 	return j.decide(func(now time.Time) flow.Step { return j.flow.Replied(now, random{}, step.Try, reply) })
--- a/internal/node/host/host.go
+++ b/internal/node/host/host.go
@@ -13,6 +13,7 @@
 
 	"github.com/ebonyarch/ebonyarch/internal/front/gate"
 	"github.com/ebonyarch/ebonyarch/internal/front/once"
+	"github.com/ebonyarch/ebonyarch/internal/sched/guard"
 	"github.com/ebonyarch/ebonyarch/internal/sched/runner"
 	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
 )
@@ -36,6 +37,7 @@
 	Runner *runner.Runner
 	once   *once.Table
 	gates  map[string]*gate.Gate
+	guard  guard.Guard
 	// member is what was announced last; its version grows with each change.
 	member *schema.Member
 	// entry is the one announced to, and entries all that are known.
--- a/internal/node/host/request.go
+++ b/internal/node/host/request.go
@@ -6,6 +6,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
 	"github.com/ebonyarch/ebonyarch/internal/front/gate"
 	"github.com/ebonyarch/ebonyarch/internal/front/once"
+	"github.com/ebonyarch/ebonyarch/internal/sched/guard"
 	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
 )
 
@@ -85,6 +86,7 @@
 // Done ends a visit that ran for took and returns those that get slots now.
 func (v *Visit) Done(now time.Time, took time.Duration) []*Visit {
 	v.host.running--
+	v.host.guard.Served(v.req.GetTeam()+"/"+v.req.GetService(), took)
 	return visits(v.gate.Done(now, v.ticket, took))
 }
 
@@ -140,6 +142,22 @@
 	}
 }
 
+// Protect keeps the services fast: it returns the batch attempts to throttle now,
+// and gives back those that must go.
+func (h *Host) Protect(now time.Time) []guard.Throttle {
+	throttle, evict := h.guard.Tick(now, h.Runner.Batch(now))
+	if evict != nil {
+		h.Runner.Evict(*evict)
+	}
+	if throttle == nil {
+		return nil
+	}
+	return []guard.Throttle{*throttle}
+}
+
+// GuardStats counts the steps that kept the services fast.
+func (h *Host) GuardStats() guard.Stats { return h.guard.Stats() }
+
 // updateGates makes the gates those of the services that run.
 func (h *Host) updateGates() {
 	slots := map[string]int{}
@@ -147,6 +165,7 @@
 	for _, as := range h.Runner.Services() {
 		name := as.GetTeam() + "/" + as.GetKind()
 		slots[name] += int(as.GetSlots())
+		h.guard.Aim(name, time.Duration(as.GetLatencyAimMs())*time.Millisecond)
 		kinds[name] = nil
 		for _, k := range as.GetKinds() {
 			kinds[name] = append(kinds[name], gate.Kind{Name: k.GetName(), Share: k.GetShare(), Weight: k.GetWeight()})
--- a/internal/node/link/link.go
+++ b/internal/node/link/link.go
@@ -48,7 +48,7 @@
 		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		IdleConnTimeout: keepIdle,
 		HTTP2: &http.HTTP2Config{
-			SendPingTimeout: pingAfter, PingTimeout: pingTimeout, WriteByteTimeout: pingTimeout,
+			SendPingTimeout: pingAfter, PingTimeout: pingTimeout,
 		},
 	}
 }
--- a/internal/proof/world/vm.go
+++ b/internal/proof/world/vm.go
@@ -113,6 +113,9 @@
 	if tasks, err := v.Worker.List(context.Background()); err == nil {
 		v.Host.Listed(v.clock(), tasks)
 	}
+	for _, t := range v.Host.Protect(v.clock()) {
+		_ = v.Worker.Throttle(context.Background(), t.Attempt.Ref(), t.Percent)
+	}
 	v.beat()
 }
 
--- a/internal/sched/leader/room.go
+++ b/internal/sched/leader/room.go
@@ -1,8 +1,6 @@
 package leader
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/base/ident"
@@ -68,20 +66,20 @@
 			return
 		}
 	}
-	var best []*fold.Task
+	var best place.Eviction
 	var bestVM *place.VM
 	for _, v := range p.vms {
-		victims := p.victims(v, task.Size)
-		if victims != nil && (best == nil || cost(victims) < cost(best)) {
-			best, bestVM = victims, v
+		e, ok := place.Evict(p.candidates(v), v.Free, task.Size)
+		if ok && !v.Probation && (bestVM == nil || e.Cost < best.Cost) {
+			best, bestVM = e, v
 		}
 	}
 	if bestVM == nil {
 		return
 	}
 	p.l.pokes = append(p.l.pokes, bestVM.Name)
-	for _, victim := range best {
-		p.l.evicting[victim.Attempt()] = eviction{
+	for _, victim := range best.Victims {
+		p.l.evicting[victim.Attempt] = eviction{
 			vm: bestVM.Name, task: t.Attempt().Task, size: task.Size, until: p.now.Add(reservationFor),
 		}
 		p.l.stats.Evictions++
@@ -89,38 +87,18 @@
 	bestVM.Free = bestVM.Free.Minus(task.Size)
 }
 
-// victims returns the fewest batch attempts of a VM that make room, or nil.
-func (p *plan) victims(v *place.VM, need place.Amount) []*fold.Task {
-	if v.Probation || !v.Capacity.Covers(need) {
-		return nil
-	}
-	var candidates []*fold.Task
+// candidates returns the attempts of a VM that may be evicted.
+func (p *plan) candidates(v *place.VM) []place.Victim {
+	var list []place.Victim
 	for _, t := range p.l.fold.Held(v.Name) {
 		_, leaving := p.l.evicting[t.Attempt()]
-		if !t.Job.Service && !t.Job.Urgent && !leaving {
-			candidates = append(candidates, t)
-		}
-	}
-	slices.SortStableFunc(candidates, func(a, b *fold.Task) int {
-		if c := cmp.Compare(a.Evictions, b.Evictions); c != 0 {
-			return c
-		}
-		return cmp.Compare(b.Job.Order, a.Job.Order)
-	})
-	free := v.Free
-	for i, t := range candidates {
-		free = free.Plus(place.AmountOf(t.Job.Size))
-		if free.Covers(need) {
-			return candidates[:i+1]
+		if t.Job.Service || t.Job.Urgent || leaving {
+			continue
 		}
+		list = append(list, place.Victim{
+			Attempt: t.Attempt(), Size: place.AmountOf(t.Job.Size), Evictions: int(t.Evictions),
+			AtRisk: max(0, p.l.fold.Clock().Sub(t.Since)),
+		})
 	}
-	return nil
-}
-
-func cost(victims []*fold.Task) int {
-	sum := 0
-	for _, t := range victims {
-		sum += 1 + int(t.Evictions)
-	}
-	return sum
+	return list
 }
--- a/internal/state/fold/snap.go
+++ b/internal/state/fold/snap.go
@@ -58,7 +58,7 @@
 	for _, t := range j.Tasks {
 		s.Tasks = append(s.Tasks, &schema.TaskState{
 			State: uint32(t.State), Epoch: t.Epoch, Vm: t.VM, Failures: t.Failures, Evictions: t.Evictions,
-			Checkpoint: t.Checkpoint, FailedOn: t.FailedOn, Reason: t.Reason,
+			Checkpoint: t.Checkpoint, FailedOn: t.FailedOn, Reason: t.Reason, SinceMs: t.Since.UnixMilli(),
 		})
 	}
 	return s
@@ -119,7 +119,7 @@
 	t := &Task{
 		Job: job, Index: index, State: TaskPhase(s.GetState()), Epoch: s.GetEpoch(), VM: s.GetVm(),
 		Failures: s.GetFailures(), Evictions: s.GetEvictions(), Checkpoint: s.GetCheckpoint(),
-		FailedOn: s.GetFailedOn(), Reason: s.GetReason(),
+		FailedOn: s.GetFailedOn(), Reason: s.GetReason(), Since: time.UnixMilli(s.GetSinceMs()),
 	}
 	job.Tasks = append(job.Tasks, t)
 	team := f.teams[job.Team]
--- a/internal/state/fold/task.go
+++ b/internal/state/fold/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/base/ident"
 	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
@@ -39,6 +40,9 @@
 	Failures   uint32
 	Evictions  uint32
 	Checkpoint []byte
+	// Since is the fold's clock at the latest grant or checkpoint: work done since
+	// then is lost if the VM fails.
+	Since time.Time
 	// FailedOn lists VMs on which an attempt failed, each once.
 	FailedOn []string
 	Reason   string
@@ -113,7 +117,7 @@
 		}
 		team.used.add(t.Job.Size)
 	}
-	t.State, t.Epoch, t.VM = Granted, ref.GetEpoch(), vm
+	t.State, t.Epoch, t.VM, t.Since = Granted, ref.GetEpoch(), vm, f.clock
 	if f.held[vm] == nil {
 		f.held[vm] = map[*Task]struct{}{}
 	}
@@ -193,6 +197,7 @@
 		t.Reason = r.GetReason()
 		f.requeue(t)
 	case schema.Outcome_OUTCOME_CHECKPOINT:
+		t.Since = f.clock
 	default:
 		f.stats.Ignored++
 	}
--- a/internal/tool/trial/fleet.go
+++ b/internal/tool/trial/fleet.go
@@ -166,3 +166,6 @@
 	}
 	return nil
 }
+
+// WorkerAddr returns the address of the VM's worker.
+func (v *VM) WorkerAddr() netip.AddrPort { return v.server.Addr() }
