--- a/internal/fake/worker/worker.go
+++ b/internal/fake/worker/worker.go
@@ -315,7 +315,7 @@
 		a := t.assignment
 		entry := &schema.WorkerTask{
 			Task: a.GetTask(), Phase: schema.Phase_PHASE_RUNNING, Size: a.GetSize(), Used: a.GetSize(),
-			Ended: t.ended, Failed: t.failed, Assignment: a, Checkpoint: encodeCheckpoint(t.done),
+			Ended: t.ended, Failed: t.failed, Assignment: a, Checkpoint: encodeCheckpoint(t.done), SharePercent: t.share,
 		}
 		if t.failed {
 			entry.Reason = "the worker fails everything"
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -98,6 +98,10 @@
 // PeerAddr returns the address for agents and other entries.
 func (e *Entry) PeerAddr() netip.AddrPort { return e.peers.Addr() }
 
+// PeerBytes returns the bytes exchanged with agents and entries that called this
+// one.
+func (e *Entry) PeerBytes() int64 { return e.peers.Bytes() }
+
 // AdminAddr returns the administrative address.
 func (e *Entry) AdminAddr() netip.AddrPort { return e.admin.Addr() }
 
--- a/internal/node/link/server.go
+++ b/internal/node/link/server.go
@@ -20,6 +20,42 @@
 	most     atomic.Int64
 	refused  atomic.Int64
 	limit    int64
+	bytes    atomic.Int64
+}
+
+// counted is a connection whose bytes are counted.
+type counted struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read reads and counts.
+func (c counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write writes and counts.
+func (c counted) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// counting accepts connections whose bytes are counted.
+type counting struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+// Accept waits for the next connection.
+func (l counting) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return counted{c, l.bytes}, nil
 }
 
 // Listen opens addr and returns a server for handler; limit bounds the open
@@ -71,9 +107,12 @@
 // Refused returns the connections closed because of the limit.
 func (s *Server) Refused() int64 { return s.refused.Load() }
 
+// Bytes returns the bytes of all connections so far, both ways.
+func (s *Server) Bytes() int64 { return s.bytes.Load() }
+
 // Serve answers requests until Shutdown or Close.
 func (s *Server) Serve() error {
-	err := s.server.Serve(s.listener)
+	err := s.server.Serve(counting{s.listener, &s.bytes})
 	if err == http.ErrServerClosed {
 		return nil
 	}
--- a/internal/proof/world/history.go
+++ b/internal/proof/world/history.go
@@ -24,8 +24,10 @@
 type Submission struct {
 	Job   string
 	Tasks uint32
-	Done  bool
-	Code  codes.Code
+	// At is when it was submitted.
+	At   time.Time
+	Done bool
+	Code codes.Code
 	// Cancelled is set once a cancellation was accepted.
 	Cancelled bool
 }
@@ -67,7 +69,7 @@
 
 // Submit submits a job at an entry and calls done with the result code.
 func (e *Entry) Submit(team, key, kind string, tasks uint32, work time.Duration, done func(codes.Code)) *Submission {
-	s := &Submission{Job: ident.BatchJob(team, key), Tasks: tasks}
+	s := &Submission{Job: ident.BatchJob(team, key), Tasks: tasks, At: e.world.Now}
 	e.world.History.Submissions = append(e.world.History.Submissions, s)
 	finish := func(c codes.Code) {
 		s.Done, s.Code = true, c
--- a/internal/sched/guard/guard.go
+++ b/internal/sched/guard/guard.go
@@ -17,10 +17,10 @@
 // Times and levels of the guard.
 const (
 	// calmShare is the part of the aim below which the guard steps down.
-	calmShare = 0.75
+	calmShare = 0.9
 	// stepUp and stepDown are how long a service must be late or calm for a step.
 	stepUp   = time.Second
-	stepDown = 8 * time.Second
+	stepDown = 5 * time.Second
 	// evictAfter is how long everything must be throttled before an eviction.
 	evictAfter = 10 * time.Second
 	// learnRate is the weight of one answer, or one measured effect.
--- a/internal/sched/leader/plan.go
+++ b/internal/sched/leader/plan.go
@@ -74,9 +74,33 @@
 		p.byName[v.Name] = v
 	}
 	p.reserve()
+	p.policy.Rivals = l.rivals()
 	return p
 }
 
+// maxRivals bounds the kinds of waiting work that a choice is weighed against.
+const maxRivals = 16
+
+// rivals returns the kinds of batch work that wait.
+func (l *Leader) rivals() []place.Rival {
+	var list []place.Rival
+	index := map[string]int{}
+	for _, job := range l.fold.Waiting(l.cell) {
+		kind := job.Team + "/" + job.Kind
+		i, ok := index[kind]
+		if job.Service || (!ok && len(list) == maxRivals) {
+			continue
+		}
+		if !ok {
+			i = len(list)
+			index[kind] = i
+			list = append(list, place.Rival{Kind: kind, Size: place.AmountOf(job.Size)})
+		}
+		list[i].Count += int(job.Waiting())
+	}
+	return list
+}
+
 // reachable reports whether a VM's lease has long enough to run for a start.
 func (l *Leader) reachable(now time.Time, vm string) bool {
 	v := l.vms[vm]
@@ -98,6 +122,15 @@
 	}
 }
 
+// waitedFor is how long a job's tasks have waited by the log's clock. Urgent work
+// is never choosy.
+func (p *plan) waitedFor(job *fold.Job) time.Duration {
+	if job.Urgent {
+		return place.Patience
+	}
+	return max(0, p.l.fold.Clock().Sub(job.Accepted))
+}
+
 // job places a job's waiting tasks until one finds no room. It returns false if
 // none was placed.
 func (p *plan) job(job *fold.Job) bool {
@@ -138,6 +171,7 @@
 
 func (p *plan) task(t *fold.Task) bool {
 	task := placeTask(t)
+	task.Waited = p.waitedFor(t.Job)
 	v := p.reserved(t)
 	if v == nil || !v.Free.Covers(task.Size) {
 		v = place.Choose(p.policy, task, p.vms)
--- a/internal/sched/place/choose.go
+++ b/internal/sched/place/choose.go
@@ -1,8 +1,12 @@
 package place
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
-// Policy scores a VM that has room for a task; lower is better.
+// Policy scores a VM that has room for a task; lower is better, and an infinite
+// score refuses the VM.
 type Policy interface {
 	Score(t *Task, v *VM) float64
 }
@@ -19,6 +23,9 @@
 		}
 		avoided := len(t.Avoid) > 0 && slices.Contains(t.Avoid, v.Name)
 		score := policy.Score(t, v)
+		if math.IsInf(score, 1) {
+			continue
+		}
 		if best == nil || (bestAvoided && !avoided) || (avoided == bestAvoided && score < bestScore) {
 			best, bestScore, bestAvoided = v, score, avoided
 		}
--- a/internal/sched/place/evict.go
+++ b/internal/sched/place/evict.go
@@ -11,7 +11,7 @@
 // evictionCost is what an eviction costs in itself, beside the work it loses; it
 // grows with each earlier eviction of the task, so that no task is evicted again
 // and again.
-const evictionCost = 20 * time.Second
+const evictionCost = 5 * time.Second
 
 // Victim is an attempt that may be evicted.
 type Victim struct {
--- a/internal/sched/place/pack.go
+++ b/internal/sched/place/pack.go
@@ -1,18 +1,32 @@
 package place
 
+import (
+	"math"
+	"time"
+)
+
 // Slowdown estimates how much one kind of batch work slows a service.
 type Slowdown interface {
 	// Slowdown returns the expected relative loss of speed, 0 for none.
 	Slowdown(service, kind string) float64
+	// Typical returns that over all services.
+	Typical(kind string) float64
 }
 
-// Weights of the parts of Pack's score.
+// Weights and bounds of the parts of Pack's score.
 const (
 	// slowdownWeight makes a slowdown of 10% outweigh a perfect fit.
 	slowdownWeight = 10
 	// acceleratorWaste is the cost of using a VM's accelerators' neighbours:
 	// work without accelerators shuns VMs that have them free.
 	acceleratorWaste = 0.5
+	// tolerated is the slowdown of a service that placement keeps to.
+	tolerated = 0.6
+	// betterBy is how much less, or more, other waiting work must disturb for its
+	// size for a VM to be left to it.
+	betterBy = 1.5
+	// Patience is how long a task is choosy.
+	Patience = 2 * time.Hour
 	// probationCost keeps work off VMs on probation while others have room.
 	probationCost = 100
 )
@@ -22,8 +36,17 @@
 type Pack struct {
 	// Learned may be nil.
 	Learned Slowdown
-	// Spread counts replicas by place; see NewSpread.
+	// Spread counts replicas by place; nil does not spread.
 	Spread *Spread
+	// Rivals are the kinds of batch work that wait.
+	Rivals []Rival
+}
+
+// Rival is a kind of batch work that waits for VMs.
+type Rival struct {
+	Kind  string
+	Size  Amount
+	Count int
 }
 
 // Score implements Policy.
@@ -36,6 +59,9 @@
 		score += p.Spread.cost(t.Kind, v)
 		return score + p.disturbed(t, v) - v.freeShare()
 	}
+	if p.Learned != nil && !p.suits(t, v) {
+		return math.Inf(1)
+	}
 	score += p.disturbing(t, v)
 	if t.Size.Accelerators == 0 && v.Free.Accelerators > 0 {
 		score += acceleratorWaste
@@ -43,6 +69,53 @@
 	return score + imbalance(v.Free.Minus(t.Size), v.Capacity)
 }
 
+// suits reports whether a batch task may go to a VM: it must not disturb the
+// services there too much, and no waiting work may suit the VM much better. Of
+// what waits, VMs without services are for what disturbs most for its size, the
+// others for what disturbs least. A task that waits long may go anywhere.
+func (p Pack) suits(t *Task, v *VM) bool {
+	if t.Waited >= Patience {
+		return true
+	}
+	if !p.tolerable(t, v) {
+		return false
+	}
+	own := p.density(t.Kind, t.Size)
+	for i := range p.Rivals {
+		r := &p.Rivals[i]
+		if r.Count == 0 || r.Kind == t.Kind || !v.Free.Covers(r.Size) {
+			continue
+		}
+		other := p.density(r.Kind, r.Size)
+		if len(v.Services) == 0 && other > betterBy*own {
+			return false
+		}
+		if len(v.Services) > 0 && betterBy*other < own && p.tolerable(&Task{Kind: r.Kind}, v) {
+			return false
+		}
+	}
+	return true
+}
+
+// tolerable reports whether no service on v would be disturbed too much.
+func (p Pack) tolerable(t *Task, v *VM) bool {
+	for _, service := range v.Services {
+		sum := p.Learned.Slowdown(service, t.Kind)
+		for _, kind := range v.Kinds {
+			sum += p.Learned.Slowdown(service, kind)
+		}
+		if sum > tolerated {
+			return false
+		}
+	}
+	return true
+}
+
+// density is how much a kind of batch work disturbs services for its size.
+func (p Pack) density(kind string, size Amount) float64 {
+	return p.Learned.Typical(kind) / float64(max(size.CPU, 1))
+}
+
 // disturbing is the slowdown that task t causes to the services on v.
 func (p Pack) disturbing(t *Task, v *VM) float64 {
 	if p.Learned == nil {
--- a/internal/sched/place/vm.go
+++ b/internal/sched/place/vm.go
@@ -5,7 +5,11 @@
 // input.
 package place
 
-import "github.com/ebonyarch/ebonyarch/internal/wire/schema"
+import (
+	"time"
+
+	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
+)
 
 // Amount is a vector of resources; it may be negative while a VM is overfull.
 type Amount struct {
@@ -60,4 +64,6 @@
 	Service bool
 	// Avoid lists VMs on which the task failed.
 	Avoid []string
+	// Waited is how long the task has been waiting.
+	Waited time.Duration
 }
--- a/internal/sched/runner/runner.go
+++ b/internal/sched/runner/runner.go
@@ -61,6 +61,7 @@
 	checkpoint   []byte
 	reportedAt   time.Time
 	speedPercent uint32
+	sharePercent uint32
 }
 
 type stopReason uint8
@@ -112,8 +113,10 @@
 	for _, id := range r.sorted() {
 		a := r.attempts[id]
 		req.Attempts = append(req.Attempts, &schema.Attempt{Task: id.Ref(), Phase: a.phase})
-		if a.speedPercent > 0 && !a.ended {
-			req.Usage = append(req.Usage, &schema.Usage{Task: id.Ref(), SpeedPercent: a.speedPercent})
+		if !a.ended && a.speedPercent+a.sharePercent > 0 {
+			req.Usage = append(req.Usage, &schema.Usage{
+				Task: id.Ref(), SpeedPercent: a.speedPercent, SharePercent: a.sharePercent,
+			})
 		}
 	}
 	for _, id := range sortedKeys(r.results) {
@@ -215,7 +218,7 @@
 		r.attempts[id] = a
 		r.ledger.Adopt(id, task.GetSize())
 	}
-	a.speedPercent = task.GetSpeedPercent()
+	a.speedPercent, a.sharePercent = task.GetSpeedPercent(), task.GetSharePercent()
 	if task.GetEnded() && !a.ended {
 		if task.GetFailed() {
 			r.stats.Failed++
--- /dev/null
+++ b/internal/state/fold/bench_test.go
@@ -0,0 +1,92 @@
+package fold_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ebonyarch/ebonyarch/internal/base/ident"
+	"github.com/ebonyarch/ebonyarch/internal/state/fold"
+	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
+)
+
+// filled returns a journal with running and waiting tasks, 25 a job.
+func filled(runningTasks, waitingTasks int) *journal {
+	const tasksEach = 25
+	j := newJournal("w1")
+	j.add("w1", claim(1), config("t", 0, `{"batch": {"b": {"cpu": 1}}}`))
+	for i := range (runningTasks + waitingTasks) / tasksEach {
+		key := fmt.Sprint(i)
+		j.add("w1", job("t", key, tasksEach))
+		if i*tasksEach >= runningTasks {
+			continue
+		}
+		g := &schema.Grants{}
+		for n := range uint32(tasksEach) {
+			ref := &schema.TaskRef{Job: ident.BatchJob("t", key), Index: n, Epoch: 1}
+			g.Vms = append(g.Vms, &schema.VMGrants{Vm: fmt.Sprintf("vm-%d", (i+int(n))%430), Tasks: []*schema.TaskRef{ref}})
+		}
+		j.add("w1", &schema.Record{Cell: "main", Term: 1, Body: &schema.Record_Grants{Grants: g}})
+	}
+	return j
+}
+
+// BenchmarkState measures the memory of the state and the bytes and time of a
+// snapshot, at two sizes for the slope.
+func BenchmarkState(b *testing.B) {
+	for _, waiting := range []int{10_000, 50_000} {
+		b.Run(fmt.Sprintf("running=3200/waiting=%d", waiting), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			j := filled(3200, waiting)
+			j.entries = nil
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			var size int
+			for b.Loop() {
+				data, err := proto.Marshal(j.fold.Encode())
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "state-MB")
+			b.ReportMetric(float64(size)/1e6, "snapshot-MB")
+			runtime.KeepAlive(j)
+		})
+	}
+}
+
+// BenchmarkApply measures the fold of one batch that grants and completes 72
+// tasks, a second of the target's peak.
+func BenchmarkApply(b *testing.B) {
+	const tasks = 72
+	for b.Loop() {
+		b.StopTimer()
+		j := newJournal("w1")
+		j.add("w1", claim(1), config("t", 0, `{"batch": {"b": {"cpu": 1}}}`), job("t", "k", tasks))
+		id := ident.BatchJob("t", "k")
+		g, r := &schema.Grants{}, &schema.Results{}
+		for n := range uint32(tasks) {
+			ref := &schema.TaskRef{Job: id, Index: n, Epoch: 1}
+			vm := fmt.Sprintf("vm-%d", n)
+			g.Vms = append(g.Vms, &schema.VMGrants{Vm: vm, Tasks: []*schema.TaskRef{ref}})
+			r.Results = append(r.Results, &schema.Result{Task: ref, Vm: vm, Outcome: schema.Outcome_OUTCOME_COMPLETED})
+		}
+		b.StartTimer()
+		j.add("w1", &schema.Record{Cell: "main", Term: 1, Body: &schema.Record_Grants{Grants: g}},
+			&schema.Record{Cell: "main", Term: 1, Body: &schema.Record_Results{Results: r}})
+	}
+}
+
+// BenchmarkDecode measures the start of an entry from a snapshot of the target
+// size.
+func BenchmarkDecode(b *testing.B) {
+	state := filled(3200, 50_000).fold.Encode()
+	for b.Loop() {
+		fold.Decode(state)
+	}
+}
