node: agents announce only what changed, and sleep while nothing is queued

Cause, seen in processor time of idle agents: a 5 ms timer for queued requests ran always, and each beat carried the whole VM and all entries.

--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -57,6 +57,17 @@
 	return true
 }
 
+// Renew takes the brief announcement of a member that has not changed. It returns
+// false if the table does not know the member as it is.
+func (t *Table) Renew(now time.Time, m *schema.Member) bool {
+	r := t.rows[m.GetVm()]
+	if r == nil || r.member.GetGone() || older(r.member, m) || older(m, r.member) {
+		return false
+	}
+	r.local, r.heard = true, now
+	return true
+}
+
 // Merge takes an announcement that another entry passed on.
 func (t *Table) Merge(now time.Time, m *schema.Member) {
 	r := t.rows[m.GetVm()]
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -27,6 +27,8 @@
 	admin  *link.Server
 	links  link.Set
 	poke   chan struct{}
+	// queued wakes the loop that drops late requests.
+	queued chan struct{}
 	stop   context.CancelFunc
 	done   sync.WaitGroup
 	// inFlight counts the requests that were accepted and not answered.
@@ -40,7 +42,7 @@
 // Start opens the agent's addresses and begins to announce the VM.
 func Start(cfg proc.Agent, worker port.Worker, log *slog.Logger) (*Agent, error) {
 	cfg.Fill()
-	a := &Agent{cfg: cfg, worker: worker, log: log, poke: make(chan struct{}, 1)}
+	a := &Agent{cfg: cfg, worker: worker, log: log, poke: make(chan struct{}, 1), queued: make(chan struct{}, 1)}
 	registry := admin.NewRegistry()
 	a.metrics = newMetrics(registry, a)
 	var err error
--- a/internal/node/agent/beat.go
+++ b/internal/node/agent/beat.go
@@ -12,7 +12,7 @@
 
 const (
 	// beatEvery spaces the announcements.
-	beatEvery = time.Second
+	beatEvery = 1500 * time.Millisecond
 	// beatTimeout bounds one announcement.
 	beatTimeout = time.Second
 	// workerTimeout bounds one call of the worker.
--- a/internal/node/agent/forward.go
+++ b/internal/node/agent/forward.go
@@ -67,6 +67,10 @@
 	granted := make(chan bool, 1)
 	visit.Data = granted
 	a.mu.Unlock()
+	select {
+	case a.queued <- struct{}{}:
+	default:
+	}
 	var got, gone bool
 	select {
 	case got = <-granted:
@@ -92,24 +96,31 @@
 	}
 }
 
-// expire drops queued requests whose deadline cannot be met, until ctx ends.
+// expire drops queued requests whose deadline cannot be met, until ctx ends. It
+// sleeps while nothing is queued.
 func (a *Agent) expire(ctx context.Context) {
-	ticker := time.NewTicker(expireEvery)
-	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-a.queued:
+		}
+		for a.expireOnce() && ctx.Err() == nil {
+			time.Sleep(expireEvery)
 		}
-		a.mu.Lock()
-		late, granted := a.host.Expire(time.Now())
-		tell(late, false)
-		grant(granted)
-		a.mu.Unlock()
 	}
 }
 
+// expireOnce reports whether requests are still queued.
+func (a *Agent) expireOnce() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	late, granted := a.host.Expire(time.Now())
+	tell(late, false)
+	grant(granted)
+	return a.host.Queued() > 0
+}
+
 func (a *Agent) serve(ctx context.Context, req *schema.ForwardRequest, deadline time.Time) (port.Response, error) {
 	if !req.GetIdempotent() {
 		// What has started runs to its end even if the entry's connection is lost.
--- a/internal/node/core/core.go
+++ b/internal/node/core/core.go
@@ -6,6 +6,7 @@
 package core
 
 import (
+	"hash/fnv"
 	"log/slog"
 	"net/netip"
 	"time"
@@ -146,19 +147,38 @@
 // Beat answers an agent's announcement.
 func (c *Core) Beat(now time.Time, req *schema.BeatRequest) *schema.BeatReply {
 	m := req.GetMember()
-	current := c.members.Heard(now, m)
 	reply := &schema.BeatReply{}
+	current := false
+	if req.GetBrief() {
+		current = c.members.Renew(now, m)
+		reply.WantWhole = !current
+	} else {
+		current = c.members.Heard(now, m)
+	}
 	if l := c.leaders[m.GetCell()]; l != nil && current && !c.leaving {
 		c.learned.Observe(now, c.fold, req)
-		reply = l.Beat(now, req)
+		l.Beat(now, req, reply)
 	}
 	reply.Entries = c.entryAddrs()
+	reply.EntriesHash = hashAddrs(reply.Entries)
+	if reply.EntriesHash == req.GetEntriesHash() {
+		reply.Entries = nil
+	}
 	if w, ok := c.fold.Writer(c.fold.Cell(m.GetCell()).Leader); ok && !w.Left {
 		reply.LeaderAddr = w.PeerAddr
 	}
 	return reply
 }
 
+func hashAddrs(addrs []string) uint64 {
+	h := fnv.New64a()
+	for _, addr := range addrs {
+		h.Write([]byte(addr))
+		h.Write([]byte{0})
+	}
+	return h.Sum64()
+}
+
 func (c *Core) entryAddrs() []string {
 	var addrs []string
 	for _, e := range c.fold.Entries() {
--- a/internal/node/entry/journal.go
+++ b/internal/node/entry/journal.go
@@ -18,7 +18,7 @@
 	readMost      = 500
 	readRetry     = 100 * time.Millisecond
 	appendTimeout = 5 * time.Second
-	tickEvery     = 25 * time.Millisecond
+	tickEvery     = 50 * time.Millisecond
 )
 
 // readLog follows the log until ctx ends.
--- a/internal/node/host/host.go
+++ b/internal/node/host/host.go
@@ -40,6 +40,12 @@
 	guard  guard.Guard
 	// member is what was announced last; its version grows with each change.
 	member *schema.Member
+	// known is the version of the member that the entry has whole, 0 for none.
+	known uint64
+	// announced is the version in the latest beat.
+	announced uint64
+	// entriesHash identifies the list of entries learned last.
+	entriesHash uint64
 	// entry is the one announced to, and entries all that are known.
 	entry   netip.AddrPort
 	entries []netip.AddrPort
@@ -104,7 +110,15 @@
 		m.Version++
 		h.member = m
 	}
-	req := &schema.BeatRequest{Member: h.member, ConfigVersion: h.configVersion}
+	req := &schema.BeatRequest{Member: h.member, ConfigVersion: h.configVersion, EntriesHash: h.entriesHash}
+	if h.known == h.member.GetVersion() {
+		req.Brief = true
+		req.Member = &schema.Member{
+			Vm: h.member.GetVm(), Cell: h.member.GetCell(), Incarnation: h.member.GetIncarnation(),
+			Version: h.member.GetVersion(),
+		}
+	}
+	h.announced = h.member.GetVersion()
 	h.Runner.Fill(req)
 	return req, h.entry
 }
@@ -125,7 +139,7 @@
 	if entry == h.entry {
 		return
 	}
-	h.entry = entry
+	h.entry, h.known = entry, 0
 	if h.member != nil {
 		m := proto.Clone(h.member).(*schema.Member)
 		m.Version++
@@ -139,6 +153,12 @@
 func (h *Host) Replied(now, sent time.Time, reply *schema.BeatReply) (lease time.Duration, again bool) {
 	h.Runner.Replied(sent, reply)
 	h.learnEntries(reply.GetEntries())
+	h.entriesHash = reply.GetEntriesHash()
+	h.known = h.announced
+	if reply.GetWantWhole() {
+		h.known = 0
+		return 0, true
+	}
 	if reply.GetLeader() {
 		h.misses = 0
 		h.configVersion, h.answeredAt = reply.GetConfigVersion(), now
--- a/internal/node/host/request.go
+++ b/internal/node/host/request.go
@@ -128,6 +128,15 @@
 	return late, granted
 }
 
+// Queued returns the requests that wait for slots.
+func (h *Host) Queued() int {
+	sum := 0
+	for _, g := range h.gates {
+		sum += g.Queued()
+	}
+	return sum
+}
+
 // Revoke makes certain that a request never runs here. It returns false if it
 // has started.
 func (h *Host) Revoke(now time.Time, id string) bool { return h.once.Revoke(now, id) }
--- a/internal/proof/world/world.go
+++ b/internal/proof/world/world.go
@@ -23,7 +23,7 @@
 	hop         = 500 * time.Microsecond
 	readEvery   = 20 * time.Millisecond
 	tickEvery   = 50 * time.Millisecond
-	beatEvery   = time.Second
+	beatEvery   = 1500 * time.Millisecond
 	syncEvery   = 500 * time.Millisecond
 	callTimeout = time.Second
 	serviceTime = 4 * time.Millisecond
--- a/internal/sched/leader/lease.go
+++ b/internal/sched/leader/lease.go
@@ -22,10 +22,10 @@
 }
 
 // Beat answers an agent's announcement. The caller has entered the member.
-func (l *Leader) Beat(now time.Time, req *schema.BeatRequest) *schema.BeatReply {
-	reply := &schema.BeatReply{Term: l.fold.Cell(l.cell).Term, ConfigVersion: l.fold.ConfigVersion()}
+func (l *Leader) Beat(now time.Time, req *schema.BeatRequest, reply *schema.BeatReply) {
+	reply.Term, reply.ConfigVersion = l.fold.Cell(l.cell).Term, l.fold.ConfigVersion()
 	if !l.Leads(now) || req.GetTermSeen() > l.term {
-		return reply
+		return
 	}
 	vm := req.GetMember().GetVm()
 	v := l.vms[vm]
@@ -34,7 +34,7 @@
 		l.vms[vm] = v
 	}
 	if req.GetMember().GetIncarnation() < v.incarnation {
-		return reply
+		return
 	}
 	v.incarnation = req.GetMember().GetIncarnation()
 	v.answered = now
@@ -42,7 +42,6 @@
 	reply.Leader, reply.LeaseMs = true, VMLease.Milliseconds()
 	l.takeResults(vm, req.GetResults(), reply)
 	l.fillAssignments(vm, req, reply)
-	return reply
 }
 
 func attemptsOf(req *schema.BeatRequest) []ident.Attempt {
--- /dev/null
+++ b/internal/tool/trial/load_bench_test.go
@@ -0,0 +1,43 @@
+package trial_test
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/ebonyarch/ebonyarch/internal/tool/trial"
+)
+
+// BenchmarkIdle measures what agents cost in processor time, bytes and memory
+// while nothing happens, at three sizes for the slope. Agents, workers and one
+// entry share the process, so processor time and memory are of all of them; bytes
+// are those at the entry's address for peers.
+func BenchmarkIdle(b *testing.B) {
+	for _, n := range []int{20, 60, 120} {
+		b.Run(fmt.Sprintf("agents=%d", n), func(b *testing.B) {
+			log := slog.New(slog.NewTextHandler(io.Discard, nil))
+			f, err := trial.Start(trial.Size{Entries: 1, Agents: n, CPU: 16, Memory: 60 << 10}, log)
+			defer f.Stop()
+			if err != nil {
+				b.Fatal(err)
+			}
+			time.Sleep(4 * time.Second) // all have announced themselves
+			for b.Loop() {
+				const window = 8 * time.Second
+				cpu, bytes := processorTime(), f.Entries[0].PeerBytes()
+				time.Sleep(window)
+				used := processorTime() - cpu
+				b.ReportMetric(100*used.Seconds()/window.Seconds(), "core-%")
+				b.ReportMetric(float64(f.Entries[0].PeerBytes()-bytes)/window.Seconds()/float64(n), "bytes/s/agent")
+			}
+			runtime.GC()
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			b.ReportMetric(float64(m.HeapAlloc)/1e6, "heap-MB")
+			b.ReportMetric(float64(m.Sys)/1e6, "sys-MB")
+		})
+	}
+}
