--- /dev/null
+++ b/internal/proof/check/check_test.go
@@ -0,0 +1,62 @@
+package check_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ebonyarch/ebonyarch/internal/proof/check"
+)
+
+func TestCheck(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "check")
+}
+
+func at(s int) time.Time { return time.Unix(1e9+int64(s), 0) }
+
+func publish(base, revision uint64, fate check.Fate, from, to int) check.Publish {
+	return check.Publish{Team: "t", Base: base, Revision: revision, Fate: fate, From: at(from), To: at(to)}
+}
+
+func call(what check.JobAction, fate check.Fate, from, to int) check.JobCall {
+	return check.JobCall{Key: "k", What: what, Fate: fate, From: at(from), To: at(to)}
+}
+
+func look(seen check.JobState, from int) check.JobCall {
+	return check.JobCall{Key: "k", What: check.Look, Seen: seen, From: at(from), To: at(from + 1)}
+}
+
+var _ = DescribeTable("histories of configuration",
+	func(want bool, history ...check.Publish) {
+		Expect(check.Config(history)).To(Equal(want))
+	},
+	Entry("one after the other", true, publish(0, 1, check.Done, 0, 1), publish(1, 2, check.Done, 2, 3)),
+	Entry("a race with one winner", true, publish(0, 1, check.Done, 0, 5), publish(0, 0, check.Refused, 0, 5)),
+	Entry("a race with two winners", false, publish(0, 1, check.Done, 0, 5), publish(0, 1, check.Done, 0, 5)),
+	Entry("a revision that came back", false,
+		publish(0, 1, check.Done, 0, 1), publish(1, 2, check.Done, 2, 3), publish(1, 2, check.Done, 4, 5)),
+	Entry("refused though nothing changed", false, publish(0, 0, check.Refused, 0, 1)),
+	Entry("an unknown one that took effect", true,
+		publish(0, 0, check.Unknown, 0, 1), publish(1, 2, check.Done, 2, 3)),
+	Entry("one told 'not run' that took effect", false,
+		publish(0, 0, check.NotRun, 0, 1), publish(1, 2, check.Done, 2, 3)),
+)
+
+var _ = DescribeTable("histories of jobs",
+	func(want bool, history ...check.JobCall) {
+		Expect(check.Jobs(history)).To(Equal(want))
+	},
+	Entry("accepted and completed", true, call(check.Submit, check.Done, 0, 1), look(check.Completed, 2)),
+	Entry("accepted and lost", false, call(check.Submit, check.Done, 0, 1), look(check.Absent, 2)),
+	Entry("told 'not run' but there", false, call(check.Submit, check.NotRun, 0, 1), look(check.Open, 2)),
+	Entry("unknown and there", true, call(check.Submit, check.Unknown, 0, 1), look(check.Open, 9)),
+	Entry("completed and open again", false,
+		call(check.Submit, check.Done, 0, 1), look(check.Completed, 2), look(check.Open, 4)),
+	Entry("cancelled and completed", false,
+		call(check.Submit, check.Done, 0, 1), look(check.Open, 2), call(check.Cancel, check.Done, 4, 5),
+		look(check.Cancelled, 6), look(check.Completed, 8)),
+	Entry("cancelled without having been accepted", false, call(check.Cancel, check.Done, 0, 1)),
+)
--- a/internal/proof/matrix/run.go
+++ b/internal/proof/matrix/run.go
@@ -230,7 +230,7 @@
 	left := tries
 	var again func()
 	again = func() {
-		if left--; left > 0 && !latest().Cancelled {
+		if left--; left > 0 && latest().CancelledAt.IsZero() {
 			r.alive(left).CancelJob("presses", latest())
 			r.w.After(time.Second, again)
 		}
--- a/internal/proof/world/history.go
+++ b/internal/proof/world/history.go
@@ -8,6 +8,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
 	"github.com/ebonyarch/ebonyarch/internal/base/ident"
 	"github.com/ebonyarch/ebonyarch/internal/node/core"
+	"github.com/ebonyarch/ebonyarch/internal/proof/check"
 	"github.com/ebonyarch/ebonyarch/internal/state/fold"
 	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
 )
@@ -28,8 +29,10 @@
 	At   time.Time
 	Done bool
 	Code codes.Code
-	// Cancelled is set once a cancellation was accepted.
-	Cancelled bool
+	// To is when it was answered.
+	To time.Time
+	// CancelledAt is when a cancellation was accepted, asked for at CancelFrom.
+	CancelFrom, CancelledAt time.Time
 }
 
 // Put is one attempt to publish a team's configuration.
@@ -72,7 +75,7 @@
 	s := &Submission{Job: ident.BatchJob(team, key), Tasks: tasks, At: e.world.Now}
 	e.world.History.Submissions = append(e.world.History.Submissions, s)
 	finish := func(c codes.Code) {
-		s.Done, s.Code = true, c
+		s.Done, s.Code, s.To = true, c, e.world.Now
 		done(c)
 	}
 	t := e.Core.Fold().Team(team)
@@ -94,8 +97,13 @@
 
 // CancelJob cancels a job at an entry.
 func (e *Entry) CancelJob(team string, s *Submission) {
+	from := e.world.Now
 	e.commit(&schema.Record{Body: &schema.Record_Cancel{Cancel: &schema.JobCancel{Job: s.Job, Team: team}}},
-		func(f core.Fate) { s.Cancelled = f.Err == nil })
+		func(f core.Fate) {
+			if f.Err == nil {
+				s.CancelFrom, s.CancelledAt = from, e.world.Now
+			}
+		})
 }
 
 // Publish publishes a team's configuration at an entry.
@@ -126,6 +134,7 @@
 		add("VM beyond its capacity: %s", start)
 	}
 	w.checkCalls(add)
+	w.checkOrder(add)
 	for _, e := range w.Entries {
 		if e.Dead {
 			continue
@@ -136,6 +145,65 @@
 	return faults
 }
 
+// checkOrder judges the history of publishes and submissions as a whole.
+func (w *World) checkOrder(add func(string, ...any)) {
+	var publishes []check.Publish
+	for _, p := range w.History.Publishes {
+		publishes = append(publishes, check.Publish{
+			Team: p.Team, Base: p.Base, Revision: p.Revision, Fate: fateOf(p.Code, p.Done), From: p.From, To: p.To,
+		})
+	}
+	if !check.Config(publishes) {
+		add("the publishes have no order in which their answers are true")
+	}
+	var calls []check.JobCall
+	seen := map[string]bool{}
+	for _, s := range w.History.Submissions {
+		calls = append(calls, check.JobCall{Key: s.Job, What: check.Submit, Fate: fateOf(s.Code, s.Done), From: s.At, To: s.To})
+		for _, e := range w.Entries {
+			if !e.Dead && e.Core.Ready() && !seen[s.Job] {
+				seen[s.Job] = true
+				calls = append(calls, check.JobCall{
+					Key: s.Job, What: check.Look, Seen: jobState(e.Core.Fold().Job(s.Job)), From: w.Now, To: w.Now.Add(1),
+				})
+			}
+		}
+		if s.CancelledAt.IsZero() {
+			continue
+		}
+		calls = append(calls, check.JobCall{Key: s.Job, What: check.Cancel, From: s.CancelFrom, To: s.CancelledAt})
+	}
+	if !check.Jobs(calls) {
+		add("the calls about jobs have no order in which their answers are true")
+	}
+}
+
+func fateOf(code codes.Code, done bool) check.Fate {
+	switch {
+	case !done:
+		return check.Unknown
+	case code == codes.OK:
+		return check.Done
+	case code == codes.ConfigStale:
+		return check.Refused
+	case code.Info().Ran == codes.RanNo:
+		return check.NotRun
+	}
+	return check.Unknown
+}
+
+func jobState(j *fold.Job) check.JobState {
+	switch {
+	case j == nil:
+		return check.Absent
+	case j.Cancelled:
+		return check.Cancelled
+	case !j.Ended.IsZero():
+		return check.Completed
+	}
+	return check.Open
+}
+
 func (w *World) checkCalls(add func(string, ...any)) {
 	for _, c := range w.History.Calls {
 		served := w.Witness.Served(c.ID)
