node/host: leave an entry that was the leader and knows of no other

Cause, found by a test for an early revocation: an entry cut off from the log alone went on to name itself as leader; its agents stayed with it, their leases ended, and a minute's batch work was lost though another entry led. The matrix has the fault for every step that an entry takes.

--- a/internal/fake/worker/worker.go
+++ b/internal/fake/worker/worker.go
@@ -6,9 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"hash/crc32"
-	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -59,17 +56,6 @@
 	stopped map[ident.Attempt]bool
 }
 
-type task struct {
-	assignment *schema.Assignment
-	// done is the work done up to at.
-	done       time.Duration
-	at         time.Time
-	share      uint32
-	leaseUntil time.Time
-	ended      bool
-	failed     bool
-}
-
 // New returns a worker without tasks.
 func New(cfg Config) *Worker {
 	if cfg.Now == nil {
@@ -106,58 +92,6 @@
 	return nil
 }
 
-// Serve implements port.Worker: it answers with the request's id and a checksum
-// of its body.
-func (w *Worker) Serve(ctx context.Context, req port.Request) (port.Response, error) {
-	took, err := w.Admit(req)
-	if err != nil {
-		return port.Response{}, err
-	}
-	w.mu.Lock()
-	fails := w.faults.FailAll
-	w.mu.Unlock()
-	if fails {
-		return port.Response{Status: http.StatusInternalServerError, Body: []byte("failing")}, nil
-	}
-	select {
-	case <-time.After(took):
-	case <-ctx.Done():
-		return port.Response{}, ctx.Err()
-	}
-	return Answer(req), nil
-}
-
-// Answer is the answer that a worker gives to a request.
-func Answer(req port.Request) port.Response {
-	sum := strconv.FormatUint(uint64(crc32.ChecksumIEEE(req.Body)), 16)
-	body := fmt.Appendf(nil, "{\"id\":%q,\"path\":%q,\"sum\":%q}\n", req.ID, req.Path, sum)
-	header := http.Header{"Content-Type": {"application/json"}}
-	return port.Response{Status: http.StatusOK, Header: header, Body: body}
-}
-
-func (w *Worker) serves(team, service string) bool {
-	for _, t := range w.tasks {
-		a := t.assignment
-		if a.GetService() && a.GetTeam() == team && a.GetKind() == service && !t.ended {
-			return true
-		}
-	}
-	return false
-}
-
-func (w *Worker) speed(service string) float64 {
-	if w.cfg.Slowdown == nil {
-		return 1
-	}
-	var kinds []string
-	for _, t := range w.tasks {
-		if !t.assignment.GetService() && !t.ended && t.share > 0 {
-			kinds = append(kinds, t.assignment.GetTeam()+"/"+t.assignment.GetKind())
-		}
-	}
-	return w.cfg.Slowdown(service, kinds)
-}
-
 // Start implements port.Worker.
 func (w *Worker) Start(_ context.Context, a *schema.Assignment, lease time.Duration) error {
 	w.mu.Lock()
@@ -187,49 +121,6 @@
 	return nil
 }
 
-func (w *Worker) used() *schema.Size {
-	sum := &schema.Size{}
-	for _, t := range w.tasks {
-		if t.ended {
-			continue
-		}
-		sum.CpuMilli += t.assignment.GetSize().GetCpuMilli()
-		sum.MemoryMb += t.assignment.GetSize().GetMemoryMb()
-		sum.Accelerators += t.assignment.GetSize().GetAccelerators()
-	}
-	return sum
-}
-
-// advance brings the tasks up to now: work goes on, leases end.
-func (w *Worker) advance() {
-	now := w.cfg.Now()
-	for id, t := range w.tasks {
-		if t.ended || t.assignment.GetService() {
-			continue
-		}
-		until := now
-		lapsed := !t.leaseUntil.IsZero() && !now.Before(t.leaseUntil)
-		if lapsed {
-			until = t.leaseUntil
-		}
-		if until.After(t.at) {
-			t.done += until.Sub(t.at) * time.Duration(t.share) / 100
-			t.at = until
-		}
-		work := time.Duration(t.assignment.GetWorkMs()) * time.Millisecond
-		switch {
-		case t.done >= work:
-			t.ended = true
-			end := until.Add(-(t.done - work))
-			w.cfg.Witness.ended(w.cfg.VM, id, end, Finished)
-		case lapsed:
-			w.cfg.Witness.ended(w.cfg.VM, id, t.leaseUntil, Lapsed)
-			delete(w.tasks, id)
-			w.stopped[id] = true
-		}
-	}
-}
-
 // Settle records what came to its end so far, also if nobody asks any more.
 func (w *Worker) Settle() {
 	w.mu.Lock()
@@ -263,15 +154,6 @@
 	return encodeCheckpoint(t.done), nil
 }
 
-func encodeCheckpoint(done time.Duration) []byte {
-	return strconv.AppendInt(nil, done.Milliseconds(), 10)
-}
-
-func decodeCheckpoint(token []byte) time.Duration {
-	ms, _ := strconv.ParseInt(string(token), 10, 64)
-	return time.Duration(ms) * time.Millisecond
-}
-
 // Throttle implements port.Worker.
 func (w *Worker) Throttle(_ context.Context, ref *schema.TaskRef, percent uint32) error {
 	w.mu.Lock()
@@ -328,23 +210,3 @@
 	}
 	return tasks, nil
 }
-
-// Admit begins a request in tests that keep their own time: it fails if the VM
-// is dead or runs no replica, and records the request as run otherwise. It
-// returns how long the request takes.
-func (w *Worker) Admit(req port.Request) (time.Duration, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if err := w.reachable(); err != nil {
-		return 0, err
-	}
-	if !w.serves(req.Team, req.Service) {
-		return 0, fmt.Errorf("%w: no replica of %s/%s here", port.ErrNotStarted, req.Team, req.Service)
-	}
-	w.cfg.Witness.served(w.cfg.VM, req.ID)
-	took := w.cfg.ServiceTime + w.faults.Stall
-	if speed := w.speed(req.Team + "/" + req.Service); speed > 0 {
-		took = time.Duration(float64(took) / speed)
-	}
-	return took, nil
-}
--- a/internal/node/entry/config.go
+++ b/internal/node/entry/config.go
@@ -117,7 +117,7 @@
 		e.reject(w, err)
 		return
 	}
-	e.publish(w, r, &schema.ConfigPut{Team: mux.Vars(r)["team"], Base: n, Body: body, Author: author(r)})
+	e.publish(w, &schema.ConfigPut{Team: mux.Vars(r)["team"], Base: n, Body: body, Author: author(r)})
 }
 
 func author(r *http.Request) string {
@@ -127,7 +127,7 @@
 	return "unknown"
 }
 
-func (e *Entry) publish(w http.ResponseWriter, r *http.Request, put *schema.ConfigPut) {
+func (e *Entry) publish(w http.ResponseWriter, put *schema.ConfigPut) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
 	if !teams.ValidName(put.Team) {
@@ -181,7 +181,7 @@
 		e.reject(w, err)
 		return
 	}
-	e.publish(w, r, &schema.ConfigPut{Team: mux.Vars(r)["team"], Base: n, Delete: true, Author: author(r)})
+	e.publish(w, &schema.ConfigPut{Team: mux.Vars(r)["team"], Base: n, Delete: true, Author: author(r)})
 }
 
 func (e *Entry) configHistory(w http.ResponseWriter, r *http.Request) {
@@ -227,7 +227,7 @@
 	team := mux.Vars(r)["team"]
 	for _, c := range e.history(team) {
 		if c.GetRevision() == spec.Revision && !c.GetDeleted() {
-			e.publish(w, r, &schema.ConfigPut{
+			e.publish(w, &schema.ConfigPut{
 				Team: team, Base: n, Body: c.GetBody(), Author: author(r), RollbackOf: spec.Revision,
 			})
 			return
--- a/internal/node/host/host.go
+++ b/internal/node/host/host.go
@@ -129,7 +129,12 @@
 		return
 	}
 	h.misses++
-	i := slices.Index(h.entries, to)
+	h.next()
+}
+
+// next turns to the next entry known.
+func (h *Host) next() {
+	i := slices.Index(h.entries, h.entry)
 	h.moveTo(h.entries[(i+1)%len(h.entries)])
 }
 
@@ -165,7 +170,13 @@
 		return h.Runner.Lease(now), false
 	}
 	leader, err := netip.ParseAddrPort(reply.GetLeaderAddr())
-	if err == nil && leader != h.entry && h.misses == 0 {
+	if err == nil && leader == h.entry {
+		// It was the leader once and does not know of another: it may have lost the
+		// log, so others know better.
+		h.next()
+		return 0, false
+	}
+	if err == nil && h.misses == 0 {
 		h.moveTo(leader)
 		return 0, true
 	}
--- a/internal/proof/matrix/fault.go
+++ b/internal/proof/matrix/fault.go
@@ -88,7 +88,7 @@
 			p.SetFaults(world.ProcFaults{Double: !byEntry[s], DoubleAppend: byEntry[s]})
 			return false
 		}, always},
-		{"reordered", func(_ *run, s world.Step, p *world.Proc) bool {
+		{"reordered", func(_ *run, _ world.Step, p *world.Proc) bool {
 			p.SetFaults(world.ProcFaults{Delay: reorderDelay})
 			return false
 		}, always},
@@ -101,6 +101,10 @@
 			r.w.After(logAway, func() { r.w.LogLatency = world.AppendLatency })
 			return false
 		}, always},
+		{"cut off from the log alone", func(r *run, _ world.Step, p *world.Proc) bool {
+			r.w.CutLog(p, logAway)
+			return false
+		}, onEntry},
 		{"acknowledgement lost after effect", func(_ *run, _ world.Step, p *world.Proc) bool {
 			p.SetFaults(world.ProcFaults{LoseAck: true})
 			return false
--- a/internal/proof/pack/pack.go
+++ b/internal/proof/pack/pack.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/base/ident"
-	"github.com/ebonyarch/ebonyarch/internal/sched/guard"
 	"github.com/ebonyarch/ebonyarch/internal/sched/learn"
 	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 )
@@ -79,34 +78,6 @@
 	}
 }
 
-type task struct {
-	id   int
-	kind *Kind
-	work time.Duration
-	// done is the work done, saved that at the latest checkpoint.
-	done, saved time.Duration
-	queuedAt    time.Duration
-	startedAt   time.Duration
-	savedAt     time.Duration
-	share       uint32
-	urgent      bool
-	evictions   int
-}
-
-type vm struct {
-	place.VM
-	tasks []*task
-	guard guard.Guard
-	// late holds measurements until they are Lag old.
-	late []measurement
-}
-
-type measurement struct {
-	at       time.Duration
-	loads    []learn.Load
-	slowdown float64
-}
-
 // Sim is one run.
 type sim struct {
 	cfg     Config
@@ -169,16 +140,6 @@
 	}
 }
 
-func (s *sim) newTask(k *Kind) *task {
-	s.next++
-	work := time.Duration((0.5 + s.rnd.Float64()) * float64(k.Work))
-	return &task{id: s.next, kind: k, work: work, share: 100, queuedAt: s.now}
-}
-
-func (t *task) placed(now time.Duration) *place.Task {
-	return &place.Task{Kind: "t/" + t.kind.Name, Size: t.kind.Size, Waited: now - t.queuedAt}
-}
-
 // place starts what fits, in order, looking past what does not.
 func (s *sim) place() {
 	views := make([]*place.VM, len(s.vms))
@@ -216,38 +177,6 @@
 	s.policy = pack
 }
 
-func (s *sim) start(v *vm, t *task) {
-	t.startedAt, t.savedAt, t.share = s.now, s.now, 100
-	t.done = t.saved
-	v.Take(t.placed(s.now))
-	v.tasks = append(v.tasks, t)
-}
-
-// stop takes a task off its VM.
-func (s *sim) stop(v *vm, t *task) {
-	rest := v.tasks[:0]
-	for _, other := range v.tasks {
-		if other != t {
-			rest = append(rest, other)
-		}
-	}
-	v.tasks = rest
-	v.Free = v.Free.Plus(t.kind.Size)
-	kinds := v.Kinds[:0]
-	for _, other := range v.tasks {
-		kinds = append(kinds, "t/"+other.kind.Name)
-	}
-	v.Kinds = kinds
-}
-
-func (s *sim) evict(v *vm, t *task) {
-	s.result.Evictions++
-	s.result.Lost += t.done - t.saved
-	t.evictions++
-	s.stop(v, t)
-	s.queue = append([]*task{t}, s.queue...)
-}
-
 // urgent places a task at once, by eviction.
 func (s *sim) urgent() {
 	k := &Kind{Name: "urgent", Size: place.Amount{CPU: 8000, Memory: 8 << 10}, Work: 4 * time.Minute}
@@ -296,69 +225,3 @@
 	}
 	return list
 }
-
-// advance lets a second pass on a VM.
-func (s *sim) advance(v *vm) {
-	slowdown := 0.0
-	var loads []learn.Load
-	for _, t := range v.tasks {
-		slowdown += t.kind.Disturbs * float64(t.share) / 100
-		loads = append(loads, learn.Load{Kind: "t/" + t.kind.Name, Share: float64(t.share) / 100})
-	}
-	if len(v.Services) > 0 {
-		s.result.Slowdown += slowdown
-		s.samples++
-		s.measure(v, loads, slowdown)
-		s.protect(v, slowdown)
-	}
-	for _, t := range append([]*task(nil), v.tasks...) {
-		step := tick * time.Duration(t.share) / 100
-		t.done += step
-		if s.now-t.savedAt >= checkpointEvery {
-			t.saved, t.savedAt = t.done, s.now
-		}
-		if t.done >= t.work {
-			s.stop(v, t)
-			s.result.Tasks++
-			s.result.Finished += t.work * time.Duration(t.kind.Size.CPU) / 1000
-		}
-	}
-}
-
-// measure passes measurements on once they are old enough.
-func (s *sim) measure(v *vm, loads []learn.Load, slowdown float64) {
-	noisy := max(0, slowdown+0.05*s.rnd.NormFloat64())
-	v.late = append(v.late, measurement{s.now, loads, noisy})
-	for len(v.late) > 0 && s.now-v.late[0].at >= s.cfg.Lag {
-		m := v.late[0]
-		v.late = v.late[1:]
-		if s.cfg.Learns {
-			s.learned.Measure(epoch.Add(s.now), "t/registry", m.loads, m.slowdown)
-		}
-	}
-}
-
-func (s *sim) protect(v *vm, slowdown float64) {
-	for range 20 {
-		took := float64(serviceTime) * (1 + slowdown) * (0.9 + 0.2*s.rnd.Float64())
-		v.guard.Served("t/registry", time.Duration(took))
-	}
-	var batch []guard.Batch
-	for _, t := range v.tasks {
-		if !t.urgent {
-			batch = append(batch, guard.Batch{
-				Attempt: ident.Attempt{Task: ident.Task{Index: uint32(t.id)}}, Kind: t.kind.Name,
-				CPU: uint32(t.kind.Size.CPU), AtRisk: s.now - t.savedAt,
-			})
-		}
-	}
-	throttle, evict := v.guard.Tick(epoch.Add(s.now), batch)
-	for _, t := range append([]*task(nil), v.tasks...) {
-		if throttle != nil && t.id == int(throttle.Attempt.Index) {
-			t.share = throttle.Percent
-		}
-		if evict != nil && t.id == int(evict.Index) {
-			s.evict(v, t)
-		}
-	}
-}
--- a/internal/proof/world/world.go
+++ b/internal/proof/world/world.go
@@ -7,7 +7,6 @@
 package world
 
 import (
-	"container/heap"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -16,6 +15,7 @@
 
 	"github.com/ebonyarch/ebonyarch/internal/fake/plog"
 	"github.com/ebonyarch/ebonyarch/internal/fake/worker"
+	"github.com/ebonyarch/ebonyarch/internal/proof/vtime"
 )
 
 // Latencies of the fakes.
@@ -43,6 +43,8 @@
 	pausedUntil time.Time
 	// rate is how fast the process's clock runs.
 	rate float64
+	// logCutUntil ends a cut between the process and the log alone.
+	logCutUntil time.Time
 	// generation grows with each restart; events of former ones are dropped.
 	generation int
 	// The next message of the process is lost, sent twice or delayed.
@@ -55,7 +57,7 @@
 
 // World is one run. Make it with New.
 type World struct {
-	Now     time.Time
+	vtime.Loop
 	Log     *plog.Log
 	Witness *worker.Witness
 	Entries []*Entry
@@ -69,8 +71,6 @@
 	Hook func(step Step, p *Proc) bool
 
 	rnd    *rand.Rand
-	queue  queue
-	seq    int
 	cuts   map[[2]*Proc]time.Time
 	addrs  map[netip.AddrPort]any
 	logger *slog.Logger
@@ -80,7 +80,7 @@
 // New returns an empty world whose random choices follow from seed.
 func New(seed uint64) *World {
 	return &World{
-		Now: Epoch, Log: &plog.Log{}, Witness: &worker.Witness{}, LogLatency: AppendLatency,
+		Loop: vtime.Loop{Now: Epoch}, Log: &plog.Log{}, Witness: &worker.Witness{}, LogLatency: AppendLatency,
 		rnd: rand.New(rand.NewPCG(seed, 0)), cuts: map[[2]*Proc]time.Time{},
 		addrs: map[netip.AddrPort]any{}, logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
@@ -98,45 +98,6 @@
 	}))
 }
 
-type event struct {
-	at  time.Time
-	seq int
-	run func()
-}
-
-type queue []*event
-
-// Len, Less, Swap, Push and Pop implement heap.Interface.
-func (q queue) Len() int { return len(q) }
-
-// Less orders events by time, then by the order in which they were made.
-func (q queue) Less(i, j int) bool {
-	if !q[i].at.Equal(q[j].at) {
-		return q[i].at.Before(q[j].at)
-	}
-	return q[i].seq < q[j].seq
-}
-
-// Swap exchanges two events.
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push adds an event.
-func (q *queue) Push(x any) { *q = append(*q, x.(*event)) }
-
-// Pop removes the last event.
-func (q *queue) Pop() any {
-	old := *q
-	x := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return x
-}
-
-// After calls run when d has passed.
-func (w *World) After(d time.Duration, run func()) {
-	w.seq++
-	heap.Push(&w.queue, &event{w.Now.Add(d), w.seq, run})
-}
-
 // on calls run in process p when d has passed, unless p died; a paused process
 // runs it later.
 func (w *World) on(p *Proc, d time.Duration, run func()) {
@@ -161,17 +122,6 @@
 	})
 }
 
-// Run lets d pass.
-func (w *World) Run(d time.Duration) {
-	end := w.Now.Add(d)
-	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
-		e := heap.Pop(&w.queue).(*event)
-		w.Now = e.at
-		e.run()
-	}
-	w.Now = end
-}
-
 // Since returns the time since the world began.
 func (w *World) Since() time.Duration { return w.Now.Sub(Epoch) }
 
@@ -232,7 +182,13 @@
 	w.on(from, timeout, func() { finish(nil) })
 }
 
-func (w *World) logDown() bool { return w.Now.Before(w.LogDownUntil) }
+// CutLog keeps a process from the log, and from nothing else, for a while.
+func (w *World) CutLog(p *Proc, d time.Duration) { p.logCutUntil = w.Now.Add(d) }
+
+// logDown reports whether the log does not answer a process.
+func (w *World) logDown(p *Proc) bool {
+	return w.Now.Before(w.LogDownUntil) || w.Now.Before(p.logCutUntil)
+}
 
 // ProcFaults are the faults of a process's next message or append.
 type ProcFaults struct {
--- a/internal/proof/world/world_test.go
+++ b/internal/proof/world/world_test.go
@@ -174,6 +174,41 @@
 		Expect(s.Done).To(BeTrue())
 	})
 
+	It("goes on under another leader when one is cut off from the log alone", func() {
+		w := up(1, 3, 1)
+		s := w.Entries[0].Submit("t", "long", "bulk", 18, time.Hour, ignore)
+		w.Run(5 * time.Second)
+		w.CutLog(leader(w).Proc, time.Minute)
+		w.Run(20 * time.Second)
+		Expect(leader(w)).NotTo(BeNil())
+		running := 0
+		for _, run := range w.Witness.Runs() {
+			if run.Attempt.Job == s.Job && run.To.IsZero() {
+				running++
+			}
+		}
+		Expect(running).To(Equal(18))
+	})
+
+	It("waits for leases that an old leader without the log went on to renew", func() {
+		w := up(1, 3, 1)
+		s := w.Entries[0].Submit("t", "long", "bulk", 18, time.Hour, ignore)
+		w.Run(5 * time.Second)
+		old := leader(w)
+		w.CutLog(old.Proc, time.Minute)
+		for _, e := range w.Entries {
+			if e != old {
+				w.Cut(w.VMs[0].Proc, e.Proc, time.Minute)
+			}
+		}
+		w.Run(4 * time.Second)
+		w.Pause(w.VMs[0].Proc, 30*time.Second) // its worker goes on to the lease's end
+		w.Run(2 * time.Minute)
+		Expect(w.Witness.Overlaps(w.Now)).To(BeEmpty())
+		_, granted := counts(w, s)
+		Expect(granted).To(Equal(18))
+	})
+
 	It("puts configuration in force everywhere within 6 s, in a burst of 50", func() {
 		w := up(1, 2, 1)
 		for i := range 50 {
--- a/internal/state/fold/fold_test.go
+++ b/internal/state/fold/fold_test.go
@@ -104,6 +104,13 @@
 		Expect(j.fold.Job(id).Waiting()).To(BeEquivalentTo(4))
 	})
 
+	It("never goes back to an offset that it has read", func() {
+		j, _ := running()
+		next := j.fold.Next()
+		j.fold.Apply(1, j.entries[0])
+		Expect(j.fold.Next()).To(Equal(next))
+	})
+
 	It("takes the first claim of a term and ignores records of an old leader", func() {
 		j, id := running()
 		Expect(j.add("w2", claim(2)).Records[0].Code).To(Equal(codes.OK))
--- a/internal/tool/trial/load_bench_test.go
+++ b/internal/tool/trial/load_bench_test.go
@@ -24,11 +24,11 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			time.Sleep(4 * time.Second) // all have announced themselves
+			pause(4 * time.Second) // all have announced themselves
 			for b.Loop() {
 				const window = 8 * time.Second
 				cpu, bytes := processorTime(), f.Entries[0].PeerBytes()
-				time.Sleep(window)
+				pause(window)
 				used := processorTime() - cpu
 				b.ReportMetric(100*used.Seconds()/window.Seconds(), "core-%")
 				b.ReportMetric(float64(f.Entries[0].PeerBytes()-bytes)/window.Seconds()/float64(n), "bytes/s/agent")
--- a/internal/tool/trial/path_bench_test.go
+++ b/internal/tool/trial/path_bench_test.go
@@ -34,7 +34,7 @@
 	routed := "http://" + f.Entries[0].Addr().String() + "/v1/teams/t/services/s/x"
 	publish(b, client, f)
 	for !get(client, routed) {
-		time.Sleep(50 * time.Millisecond)
+		pause(50 * time.Millisecond)
 	}
 	for _, n := range []int{1, 64, 512} {
 		b.Run(fmt.Sprintf("callers=%d", n), func(b *testing.B) {
@@ -67,7 +67,7 @@
 		if resp.StatusCode == http.StatusOK {
 			return
 		}
-		time.Sleep(50 * time.Millisecond)
+		pause(50 * time.Millisecond)
 	}
 }
 
@@ -118,3 +118,5 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+func pause(d time.Duration) { <-time.After(d) }
