--- a/internal/front/limit/limiter.go
+++ b/internal/front/limit/limiter.go
@@ -13,6 +13,8 @@
 	slack = 2.0
 	// smallest is the limit of a kind without any guarantee.
 	smallest = 1.0
+	// forgetAfter is the time without a refusal after which there is no limit.
+	forgetAfter = 2 * time.Second
 	// minHold and maxHold bound the wait after a refusal at the smallest limit.
 	minHold = 2 * time.Millisecond
 	maxHold = 50 * time.Millisecond
@@ -38,6 +40,9 @@
 
 // Acquire counts a request in flight if the limit allows one more.
 func (l *Limiter) Acquire(now time.Time) bool {
+	if l.limit > 0 && now.Sub(l.cutAt) > forgetAfter {
+		l.limit, l.hold = 0, 0
+	}
 	if l.limit > 0 && float64(l.inFlight) >= max(l.limit, l.Floor, smallest) {
 		return false
 	}
--- a/internal/front/route/balancer.go
+++ b/internal/front/route/balancer.go
@@ -59,9 +59,9 @@
 	for _, t := range targets {
 		u := b.byVM[t.VM]
 		if u == nil || u.Addr != t.Addr {
-			u = &Upstream{VM: t.VM}
+			u = &Upstream{VM: t.VM, Addr: t.Addr}
 		}
-		u.Addr, u.Zone, u.Slots, u.Distance = t.Addr, t.Zone, t.Slots, t.Distance
+		u.Zone, u.Slots, u.Distance = t.Zone, t.Slots, t.Distance
 		u.peers = max(entries-1, 0)
 		byVM[t.VM] = u
 		upstreams = append(upstreams, u)
--- a/internal/front/route/upstream.go
+++ b/internal/front/route/upstream.go
@@ -27,6 +27,7 @@
 
 // Upstream is one replica of a service as one entry sees it.
 type Upstream struct {
+	// VM and Addr never change, so that they may be read at any time.
 	VM   string
 	Addr netip.AddrPort
 	Zone string
--- a/internal/node/agent/forward.go
+++ b/internal/node/agent/forward.go
@@ -190,7 +190,10 @@
 }
 
 // Poke implements schema.Agent.
-func (a *Agent) Poke(context.Context, *schema.PokeRequest) (*schema.PokeReply, error) {
+func (a *Agent) Poke(_ context.Context, req *schema.PokeRequest) (*schema.PokeReply, error) {
+	a.mu.Lock()
+	a.host.Poked(req)
+	a.mu.Unlock()
 	a.wake()
 	return &schema.PokeReply{}, nil
 }
--- a/internal/node/core/core.go
+++ b/internal/node/core/core.go
@@ -196,16 +196,24 @@
 	c.writer.Add(now, &schema.Record{Body: &schema.Record_Goodbye{Goodbye: &schema.Goodbye{}}})
 }
 
-// Poke returns the VMs whose assignments changed since the last call, so that
-// they need not wait for their next beat.
-func (c *Core) Poke() []*schema.Member {
-	var vms []*schema.Member
-	for _, l := range c.leaders {
-		for _, vm := range l.Changed() {
+// Poke is a VM that should send a beat at once, and what to tell it.
+type Poke struct {
+	Member  *schema.Member
+	Request *schema.PokeRequest
+}
+
+// Pokes returns the VMs whose assignments changed since the last call, or that
+// have not followed this entry's leadership yet.
+func (c *Core) Pokes(now time.Time) []Poke {
+	var pokes []Poke
+	for _, cell := range c.cfg.Cells {
+		l := c.leaders[cell]
+		req := &schema.PokeRequest{Term: l.Term(), Leader: c.cfg.Peer.String()}
+		for _, vm := range l.Changed(now) {
 			if m, ok := c.members.Get(vm); ok {
-				vms = append(vms, m)
+				pokes = append(pokes, Poke{m, req})
 			}
 		}
 	}
-	return vms
+	return pokes
 }
--- a/internal/node/entry/journal.go
+++ b/internal/node/entry/journal.go
@@ -187,12 +187,12 @@
 		e.core.Tick(time.Now())
 		e.deliver()
 		e.notice()
-		poke := e.core.Poke()
+		pokes := e.core.Pokes(time.Now())
 		fresh := e.core.FreshUntil(time.Now())
 		e.mu.Unlock()
 		e.reroute()
 		e.setFresh(fresh)
-		e.poke(poke)
+		e.poke(pokes)
 		wake(e.appends)
 	}
 }
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/ebonyarch/ebonyarch/internal/node/core"
 	"github.com/ebonyarch/ebonyarch/internal/state/fold"
 	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
 )
@@ -167,18 +168,18 @@
 }
 
 // poke asks agents to send their next beat at once.
-func (e *Entry) poke(vms []*schema.Member) {
-	for _, m := range vms {
-		addr, err := netip.ParseAddrPort(m.GetAddr())
+func (e *Entry) poke(pokes []core.Poke) {
+	for _, p := range pokes {
+		addr, err := netip.ParseAddrPort(p.Member.GetAddr())
 		if err != nil {
 			continue
 		}
 		e.done.Go(func() {
 			ctx, cancel := context.WithTimeout(e.ctx, peerTimeout)
 			defer cancel()
-			_, err := e.links.To(addr).Agent().Poke(ctx, &schema.PokeRequest{})
+			_, err := e.links.To(addr).Agent().Poke(ctx, p.Request)
 			if err != nil {
-				e.log.Debug("cannot poke", "vm", m.GetVm(), "err", err)
+				e.log.Debug("cannot poke", "vm", p.Member.GetVm(), "err", err)
 			}
 		})
 	}
--- a/internal/node/host/host.go
+++ b/internal/node/host/host.go
@@ -132,6 +132,15 @@
 	h.next()
 }
 
+// Poked takes a leader's request for a beat. A leader of a higher term than the
+// one that the VM follows gets the VM's announcements from now on.
+func (h *Host) Poked(req *schema.PokeRequest) {
+	leader, err := netip.ParseAddrPort(req.GetLeader())
+	if err == nil && req.GetTerm() > h.Runner.Term() {
+		h.moveTo(leader)
+	}
+}
+
 // next turns to the next entry known.
 func (h *Host) next() {
 	i := slices.Index(h.entries, h.entry)
--- a/internal/proof/world/world_test.go
+++ b/internal/proof/world/world_test.go
@@ -174,6 +174,44 @@
 		Expect(s.Done).To(BeTrue())
 	})
 
+	It("stops acting when it is cut off from the log alone, and is promised nothing", func() {
+		w := up(1, 2, 1)
+		old := leader(w)
+		w.CutLog(old.Proc, time.Minute)
+		w.Run(6 * time.Second)
+		Expect(old.Core.Leader("main").Leads(w.Now)).To(BeFalse())
+	})
+
+	It("leaves work to an old leader that was promised so, on VMs that it cannot reach", func() {
+		w := up(1, 2, 1)
+		s := w.Entries[0].Submit("t", "long", "bulk", 12, time.Hour, ignore)
+		w.Run(5 * time.Second)
+		w.AddVM() // room for what would be revoked
+		w.Run(2 * time.Second)
+		old := leader(w)
+		w.LogDownUntil = w.Now.Add(30 * time.Second)
+		w.CutLog(old.Proc, 10*time.Minute)
+		w.Run(15 * time.Second) // the others have promised by now
+		for _, e := range w.Entries {
+			if e != old {
+				w.Cut(w.VMs[0].Proc, e.Proc, 10*time.Minute)
+				w.Cut(w.VMs[1].Proc, e.Proc, 10*time.Minute)
+			}
+		}
+		w.Run(25 * time.Second)
+		Expect(w.VMs[2].Host.Runner.Term()).To(BeEquivalentTo(2), "whom it can reach follows the new leader")
+		w.Run(5 * time.Minute)
+		running := 0
+		for _, run := range w.Witness.Runs() {
+			if run.Attempt.Job == s.Job && run.To.IsZero() {
+				running++
+			}
+		}
+		Expect(running).To(Equal(12), "they go on where they were")
+		Expect(leader(w)).NotTo(BeNil())
+		Expect(w.Witness.Overlaps(w.Now)).To(BeEmpty())
+	})
+
 	It("goes on under another leader when one is cut off from the log alone", func() {
 		w := up(1, 3, 1)
 		s := w.Entries[0].Submit("t", "long", "bulk", 18, time.Hour, ignore)
--- a/internal/sched/leader/leader.go
+++ b/internal/sched/leader/leader.go
@@ -77,7 +77,9 @@
 	snapshotEvery time.Duration
 	// pokes holds VMs with attempts that were newly asked to leave.
 	pokes []string
-	stats Stats
+	// pokedAt is when VMs that do not follow were poked last.
+	pokedAt time.Time
+	stats   Stats
 }
 
 // Stats counts the leader's decisions.
@@ -172,14 +174,27 @@
 	}
 }
 
-// Changed returns the VMs that should hear from the leader at once.
-func (l *Leader) Changed() []string {
+// strangersEvery spaces the pokes of VMs that do not follow the leader.
+const strangersEvery = 3 * time.Second
+
+// Changed returns the VMs that should hear from the leader at once: those whose
+// attempts changed, and from time to time those that follow no leader, or another.
+func (l *Leader) Changed(now time.Time) []string {
 	vms := l.fold.Changed(l.cell)
-	if l.term == 0 {
+	if l.term == 0 || !l.Leads(now) {
 		return nil
 	}
 	vms = append(vms, l.pokes...)
 	l.pokes = nil
+	if now.Sub(l.pokedAt) < strangersEvery {
+		return vms
+	}
+	l.pokedAt = now
+	for _, m := range l.members.Present() {
+		if m.GetCell() == l.cell && l.vms[m.GetVm()] == nil {
+			vms = append(vms, m.GetVm())
+		}
+	}
 	return vms
 }
 
--- a/internal/tool/cmds/job.go
+++ b/internal/tool/cmds/job.go
@@ -4,6 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/spf13/cobra"
@@ -67,7 +70,7 @@
 	w := tabwriter.NewWriter(o.stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "ID\tKIND\tKEY\tTASKS\tCOUNTS\tACCEPTED")
 	for _, j := range jobs {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%v\t%s\n", j.ID, j.Kind, j.Key, j.Tasks, j.Counts, j.Accepted.Format("2006-01-02 15:04:05"))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\n", j.ID, j.Kind, j.Key, j.Tasks, formatCounts(j.Counts), j.Accepted.Format("2006-01-02 15:04:05"))
 	}
 	w.Flush()
 }
@@ -81,3 +84,12 @@
 	}
 	w.Flush()
 }
+
+// formatCounts lists the tasks by state, as in "3 completed, 2 granted".
+func formatCounts(counts map[string]int) string {
+	var parts []string
+	for _, state := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%d %s", counts[state], state))
+	}
+	return strings.Join(parts, ", ")
+}
