--- /dev/null
+++ b/internal/node/host/host_test.go
@@ -0,0 +1,120 @@
+package host_test
+
+import (
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ebonyarch/ebonyarch/internal/base/codes"
+	"github.com/ebonyarch/ebonyarch/internal/front/gate"
+	"github.com/ebonyarch/ebonyarch/internal/node/host"
+	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
+)
+
+var (
+	first  = netip.MustParseAddrPort("10.0.0.1:1")
+	second = netip.MustParseAddrPort("10.0.0.2:1")
+)
+
+func replica() *schema.WorkerTask {
+	a := &schema.Assignment{
+		Task: &schema.TaskRef{Job: "service:t/s", Epoch: 1}, Team: "t", Kind: "s", Service: true, Slots: 1,
+		Size: &schema.Size{CpuMilli: 1000},
+	}
+	return &schema.WorkerTask{Task: a.Task, Size: a.Size, Assignment: a}
+}
+
+var _ = Describe("a host", func() {
+	now := time.Unix(1e9, 0)
+	var h *host.Host
+
+	BeforeEach(func() {
+		h = host.New(now, host.Config{
+			Entries: []netip.AddrPort{first, second},
+			Member:  &schema.Member{Vm: "vm", Cell: "main", Capacity: &schema.Size{CpuMilli: 8000}},
+		})
+		h.Listed(now, []*schema.WorkerTask{replica()})
+	})
+
+	request := func(id string) *schema.ForwardRequest {
+		return &schema.ForwardRequest{Id: id, Team: "t", Service: "s"}
+	}
+	enter := func(id string) (*host.Visit, gate.Decision, error) {
+		return h.Enter(now, request(id), now.Add(time.Minute))
+	}
+
+	It("gives slots, queues, and passes a slot on", func() {
+		v, d, err := enter("a")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d).To(Equal(gate.Granted))
+		_, err = v.Start(now)
+		Expect(err).NotTo(HaveOccurred())
+		waiting, d, err := enter("b")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d).To(Equal(gate.Queued))
+		Expect(v.Done(now, time.Millisecond)).To(ConsistOf(waiting))
+	})
+
+	It("refuses what was revoked while it waited, and frees its slot", func() {
+		v, _, _ := enter("a")
+		_, err := v.Start(now)
+		Expect(err).NotTo(HaveOccurred())
+		waiting, _, _ := enter("b")
+		third, _, _ := enter("c")
+		Expect(h.Revoke(now, "b")).To(BeTrue())
+		Expect(h.Revoke(now, "a")).To(BeFalse())
+		v.Done(now, time.Millisecond)
+		granted, err := waiting.Start(now)
+		Expect(codes.Of(err)).To(Equal(codes.Revoked))
+		Expect(granted).To(ConsistOf(third))
+	})
+
+	It("takes no request when it leaves, and says that it did not run", func() {
+		h.Leave()
+		_, _, err := enter("a")
+		Expect(codes.Of(err)).To(Equal(codes.Leaving))
+		Expect(codes.Of(err).Info().Ran).To(Equal(codes.RanNo))
+		req, _ := h.Announcement(now)
+		Expect(req.GetMember().GetLeaving()).To(BeTrue())
+	})
+
+	It("falls silent when its worker does", func() {
+		req, _ := h.Announcement(now.Add(2 * time.Second))
+		Expect(req).NotTo(BeNil())
+		req, _ = h.Announcement(now.Add(4 * time.Second))
+		Expect(req).To(BeNil())
+	})
+
+	It("announces the whole VM until an entry knows it, and briefly then", func() {
+		req, _ := h.Announcement(now)
+		Expect(req.GetBrief()).To(BeFalse())
+		h.Replied(now, now, &schema.BeatReply{Leader: true, Term: 1})
+		req, _ = h.Announcement(now)
+		Expect(req.GetBrief()).To(BeTrue())
+		_, again := h.Replied(now, now, &schema.BeatReply{WantWhole: true, Term: 1})
+		Expect(again).To(BeTrue())
+		req, _ = h.Announcement(now)
+		Expect(req.GetBrief()).To(BeFalse())
+	})
+
+	It("follows the leader, moves on from silent entries, and obeys a higher term", func() {
+		h.Announcement(now)
+		_, again := h.Replied(now, now, &schema.BeatReply{LeaderAddr: second.String(), Term: 1})
+		Expect(again).To(BeTrue())
+		Expect(h.Entry()).To(Equal(second))
+		h.Missed(second)
+		Expect(h.Entry()).To(Equal(first))
+		h.Poked(&schema.PokeRequest{Term: 1, Leader: second.String()})
+		Expect(h.Entry()).To(Equal(first))
+		h.Poked(&schema.PokeRequest{Term: 2, Leader: second.String()})
+		Expect(h.Entry()).To(Equal(second))
+	})
+
+	It("leaves an entry that was the leader and knows of no other", func() {
+		h.Announcement(now)
+		h.Replied(now, now, &schema.BeatReply{LeaderAddr: first.String(), Term: 1})
+		Expect(h.Entry()).To(Equal(second))
+	})
+})
