--- a/internal/proof/check/config.go
+++ b/internal/proof/check/config.go
@@ -2,11 +2,7 @@
 // must have an order in which it is true.
 package check
 
-import (
-	"time"
-
-	"github.com/anishathalye/porcupine"
-)
+import "time"
 
 // Fate is what a caller was told.
 type Fate uint8
@@ -32,53 +28,32 @@
 	From, To       time.Time
 }
 
-// maxTime bounds one judgement; a history that takes longer counts as true.
-const maxTime = 20 * time.Second
+func (p Publish) key() string { return p.Team }
 
-// forever is when a call of unknown fate returns.
-const forever = 1 << 62
+func (p Publish) span() (from, to time.Time, unknown bool) { return p.From, p.To, p.Fate == Unknown }
 
 // Config reports whether the histories of all teams are those of registers with
 // compare-and-set.
-func Config(history []Publish) bool {
-	byTeam := map[string][]porcupine.Operation{}
-	for i, p := range history {
-		op := porcupine.Operation{ClientId: i, Input: p, Output: p, Call: p.From.UnixNano(), Return: p.To.UnixNano()}
-		if p.Fate == Unknown {
-			op.Return = forever
-		}
-		byTeam[p.Team] = append(byTeam[p.Team], op)
-	}
-	model := (&porcupine.NondeterministicModel{
-		Init: func() []any { return []any{uint64(0)} },
-		Step: func(state, input, _ any) []any { return publishStep(state.(uint64), input.(Publish)) },
-	}).ToModel()
-	for _, ops := range byTeam {
-		if porcupine.CheckOperationsTimeout(model, ops, maxTime) == porcupine.Illegal {
-			return false
-		}
-	}
-	return true
-}
+func Config(history []Publish) bool { return legal(history, 0, publishStep) }
 
 // publishStep returns the revisions that a publish may leave behind.
-func publishStep(revision uint64, p Publish) []any {
+func publishStep(revision uint64, p Publish) []uint64 {
 	fits := revision == p.Base
 	switch p.Fate {
 	case Done:
 		if fits && p.Revision == revision+1 {
-			return []any{revision + 1}
+			return []uint64{revision + 1}
 		}
 		return nil
 	case Refused:
 		if fits {
 			return nil
 		}
-		return []any{revision}
+		return []uint64{revision}
 	case Unknown:
 		if fits {
-			return []any{revision, revision + 1}
+			return []uint64{revision, revision + 1}
 		}
 	}
-	return []any{revision}
+	return []uint64{revision}
 }
--- a/internal/proof/check/jobs.go
+++ b/internal/proof/check/jobs.go
@@ -1,10 +1,6 @@
 package check
 
-import (
-	"time"
-
-	"github.com/anishathalye/porcupine"
-)
+import "time"
 
 // JobCall is what was done to the job of one idempotency key.
 type JobCall struct {
@@ -39,33 +35,18 @@
 	Completed
 )
 
+func (c JobCall) key() string { return c.Key }
+
+func (c JobCall) span() (from, to time.Time, unknown bool) { return c.From, c.To, c.Fate == Unknown }
+
 // Jobs reports whether the histories of all jobs are those of a life that begins
 // at most once and ends at most once.
-func Jobs(history []JobCall) bool {
-	byKey := map[string][]porcupine.Operation{}
-	for i, c := range history {
-		op := porcupine.Operation{ClientId: i, Input: c, Output: c, Call: c.From.UnixNano(), Return: c.To.UnixNano()}
-		if c.Fate == Unknown {
-			op.Return = forever
-		}
-		byKey[c.Key] = append(byKey[c.Key], op)
-	}
-	model := (&porcupine.NondeterministicModel{
-		Init: func() []any { return []any{Absent} },
-		Step: func(state, input, _ any) []any { return jobStep(state.(JobState), input.(JobCall)) },
-	}).ToModel()
-	for _, ops := range byKey {
-		if porcupine.CheckOperationsTimeout(model, ops, maxTime) == porcupine.Illegal {
-			return false
-		}
-	}
-	return true
-}
+func Jobs(history []JobCall) bool { return legal(history, Absent, jobStep) }
 
 // jobStep returns the states that a call may leave behind. An open job may
 // complete at any moment, which a later call then shows.
-func jobStep(state JobState, c JobCall) []any {
-	var next []any
+func jobStep(state JobState, c JobCall) []JobState {
+	var next []JobState
 	for _, s := range spontaneous(state) {
 		next = append(next, callStep(s, c)...)
 	}
@@ -79,12 +60,12 @@
 	return []JobState{state}
 }
 
-func callStep(state JobState, c JobCall) []any {
+func callStep(state JobState, c JobCall) []JobState {
 	if c.What == Look {
 		if c.Seen != state {
 			return nil
 		}
-		return []any{state}
+		return []JobState{state}
 	}
 	after := effect(state, c.What)
 	switch c.Fate {
@@ -92,11 +73,11 @@
 		if c.What == Cancel && state == Absent {
 			return nil
 		}
-		return []any{after}
+		return []JobState{after}
 	case Unknown:
-		return []any{state, after}
+		return []JobState{state, after}
 	}
-	return []any{state}
+	return []JobState{state}
 }
 
 func effect(state JobState, what JobAction) JobState {
