--- a/internal/node/entry/api.go
+++ b/internal/node/entry/api.go
@@ -12,6 +12,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
 	"github.com/ebonyarch/ebonyarch/internal/node/admin"
 	"github.com/ebonyarch/ebonyarch/internal/node/link"
+	"github.com/ebonyarch/ebonyarch/internal/node/view"
 	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
 )
 
@@ -51,24 +52,12 @@
 	return r
 }
 
-// Problem is the body of every answer that is not a success.
-type Problem struct {
-	Code       codes.Code `json:"code"`
-	Name       string     `json:"name"`
-	Message    string     `json:"message"`
-	Ran        codes.Ran  `json:"ran"`
-	Retry      bool       `json:"retry"`
-	RetryAfter string     `json:"retryAfter,omitempty"`
-	// Faults lists every fault of a body that was refused.
-	Faults any `json:"faults,omitempty"`
-}
-
 func writeError(w http.ResponseWriter, err error) { writeFaults(w, err, nil) }
 
 func writeFaults(w http.ResponseWriter, err error, faults any) {
 	code := codes.Of(err)
 	info := code.Info()
-	p := Problem{Code: code, Name: info.Name, Message: err.Error(), Ran: info.Ran, Retry: info.Retry, Faults: faults}
+	p := view.Problem{Code: code, Name: info.Name, Message: err.Error(), Ran: info.Ran, Retry: info.Retry, Faults: faults}
 	w.Header().Set(headerCode, strconv.Itoa(int(code)))
 	w.Header().Set(headerRan, string(info.Ran))
 	if after := codes.RetryAfter(err); after > 0 {
--- a/internal/node/entry/config.go
+++ b/internal/node/entry/config.go
@@ -13,6 +13,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/conf/jsonc"
 	"github.com/ebonyarch/ebonyarch/internal/conf/teams"
 	"github.com/ebonyarch/ebonyarch/internal/node/admin"
+	"github.com/ebonyarch/ebonyarch/internal/node/view"
 	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
 )
 
@@ -21,41 +22,17 @@
 	headerAuthor  = "Author"
 )
 
-// ConfigView is one team in the list of teams.
-type ConfigView struct {
-	Team     string       `json:"team"`
-	Revision uint64       `json:"revision"`
-	Deleted  bool         `json:"deleted"`
-	Changed  time.Time    `json:"changed"`
-	Used     *schema.Size `json:"used"`
-}
-
-// ChangeView is one entry of a team's history.
-type ChangeView struct {
-	Revision   uint64    `json:"revision"`
-	Author     string    `json:"author"`
-	At         time.Time `json:"at"`
-	Deleted    bool      `json:"deleted,omitempty"`
-	RollbackOf uint64    `json:"rollbackOf,omitempty"`
-	Body       string    `json:"body"`
-}
-
-// Published is the answer to an accepted change of configuration.
-type Published struct {
-	Team     string       `json:"team"`
-	Revision uint64       `json:"revision"`
-	Warnings jsonc.Faults `json:"warnings,omitempty"`
-}
-
 func (e *Entry) listTeams(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
-	views := []ConfigView{}
+	views := []view.Team{}
 	for _, t := range e.core.Fold().Teams() {
-		views = append(views, ConfigView{t.Name, t.Revision, t.Deleted, t.Changed, t.Used()})
+		views = append(views, view.Team{
+			Team: t.Name, Revision: t.Revision, Deleted: t.Deleted, Changed: t.Changed, Used: t.Used(),
+		})
 	}
 	e.mu.Unlock()
 	admin.WriteJSON(w, http.StatusOK, struct {
-		Teams []ConfigView `json:"teams"`
+		Teams []view.Team `json:"teams"`
 	}{views})
 }
 
@@ -150,7 +127,9 @@
 		e.reject(w, err)
 		return
 	}
-	admin.WriteJSON(w, http.StatusOK, Published{put.Team, result.Revision, warnings})
+	admin.WriteJSON(w, http.StatusOK, view.Published{
+		Team: put.Team, Revision: result.Revision, Warnings: warnings,
+	})
 }
 
 func (e *Entry) checkConfig(put *schema.ConfigPut) (faults, warnings jsonc.Faults) {
@@ -186,10 +165,11 @@
 
 func (e *Entry) configHistory(w http.ResponseWriter, r *http.Request) {
 	team := mux.Vars(r)["team"]
-	changes := []ChangeView{}
+	changes := []view.Change{}
 	for _, c := range e.history(team) {
-		changes = append(changes, ChangeView{
-			c.GetRevision(), c.GetAuthor(), time.UnixMilli(c.GetAtMs()), c.GetDeleted(), c.GetRollbackOf(), string(c.GetBody()),
+		changes = append(changes, view.Change{
+			Revision: c.GetRevision(), Author: c.GetAuthor(), At: time.UnixMilli(c.GetAtMs()),
+			Deleted: c.GetDeleted(), RollbackOf: c.GetRollbackOf(), Body: string(c.GetBody()),
 		})
 	}
 	if len(changes) == 0 {
@@ -197,7 +177,7 @@
 		return
 	}
 	admin.WriteJSON(w, http.StatusOK, struct {
-		Changes []ChangeView `json:"changes"`
+		Changes []view.Change `json:"changes"`
 	}{changes})
 }
 
--- a/internal/node/entry/jobs.go
+++ b/internal/node/entry/jobs.go
@@ -14,6 +14,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/conf/teams"
 	"github.com/ebonyarch/ebonyarch/internal/node/admin"
 	"github.com/ebonyarch/ebonyarch/internal/node/core"
+	"github.com/ebonyarch/ebonyarch/internal/node/view"
 	"github.com/ebonyarch/ebonyarch/internal/state/fold"
 	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
 )
@@ -23,43 +24,6 @@
 	maxInputBytes = 64 << 10
 )
 
-// JobSpec is the body of a submission.
-type JobSpec struct {
-	Kind  string `json:"kind"`
-	Tasks uint32 `json:"tasks"`
-	// Input is handed to every task.
-	Input json.RawMessage `json:"input,omitempty"`
-	// Work overrides the kind's expected run time of one task.
-	Work string `json:"work,omitempty"`
-}
-
-// JobView is a job as callers see it.
-type JobView struct {
-	ID        string         `json:"id"`
-	Team      string         `json:"team"`
-	Kind      string         `json:"kind"`
-	Key       string         `json:"key"`
-	Urgent    bool           `json:"urgent"`
-	Cancelled bool           `json:"cancelled"`
-	Accepted  time.Time      `json:"accepted"`
-	Ended     *time.Time     `json:"ended,omitempty"`
-	Tasks     uint32         `json:"tasks"`
-	Counts    map[string]int `json:"counts"`
-	List      []TaskView     `json:"list,omitempty"`
-}
-
-// TaskView is a task as callers see it.
-type TaskView struct {
-	Index     uint32   `json:"index"`
-	State     string   `json:"state"`
-	Attempt   uint32   `json:"attempt"`
-	VM        string   `json:"vm,omitempty"`
-	Failures  uint32   `json:"failures,omitempty"`
-	Evictions uint32   `json:"evictions,omitempty"`
-	FailedOn  []string `json:"failedOn,omitempty"`
-	Reason    string   `json:"reason,omitempty"`
-}
-
 func (e *Entry) submitJob(w http.ResponseWriter, r *http.Request) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
@@ -82,7 +46,7 @@
 	if key == "" || len(key) > maxKeyBytes {
 		return nil, "", codes.New(codes.BadRequest, "%s: want between 1 and %d bytes", headerKey, maxKeyBytes)
 	}
-	var spec JobSpec
+	var spec view.JobSpec
 	if err := decodeBody(w, r, &spec); err != nil {
 		return nil, "", err
 	}
@@ -96,7 +60,7 @@
 	if !ok {
 		return nil, "", codes.New(codes.JobInvalid, "team %q has no batch kind %q", team, spec.Kind)
 	}
-	accept, err := spec.accept(team, key, &kind)
+	accept, err := accept(&spec, team, key, &kind)
 	if err != nil {
 		return nil, "", err
 	}
@@ -106,7 +70,7 @@
 	return &schema.Record{Cell: t.Config.CellName(), Body: &schema.Record_Job{Job: accept}}, accept.Job, nil
 }
 
-func (spec *JobSpec) accept(team, key string, kind *teams.Kind) (*schema.JobAccept, error) {
+func accept(spec *view.JobSpec, team, key string, kind *teams.Kind) (*schema.JobAccept, error) {
 	if spec.Tasks == 0 || spec.Tasks > fold.MaxTasks {
 		return nil, codes.New(codes.JobInvalid, "tasks: want between 1 and %d, got %d", fold.MaxTasks, spec.Tasks)
 	}
@@ -176,13 +140,13 @@
 
 func (e *Entry) listJobs(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
-	views := []JobView{}
+	views := []view.Job{}
 	for _, j := range e.core.Fold().Jobs(mux.Vars(r)["team"]) {
 		views = append(views, viewJob(j, false))
 	}
 	e.mu.Unlock()
 	admin.WriteJSON(w, http.StatusOK, struct {
-		Jobs []JobView `json:"jobs"`
+		Jobs []view.Job `json:"jobs"`
 	}{views})
 }
 
@@ -190,16 +154,16 @@
 	vars := mux.Vars(r)
 	e.mu.Lock()
 	j := e.core.Fold().Job(vars["job"])
-	var view JobView
+	var found view.Job
 	if j != nil {
-		view = viewJob(j, true)
+		found = viewJob(j, true)
 	}
 	e.mu.Unlock()
 	if j == nil || j.Service || j.Team != vars["team"] {
 		writeError(w, codes.New(codes.JobNotFound, "team %q has no job %q", vars["team"], vars["job"]))
 		return
 	}
-	admin.WriteJSON(w, http.StatusOK, view)
+	admin.WriteJSON(w, http.StatusOK, found)
 }
 
 func (e *Entry) cancelJob(w http.ResponseWriter, r *http.Request) {
@@ -214,8 +178,8 @@
 	e.getJob(w, r)
 }
 
-func viewJob(j *fold.Job, tasks bool) JobView {
-	v := JobView{
+func viewJob(j *fold.Job, tasks bool) view.Job {
+	v := view.Job{
 		ID: j.ID, Team: j.Team, Kind: j.Kind, Key: j.Key, Urgent: j.Urgent, Cancelled: j.Cancelled,
 		Accepted: j.Accepted, Tasks: j.Count, Counts: map[string]int{},
 	}
@@ -229,9 +193,9 @@
 	for _, t := range j.Tasks {
 		v.Counts[t.State.String()]++
 		if tasks {
-			v.List = append(v.List, TaskView{
-				t.Index, t.State.String(), t.Epoch, t.VM, t.Failures, t.Evictions,
-				slices.Clone(t.FailedOn), t.Reason,
+			v.List = append(v.List, view.Task{
+				Index: t.Index, State: t.State.String(), Attempt: t.Epoch, VM: t.VM, Failures: t.Failures,
+				Evictions: t.Evictions, FailedOn: slices.Clone(t.FailedOn), Reason: t.Reason,
 			})
 		}
 	}
--- a/internal/tool/client/client.go
+++ b/internal/tool/client/client.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
-	"github.com/ebonyarch/ebonyarch/internal/node/entry"
+	"github.com/ebonyarch/ebonyarch/internal/node/view"
 )
 
 // maxAnswer bounds the answers that are read, in bytes.
@@ -77,7 +77,7 @@
 // Problem returns the error that an answer describes.
 func (a Answer) Problem() error {
 	var p struct {
-		entry.Problem
+		view.Problem
 		Faults []struct {
 			File, Field, Reason string
 			Line                int
@@ -96,7 +96,7 @@
 func teamPath(team, rest string) string { return "/v1/teams/" + team + rest }
 
 // Submit submits a job under an idempotency key and returns its id.
-func (c *Client) Submit(ctx context.Context, team, key string, spec entry.JobSpec) (string, error) {
+func (c *Client) Submit(ctx context.Context, team, key string, spec view.JobSpec) (string, error) {
 	body, err := json.Marshal(spec)
 	if err != nil {
 		return "", err
@@ -109,24 +109,24 @@
 }
 
 // Job returns a job with its tasks.
-func (c *Client) Job(ctx context.Context, team, id string) (entry.JobView, error) {
-	var view entry.JobView
+func (c *Client) Job(ctx context.Context, team, id string) (view.Job, error) {
+	var view view.Job
 	_, err := c.call(ctx, http.MethodGet, teamPath(team, "/jobs/"+id), nil, nil, &view)
 	return view, err
 }
 
 // Jobs returns a team's jobs without their tasks.
-func (c *Client) Jobs(ctx context.Context, team string) ([]entry.JobView, error) {
+func (c *Client) Jobs(ctx context.Context, team string) ([]view.Job, error) {
 	var answer struct {
-		Jobs []entry.JobView `json:"jobs"`
+		Jobs []view.Job `json:"jobs"`
 	}
 	_, err := c.call(ctx, http.MethodGet, teamPath(team, "/jobs"), nil, nil, &answer)
 	return answer.Jobs, err
 }
 
 // Cancel cancels a job and returns what is left of it.
-func (c *Client) Cancel(ctx context.Context, team, id string) (entry.JobView, error) {
-	var view entry.JobView
+func (c *Client) Cancel(ctx context.Context, team, id string) (view.Job, error) {
+	var view view.Job
 	_, err := c.call(ctx, http.MethodDelete, teamPath(team, "/jobs/"+id), nil, nil, &view)
 	return view, err
 }
@@ -149,31 +149,31 @@
 }
 
 // Publish replaces a team's configuration if its revision is base.
-func (c *Client) Publish(ctx context.Context, team string, base uint64, author string, body []byte) (entry.Published, error) {
-	var published entry.Published
+func (c *Client) Publish(ctx context.Context, team string, base uint64, author string, body []byte) (view.Published, error) {
+	var published view.Published
 	_, err := c.call(ctx, http.MethodPut, teamPath(team, "/config"), configHeader(base, author), body, &published)
 	return published, err
 }
 
 // Rollback publishes an earlier revision again if the team's revision is base.
-func (c *Client) Rollback(ctx context.Context, team string, base, revision uint64, author string) (entry.Published, error) {
-	var published entry.Published
+func (c *Client) Rollback(ctx context.Context, team string, base, revision uint64, author string) (view.Published, error) {
+	var published view.Published
 	body := fmt.Appendf(nil, `{"revision":%d}`, revision)
 	_, err := c.call(ctx, http.MethodPost, teamPath(team, "/config/rollback"), configHeader(base, author), body, &published)
 	return published, err
 }
 
 // Delete deletes a team's configuration if its revision is base.
-func (c *Client) Delete(ctx context.Context, team string, base uint64, author string) (entry.Published, error) {
-	var published entry.Published
+func (c *Client) Delete(ctx context.Context, team string, base uint64, author string) (view.Published, error) {
+	var published view.Published
 	_, err := c.call(ctx, http.MethodDelete, teamPath(team, "/config"), configHeader(base, author), nil, &published)
 	return published, err
 }
 
 // History returns the kept revisions of a team, oldest first.
-func (c *Client) History(ctx context.Context, team string) ([]entry.ChangeView, error) {
+func (c *Client) History(ctx context.Context, team string) ([]view.Change, error) {
 	var answer struct {
-		Changes []entry.ChangeView `json:"changes"`
+		Changes []view.Change `json:"changes"`
 	}
 	_, err := c.call(ctx, http.MethodGet, teamPath(team, "/config/history"), nil, nil, &answer)
 	return answer.Changes, err
--- a/internal/tool/cmds/config.go
+++ b/internal/tool/cmds/config.go
@@ -10,7 +10,7 @@
 
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
 	"github.com/ebonyarch/ebonyarch/internal/conf/teams"
-	"github.com/ebonyarch/ebonyarch/internal/node/entry"
+	"github.com/ebonyarch/ebonyarch/internal/node/view"
 	"github.com/ebonyarch/ebonyarch/internal/tool/client"
 )
 
@@ -68,7 +68,7 @@
 	return changes[len(changes)-1].Revision, nil
 }
 
-func (o *operator) printPublished(p entry.Published) {
+func (o *operator) printPublished(p view.Published) {
 	fmt.Fprintf(o.stdout, "%s is at revision %d\n", p.Team, p.Revision)
 	for _, w := range p.Warnings {
 		fmt.Fprintln(o.stderr, "warning:", w)
@@ -86,12 +86,12 @@
 			if err != nil {
 				return codes.Wrap(err, codes.ConfigInvalid, "cannot read")
 			}
-			return call(o, func(ctx context.Context, c *client.Client) (entry.Published, error) {
+			return call(o, func(ctx context.Context, c *client.Client) (view.Published, error) {
 				n := uint64(base)
 				if base < 0 {
 					var err error
 					if n, err = revision(ctx, c, args[0]); err != nil {
-						return entry.Published{}, err
+						return view.Published{}, err
 					}
 				}
 				return c.Publish(ctx, args[0], n, o.author, body)
--- a/internal/tool/cmds/history.go
+++ b/internal/tool/cmds/history.go
@@ -6,7 +6,7 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/ebonyarch/ebonyarch/internal/node/entry"
+	"github.com/ebonyarch/ebonyarch/internal/node/view"
 	"github.com/ebonyarch/ebonyarch/internal/tool/client"
 )
 
@@ -14,14 +14,14 @@
 	return &cobra.Command{
 		Use: "history TEAM", Short: "Show who changed what and when", Args: exactArgs(1, "team"),
 		RunE: func(_ *cobra.Command, args []string) error {
-			return call(o, func(ctx context.Context, c *client.Client) ([]entry.ChangeView, error) {
+			return call(o, func(ctx context.Context, c *client.Client) ([]view.Change, error) {
 				return c.History(ctx, args[0])
 			}, o.printHistory)
 		},
 	}
 }
 
-func (o *operator) printHistory(changes []entry.ChangeView) {
+func (o *operator) printHistory(changes []view.Change) {
 	before := ""
 	for _, c := range changes {
 		fmt.Fprintf(o.stdout, "revision %d by %s at %s", c.Revision, c.Author, c.At.Format("2006-01-02 15:04:05"))
@@ -44,10 +44,10 @@
 	cmd := &cobra.Command{
 		Use: "rollback TEAM", Short: "Publish an earlier revision again, as a new one", Args: exactArgs(1, "team"),
 		RunE: func(_ *cobra.Command, args []string) error {
-			return call(o, func(ctx context.Context, c *client.Client) (entry.Published, error) {
+			return call(o, func(ctx context.Context, c *client.Client) (view.Published, error) {
 				n, err := revision(ctx, c, args[0])
 				if err != nil {
-					return entry.Published{}, err
+					return view.Published{}, err
 				}
 				return c.Rollback(ctx, args[0], n, to, o.author)
 			}, o.printPublished)
@@ -62,10 +62,10 @@
 	return &cobra.Command{
 		Use: "delete TEAM", Short: "Delete a team's configuration; accepted jobs run on", Args: exactArgs(1, "team"),
 		RunE: func(_ *cobra.Command, args []string) error {
-			return call(o, func(ctx context.Context, c *client.Client) (entry.Published, error) {
+			return call(o, func(ctx context.Context, c *client.Client) (view.Published, error) {
 				n, err := revision(ctx, c, args[0])
 				if err != nil {
-					return entry.Published{}, err
+					return view.Published{}, err
 				}
 				return c.Delete(ctx, args[0], n, o.author)
 			}, o.printPublished)
--- a/internal/tool/cmds/job.go
+++ b/internal/tool/cmds/job.go
@@ -11,14 +11,14 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/ebonyarch/ebonyarch/internal/node/entry"
+	"github.com/ebonyarch/ebonyarch/internal/node/view"
 	"github.com/ebonyarch/ebonyarch/internal/tool/client"
 )
 
 func (r *root) jobCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "job", Short: "Submit, list and cancel batch jobs"}
 	o := r.operator(cmd)
-	var spec entry.JobSpec
+	var spec view.JobSpec
 	var key, input string
 	submit := &cobra.Command{
 		Use: "submit TEAM KIND", Short: "Submit a job", Args: exactArgs(2, "team and kind"),
@@ -41,7 +41,7 @@
 	list := &cobra.Command{
 		Use: "list TEAM", Short: "List a team's jobs", Args: exactArgs(1, "team"),
 		RunE: func(_ *cobra.Command, args []string) error {
-			return call(o, func(ctx context.Context, c *client.Client) ([]entry.JobView, error) {
+			return call(o, func(ctx context.Context, c *client.Client) ([]view.Job, error) {
 				return c.Jobs(ctx, args[0])
 			}, o.printJobs)
 		},
@@ -49,7 +49,7 @@
 	get := &cobra.Command{
 		Use: "get TEAM JOB", Short: "Show a job and its tasks", Args: exactArgs(2, "team and job"),
 		RunE: func(_ *cobra.Command, args []string) error {
-			return call(o, func(ctx context.Context, c *client.Client) (entry.JobView, error) {
+			return call(o, func(ctx context.Context, c *client.Client) (view.Job, error) {
 				return c.Job(ctx, args[0], args[1])
 			}, o.printJob)
 		},
@@ -57,7 +57,7 @@
 	cancel := &cobra.Command{
 		Use: "cancel TEAM JOB", Short: "Cancel what is left of a job", Args: exactArgs(2, "team and job"),
 		RunE: func(_ *cobra.Command, args []string) error {
-			return call(o, func(ctx context.Context, c *client.Client) (entry.JobView, error) {
+			return call(o, func(ctx context.Context, c *client.Client) (view.Job, error) {
 				return c.Cancel(ctx, args[0], args[1])
 			}, o.printJob)
 		},
@@ -66,7 +66,7 @@
 	return cmd
 }
 
-func (o *operator) printJobs(jobs []entry.JobView) {
+func (o *operator) printJobs(jobs []view.Job) {
 	w := tabwriter.NewWriter(o.stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "ID\tKIND\tKEY\tTASKS\tCOUNTS\tACCEPTED")
 	for _, j := range jobs {
@@ -75,8 +75,8 @@
 	w.Flush()
 }
 
-func (o *operator) printJob(j entry.JobView) {
-	o.printJobs([]entry.JobView{j})
+func (o *operator) printJob(j view.Job) {
+	o.printJobs([]view.Job{j})
 	w := tabwriter.NewWriter(o.stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "TASK\tSTATE\tATTEMPT\tVM\tFAILURES\tEVICTIONS\tREASON")
 	for _, t := range j.List {
--- a/internal/tool/trial/audit.go
+++ b/internal/tool/trial/audit.go
@@ -4,13 +4,13 @@
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/base/ident"
-	"github.com/ebonyarch/ebonyarch/internal/node/entry"
+	"github.com/ebonyarch/ebonyarch/internal/node/view"
 )
 
 // audit compares a job as its caller sees it with what the workers recorded. A
 // task is completed if the attempt that the job names finished on a worker. It
 // is doubled if its output came twice, or if two attempts ran at the same time.
-func (t *trial) audit(view entry.JobView) (completed, doubled int) {
+func (t *trial) audit(view view.Job) (completed, doubled int) {
 	accepted := map[ident.Attempt]bool{}
 	for _, task := range view.List {
 		if task.State == "completed" {
--- a/internal/tool/trial/fleet_test.go
+++ b/internal/tool/trial/fleet_test.go
@@ -18,7 +18,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
 	"github.com/ebonyarch/ebonyarch/internal/fake/plog"
 	"github.com/ebonyarch/ebonyarch/internal/fake/worker"
-	"github.com/ebonyarch/ebonyarch/internal/node/entry"
+	"github.com/ebonyarch/ebonyarch/internal/node/view"
 	"github.com/ebonyarch/ebonyarch/internal/tool/client"
 	"github.com/ebonyarch/ebonyarch/internal/tool/trial"
 )
@@ -119,7 +119,7 @@
 	})
 
 	It("accepts a job once under its key and finishes it", func() {
-		spec := entry.JobSpec{Kind: "b", Tasks: 5}
+		spec := view.JobSpec{Kind: "b", Tasks: 5}
 		first, err := at(0).Submit(ctx, "t", "k", spec)
 		Expect(err).NotTo(HaveOccurred())
 		second, err := at(1).Submit(ctx, "t", "k", spec)
@@ -135,16 +135,16 @@
 	})
 
 	DescribeTable("refuses jobs with the reason",
-		func(team, key string, spec entry.JobSpec, want codes.Code) {
+		func(team, key string, spec view.JobSpec, want codes.Code) {
 			_, err := at(0).Submit(ctx, team, key, spec)
 			Expect(codes.Of(err)).To(Equal(want))
 		},
-		Entry("unknown team", "x", "1", entry.JobSpec{Kind: "b", Tasks: 1}, codes.UnknownTeam),
-		Entry("unknown kind", "t", "1", entry.JobSpec{Kind: "x", Tasks: 1}, codes.JobInvalid),
-		Entry("no tasks", "t", "1", entry.JobSpec{Kind: "b"}, codes.JobInvalid),
-		Entry("bad work", "t", "1", entry.JobSpec{Kind: "b", Tasks: 1, Work: "-1s"}, codes.JobInvalid),
-		Entry("no key", "t", "", entry.JobSpec{Kind: "b", Tasks: 1}, codes.BadRequest),
-		Entry("quota", "t", "2", entry.JobSpec{Kind: "b", Tasks: 51}, codes.QuotaExceeded),
+		Entry("unknown team", "x", "1", view.JobSpec{Kind: "b", Tasks: 1}, codes.UnknownTeam),
+		Entry("unknown kind", "t", "1", view.JobSpec{Kind: "x", Tasks: 1}, codes.JobInvalid),
+		Entry("no tasks", "t", "1", view.JobSpec{Kind: "b"}, codes.JobInvalid),
+		Entry("bad work", "t", "1", view.JobSpec{Kind: "b", Tasks: 1, Work: "-1s"}, codes.JobInvalid),
+		Entry("no key", "t", "", view.JobSpec{Kind: "b", Tasks: 1}, codes.BadRequest),
+		Entry("quota", "t", "2", view.JobSpec{Kind: "b", Tasks: 51}, codes.QuotaExceeded),
 	)
 
 	It("refuses configuration with faults, with what fits nowhere, and stale revisions", func() {
@@ -182,7 +182,7 @@
 		f.Log.Set(plog.Faults{Down: true})
 		defer f.Log.Set(plog.Faults{})
 		Eventually(func() codes.Code {
-			_, err := at(0).Submit(ctx, "t", "down", entry.JobSpec{Kind: "b", Tasks: 1})
+			_, err := at(0).Submit(ctx, "t", "down", view.JobSpec{Kind: "b", Tasks: 1})
 			return codes.Of(err)
 		}, patience).Should(Equal(codes.LogDown))
 		answered(0, nil, "GET", "")
@@ -200,7 +200,7 @@
 				Expect(send(1, nil, "GET", "").Status).To(Equal(200))
 			})
 		}
-		Eventually(func() int64 { return f.Entries[1].State().(entry.State).InFlight }, patience).Should(BeEquivalentTo(6))
+		Eventually(func() int64 { return f.Entries[1].State().(view.Entry).InFlight }, patience).Should(BeEquivalentTo(6))
 		stopCtx, cancel := context.WithTimeout(ctx, patience)
 		defer cancel()
 		Expect(f.Entries[1].Shutdown(stopCtx)).To(Succeed())
--- a/internal/tool/trial/try.go
+++ b/internal/tool/trial/try.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
-	"github.com/ebonyarch/ebonyarch/internal/node/entry"
+	"github.com/ebonyarch/ebonyarch/internal/node/view"
 	"github.com/ebonyarch/ebonyarch/internal/tool/client"
 )
 
@@ -109,7 +109,7 @@
 	load := newLoad(t)
 	load.begin(ctx)
 	job, err := t.client(1).Submit(ctx, t.Workload.BatchTeam, fmt.Sprintf("trial-%d", t.Seed),
-		entry.JobSpec{Kind: t.Workload.BatchKind, Tasks: t.Tasks})
+		view.JobSpec{Kind: t.Workload.BatchKind, Tasks: t.Tasks})
 	if err != nil {
 		return Outcome{}, err
 	}
@@ -129,7 +129,7 @@
 	if err != nil {
 		return err
 	}
-	var published entry.Published
+	var published view.Published
 	err = until(ctx, "publish "+team, func() bool {
 		published, err = t.client(0).Publish(ctx, team, base, "try", body)
 		return err == nil || codes.Of(err) != codes.NotReady
@@ -204,7 +204,7 @@
 
 // finished waits for the job's end and compares it with what the workers saw.
 func (t *trial) finished(ctx context.Context, job string, o *Outcome) error {
-	var view entry.JobView
+	var view view.Job
 	last := -1
 	err := until(ctx, "job", func() bool {
 		v, err := t.client(2).Job(ctx, t.Workload.BatchTeam, job)
