--- a/internal/proof/pack/pack.go
+++ b/internal/proof/pack/pack.go
@@ -149,7 +149,11 @@
 	s.rivals()
 	var rest []*task
 	for _, t := range s.queue {
-		chosen := place.Choose(s.policy, t.placed(s.now), views)
+		wanted := t.placed(s.now)
+		if pack, ok := s.policy.(place.Pack); ok {
+			wanted.Density = pack.Density(wanted.Kind, wanted.Size)
+		}
+		chosen := place.Choose(s.policy, wanted, views)
 		if chosen == nil {
 			rest = append(rest, t)
 			continue
@@ -172,7 +176,9 @@
 	}
 	pack.Rivals = pack.Rivals[:0]
 	for _, k := range Kinds() {
-		pack.Rivals = append(pack.Rivals, place.Rival{Kind: "t/" + k.Name, Size: k.Size, Count: waiting[k.Name]})
+		pack.Rivals = append(pack.Rivals, place.Rival{
+			Kind: "t/" + k.Name, Size: k.Size, Count: waiting[k.Name], Density: pack.Density("t/"+k.Name, k.Size),
+		})
 	}
 	s.policy = pack
 }
--- a/internal/sched/leader/plan.go
+++ b/internal/sched/leader/plan.go
@@ -75,6 +75,10 @@
 	}
 	p.reserve()
 	p.policy.Rivals = l.rivals()
+	for i := range p.policy.Rivals {
+		r := &p.policy.Rivals[i]
+		r.Density = p.policy.Density(r.Kind, r.Size)
+	}
 	return p
 }
 
@@ -172,6 +176,7 @@
 func (p *plan) task(t *fold.Task) bool {
 	task := placeTask(t)
 	task.Waited = p.waitedFor(t.Job)
+	task.Density = p.policy.Density(task.Kind, task.Size)
 	v := p.reserved(t)
 	if v == nil || !v.Free.Covers(task.Size) {
 		v = place.Choose(p.policy, task, p.vms)
--- a/internal/sched/place/pack.go
+++ b/internal/sched/place/pack.go
@@ -47,6 +47,8 @@
 	Kind  string
 	Size  Amount
 	Count int
+	// Density is the kind's, see Pack.
+	Density float64
 }
 
 // Score implements Policy.
@@ -80,13 +82,13 @@
 	if !p.tolerable(t, v) {
 		return false
 	}
-	own := p.density(t.Kind, t.Size)
+	own := t.Density
 	for i := range p.Rivals {
 		r := &p.Rivals[i]
 		if r.Count == 0 || r.Kind == t.Kind || !v.Free.Covers(r.Size) {
 			continue
 		}
-		other := p.density(r.Kind, r.Size)
+		other := r.Density
 		if len(v.Services) == 0 && other > betterBy*own {
 			return false
 		}
@@ -111,8 +113,12 @@
 	return true
 }
 
-// density is how much a kind of batch work disturbs services for its size.
-func (p Pack) density(kind string, size Amount) float64 {
+// Density is how much a kind of batch work disturbs services for its size. Callers
+// set it on tasks and rivals, once for many choices.
+func (p Pack) Density(kind string, size Amount) float64 {
+	if p.Learned == nil {
+		return 0
+	}
 	return p.Learned.Typical(kind) / float64(max(size.CPU, 1))
 }
 
--- /dev/null
+++ b/internal/sched/place/place_test.go
@@ -0,0 +1,96 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ebonyarch/ebonyarch/internal/base/ident"
+	"github.com/ebonyarch/ebonyarch/internal/sched/learn"
+	"github.com/ebonyarch/ebonyarch/internal/sched/place"
+)
+
+func vm(name string, cpu, memory int64) *place.VM {
+	free := place.Amount{CPU: cpu, Memory: memory}
+	return &place.VM{Name: name, Capacity: place.Amount{CPU: 16000, Memory: 60000}, Free: free}
+}
+
+func victim(n uint32, cpu int64, risk time.Duration) place.Victim {
+	return place.Victim{
+		Attempt: ident.Attempt{Task: ident.Task{Index: n}}, Size: place.Amount{CPU: cpu}, AtRisk: risk,
+	}
+}
+
+var _ = Describe("placement", func() {
+	small := &place.Task{Kind: "t/k", Size: place.Amount{CPU: 1000, Memory: 1000}}
+
+	It("places only where everything fits", func() {
+		vms := []*place.VM{vm("a", 500, 9000), vm("b", 9000, 500)}
+		Expect(place.Choose(place.Pack{}, small, vms)).To(BeNil())
+	})
+
+	It("avoids VMs on which the task failed, while others have room", func() {
+		task := *small
+		task.Avoid = []string{"a"}
+		a, b := vm("a", 1000, 1000), vm("b", 16000, 60000)
+		Expect(place.Choose(place.Pack{}, &task, []*place.VM{a, b})).To(BeIdenticalTo(b))
+		Expect(place.Choose(place.Pack{}, &task, []*place.VM{a})).To(BeIdenticalTo(a))
+	})
+
+	It("gives a VM on probation one task at a time", func() {
+		a := vm("a", 16000, 60000)
+		a.Probation = true
+		Expect(place.Choose(place.Pack{}, small, []*place.VM{a})).To(BeIdenticalTo(a))
+		a.Take(small)
+		Expect(place.Choose(place.Pack{}, small, []*place.VM{a})).To(BeNil())
+	})
+
+	It("keeps work that disturbs off services that are disturbed enough", func() {
+		var m learn.Model
+		for range 200 {
+			m.Measure(time.Unix(1e9, 0), "t/s", []learn.Load{{Kind: "t/loud", Share: 1}}, 0.5)
+		}
+		busy := vm("busy", 16000, 60000)
+		busy.Services = []string{"t/s"}
+		loud := &place.Task{Kind: "t/loud", Size: place.Amount{CPU: 1000}}
+		busy.Take(loud)
+		Expect(place.Choose(place.Pack{Learned: &m}, loud, []*place.VM{busy})).To(BeNil())
+		loud.Waited = place.Patience
+		Expect(place.Choose(place.Pack{Learned: &m}, loud, []*place.VM{busy})).To(BeIdenticalTo(busy))
+	})
+
+	It("evicts what loses least, and no more than needed", func() {
+		need := place.Amount{CPU: 4000}
+		e, ok := place.Evict([]place.Victim{
+			victim(1, 4000, time.Hour), victim(2, 1000, time.Second), victim(3, 4000, time.Minute),
+		}, place.Amount{}, need)
+		Expect(ok).To(BeTrue())
+		Expect(e.Victims).To(HaveLen(1))
+		Expect(e.Victims[0].Attempt.Index).To(BeEquivalentTo(3))
+		_, ok = place.Evict([]place.Victim{victim(1, 1000, 0)}, place.Amount{}, need)
+		Expect(ok).To(BeFalse())
+	})
+})
+
+// BenchmarkChoose measures the placement of one task among the VMs of the target.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{62, 430} {
+		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
+			vms := make([]*place.VM, n)
+			for i := range vms {
+				vms[i] = vm(fmt.Sprint(i), 8000, 30000)
+				vms[i].Services = []string{"t/s"}
+				vms[i].Kinds = []string{"t/a", "t/b", "t/a"}
+			}
+			policy := place.Pack{Learned: &learn.Model{}, Rivals: []place.Rival{{Kind: "t/a", Count: 5}, {Kind: "t/b", Count: 5}}}
+			task := &place.Task{Kind: "t/a", Size: place.Amount{CPU: 1000, Memory: 1000}}
+			b.ReportAllocs()
+			for b.Loop() {
+				place.Choose(policy, task, vms)
+			}
+		})
+	}
+}
--- a/internal/sched/place/vm.go
+++ b/internal/sched/place/vm.go
@@ -64,6 +64,8 @@
 	Service bool
 	// Avoid lists VMs on which the task failed.
 	Avoid []string
+	// Density is the kind's, see Pack.
+	Density float64
 	// Waited is how long the task has been waiting.
 	Waited time.Duration
 }
