--- a/internal/sched/runner/action.go
+++ b/internal/sched/runner/action.go
@@ -1,7 +1,6 @@
 package runner
 
 import (
-	"errors"
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/base/ident"
@@ -145,16 +144,12 @@
 }
 
 // Stopped reports the outcome of a Stop. After an error it is asked for again,
-// but an attempt that ended before it could be evicted is reported as ended.
+// unless the next Listed shows that the attempt has ended.
 func (r *Runner) Stopped(id ident.Attempt, checkpoint []byte, err error) {
 	a := r.attempts[id]
 	if a == nil {
 		return
 	}
-	if errors.Is(err, port.ErrEnded) {
-		a.stop, a.asked = keep, false
-		return
-	}
 	if err != nil {
 		a.asked = false
 		return
