--- a/internal/sched/runner/runner_test.go
+++ b/internal/sched/runner/runner_test.go
@@ -128,6 +128,8 @@
 		ended.Ended = true
 		r.Listed(now, []*schema.WorkerTask{ended})
 		Expect(results()[0].GetOutcome()).To(Equal(schema.Outcome_OUTCOME_COMPLETED))
+		stops, _ = r.Actions(now)
+		Expect(stops).To(BeEmpty(), "it stays until the log has it")
 	})
 
 	It("stops what may still start after an unclear answer", func() {
