node: an address to advertise; silent connections under load over TCP

A process that listens on all addresses announced 0.0.0.0; it now needs and tells 'advertise'. A relay before each agent loses track of connections under load. Found by it: a service with few requests had no retries to spend (a budget earns ten a second beside its share); an ejected upstream was not asked although all others were tried; a retry could meet another silent connection, so it distrusts one that answered nothing for a second.

--- a/internal/conf/proc/agent.go
+++ b/internal/conf/proc/agent.go
@@ -19,6 +19,8 @@
 	// Peers and Admin are the addresses to listen on.
 	Peers netip.AddrPort `json:"peers"`
 	Admin netip.AddrPort `json:"admin"`
+	// Advertise is the address that entries connect to; empty means Peers.
+	Advertise netip.AddrPort `json:"advertise"`
 	// Worker is the address of the platform's executor on the VM.
 	Worker netip.AddrPort `json:"worker"`
 	// Entries are the peer addresses of some entries; the rest is learned.
@@ -50,6 +52,7 @@
 	}
 	c.addr("peers", cfg.Peers, true)
 	c.addr("admin", cfg.Admin, true)
+	c.advertise(cfg.Advertise, cfg.Peers)
 	c.addr("worker", cfg.Worker, false)
 	if len(cfg.Entries) == 0 {
 		c.Add("entries", "want the peer address of at least one entry")
--- a/internal/conf/proc/check.go
+++ b/internal/conf/proc/check.go
@@ -32,6 +32,17 @@
 	}
 }
 
+// advertise checks the address that others are told; one that stands for all
+// addresses of the machine leads nowhere.
+func (c check) advertise(addr, listen netip.AddrPort) {
+	switch {
+	case c.Has("advertise") && addr.IsValid() && (addr.Port() == 0 || addr.Addr().IsUnspecified()):
+		c.Add("advertise", "want an address that others can connect to, got %s", addr)
+	case !c.Has("advertise") && listen.IsValid() && listen.Addr().IsUnspecified():
+		c.Add("advertise", "is missing; peers listens on all addresses, so others must be told one")
+	}
+}
+
 func (c check) within(field string, d, limit time.Duration) {
 	if d < 0 || d > limit {
 		c.Add(field, "want between 0s and %s", limit)
--- a/internal/conf/proc/entry.go
+++ b/internal/conf/proc/entry.go
@@ -20,6 +20,9 @@
 	Callers netip.AddrPort `json:"callers"`
 	Peers   netip.AddrPort `json:"peers"`
 	Admin   netip.AddrPort `json:"admin"`
+	// Advertise is the address that agents and other entries connect to; empty
+	// means Peers.
+	Advertise netip.AddrPort `json:"advertise"`
 	// Log is the address of the platform's log.
 	Log netip.AddrPort `json:"log"`
 	// Entries are the peer addresses of other entries, for a start without the log.
@@ -49,6 +52,7 @@
 	c.addr("callers", cfg.Callers, true)
 	c.addr("peers", cfg.Peers, true)
 	c.addr("admin", cfg.Admin, true)
+	c.advertise(cfg.Advertise, cfg.Peers)
 	c.addr("log", cfg.Log, false)
 	for _, addr := range cfg.Entries {
 		c.addr("entries", addr, false)
--- a/internal/conf/proc/proc_test.go
+++ b/internal/conf/proc/proc_test.go
@@ -33,6 +33,17 @@
 		Expect(fields).To(ConsistOf("zone", "peers", "admin", "log", "name", "callers", "drainTimeout", "colour"))
 	})
 
+	It("need an address to advertise when they listen on all", func() {
+		base := `{"name": "e", "zone": "z", "callers": "127.0.0.1:0", "peers": "0.0.0.0:81", "admin": "127.0.0.1:0", "log": "127.0.0.1:9"`
+		_, faults := proc.ParseEntry("e", []byte(base+"}"))
+		Expect(faults).To(HaveLen(1))
+		Expect(faults[0].Field).To(Equal("advertise"))
+		_, faults = proc.ParseEntry("e", []byte(base+`, "advertise": "10.0.0.7:81"}`))
+		Expect(faults).To(BeEmpty())
+		_, faults = proc.ParseEntry("e", []byte(base+`, "advertise": "0.0.0.0:81"}`))
+		Expect(faults).To(HaveLen(1))
+	})
+
 	It("refuse impossible sizes", func() {
 		_, faults := proc.ParseAgent("a", []byte(`{"vm": "v", "zone": "z", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0",
 			"worker": "127.0.0.1:0", "entries": [], "cpu": -1, "memory": "0MB", "connections": -4}`))
--- a/internal/fake/relay/relay.go
+++ b/internal/fake/relay/relay.go
@@ -13,11 +13,10 @@
 // Relay passes TCP connections on to one address. Make it with Listen.
 type Relay struct {
 	listener net.Listener
-	to       netip.AddrPort
 
 	mu    sync.Mutex
+	to    netip.AddrPort
 	pairs []*pair
-	done  bool
 }
 
 // pair is one connection and its continuation.
@@ -26,7 +25,14 @@
 	silent  atomic.Bool
 }
 
-// Listen opens a loopback address that leads to another.
+// Point makes further connections lead to another address.
+func (r *Relay) Point(to netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.to = to
+}
+
+// Listen opens a loopback address that leads to another, which may be set later.
 func Listen(to netip.AddrPort) (*Relay, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -46,7 +52,10 @@
 		if err != nil {
 			return
 		}
-		out, err := net.Dial("tcp", r.to.String())
+		r.mu.Lock()
+		to := r.to
+		r.mu.Unlock()
+		out, err := net.Dial("tcp", to.String())
 		if err != nil {
 			in.Close()
 			continue
--- a/internal/front/flow/flow.go
+++ b/internal/front/flow/flow.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
@@ -250,7 +251,7 @@
 	if code == codes.Truncated || home {
 		return f.finish(now, nil, err)
 	}
-	allowed := f.service.budget.Again(now, retry.Try{
+	allowed := f.service.RetryShare > 0 && f.service.budget.Again(now, retry.Try{
 		NotRun: code.Info().Ran == codes.RanNo, Idempotent: f.req.Idempotent,
 		Tries: len(f.tries), Deadline: f.req.Deadline, Expected: f.service.Balancer.Mean(),
 	})
@@ -283,5 +284,8 @@
 		// An earlier try may have run, so the whole request may have.
 		err = codes.Wrap(err, codes.ConnectionLost, "an earlier try may have run")
 	}
+	if err != nil && len(f.tries) > 1 {
+		err = codes.Wrap(err, codes.Of(err), fmt.Sprintf("after %d tries", len(f.tries)))
+	}
 	return Step{Action: Done, Reply: reply, Err: err}
 }
--- a/internal/front/retry/budget.go
+++ b/internal/front/retry/budget.go
@@ -8,19 +8,35 @@
 	maxTokens = 20
 	// MaxTries bounds the upstreams that one request is sent to.
 	MaxTries = 3
+	// floorPerSecond is what a budget earns without any request, so that a service
+	// with few requests can still send again what a lost connection took along.
+	floorPerSecond = 10
 )
 
-// Budget lets retries be a share of the requests sent. The zero value allows
-// none until requests were sent.
+// Budget lets retries be a share of the requests sent, beside a small number each
+// second. Its zero value is ready for use.
 type Budget struct {
 	tokens float64
+	// earned is when the floor was added last.
+	earned time.Time
 }
 
 // Sent adds what one first try earns.
 func (b *Budget) Sent(share float64) { b.tokens = min(maxTokens, b.tokens+share) }
 
+// earn adds the floor for the time that passed.
+func (b *Budget) earn(now time.Time) {
+	passed := time.Second
+	if !b.earned.IsZero() {
+		passed = min(max(0, now.Sub(b.earned)), time.Second)
+	}
+	b.tokens = min(maxTokens, b.tokens+floorPerSecond*passed.Seconds())
+	b.earned = now
+}
+
 // Take uses up one retry if the budget allows it.
-func (b *Budget) Take() bool {
+func (b *Budget) Take(now time.Time) bool {
+	b.earn(now)
 	if b.tokens < 1 {
 		return false
 	}
@@ -49,5 +65,5 @@
 	if t.Tries >= MaxTries || now.Add(t.Expected).After(t.Deadline) {
 		return false
 	}
-	return b.Take()
+	return b.Take(now)
 }
--- a/internal/front/route/balancer.go
+++ b/internal/front/route/balancer.go
@@ -141,7 +141,7 @@
 }
 
 // pickAny looks at all upstreams, ejected ones last: sending to one that may
-// fail beats refusing while none is healthy.
+// fail beats refusing while no other is left.
 func (b *Balancer) pickAny(now time.Time, rnd Rand, tried []string) *Upstream {
 	n := len(b.upstreams)
 	if n == 0 {
@@ -154,7 +154,7 @@
 		if usable(now, u, tried) {
 			return u
 		}
-		if fallback == nil && !contains(tried, u.VM) && b.ejected == n {
+		if fallback == nil && !contains(tried, u.VM) {
 			fallback = u
 		}
 	}
--- a/internal/front/route/route_test.go
+++ b/internal/front/route/route_test.go
@@ -103,6 +103,19 @@
 		}
 	})
 
+	It("takes an ejected upstream if all others were tried", func() {
+		b := balancer(3)
+		for range 5 {
+			b.Sent(b.Get("1"))
+			b.Done(now, b.Get("1"), route.Report{Failed: true})
+		}
+		Expect(b.Get("1").Ejected()).To(BeTrue())
+		for range 20 {
+			Expect(b.Pick(now, rnd, "", []string{"0"}).VM).To(Equal("2"))
+		}
+		Expect(b.Pick(now, rnd, "", []string{"0", "2"}).VM).To(Equal("1"))
+	})
+
 	It("does not send more to an upstream that fails at once", func() {
 		b := balancer(10)
 		sent := 0
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -54,7 +54,7 @@
 		return nil, err
 	}
 	a.host = host.New(time.Now(), host.Config{Entries: cfg.Entries, Member: &schema.Member{
-		Vm: cfg.VM, Addr: a.peers.Addr().String(), Cell: cfg.Cell, Zone: cfg.Zone, Rack: cfg.Rack,
+		Vm: cfg.VM, Addr: a.advertised().String(), Cell: cfg.Cell, Zone: cfg.Zone, Rack: cfg.Rack,
 		Region: cfg.Region, Capacity: cfg.Capacity(), Connections: uint32(cfg.Connections),
 	}})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -77,6 +77,14 @@
 // Addr returns the address for entries.
 func (a *Agent) Addr() netip.AddrPort { return a.peers.Addr() }
 
+// advertised returns the address that entries connect to.
+func (a *Agent) advertised() netip.AddrPort {
+	if a.cfg.Advertise.IsValid() {
+		return a.cfg.Advertise
+	}
+	return a.peers.Addr()
+}
+
 // AdminAddr returns the administrative address.
 func (a *Agent) AdminAddr() netip.AddrPort { return a.admin.Addr() }
 
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -88,15 +88,20 @@
 func (e *Entry) newCore(state *schema.State) *core.Core {
 	return core.New(time.Now(), core.Config{
 		Name: e.cfg.Name, Zone: e.cfg.Zone, Writer: e.cfg.Name + "-" + ulid.Make().String(),
-		Peer: e.peers.Addr(), Cells: e.cfg.Cells, Log: e.log,
+		Peer: e.PeerAddr(), Cells: e.cfg.Cells, Log: e.log,
 	}, state)
 }
 
 // Addr returns the address for callers.
 func (e *Entry) Addr() netip.AddrPort { return e.callers.Addr() }
 
-// PeerAddr returns the address for agents and other entries.
-func (e *Entry) PeerAddr() netip.AddrPort { return e.peers.Addr() }
+// PeerAddr returns the address that agents and other entries connect to.
+func (e *Entry) PeerAddr() netip.AddrPort {
+	if e.cfg.Advertise.IsValid() {
+		return e.cfg.Advertise
+	}
+	return e.peers.Addr()
+}
 
 // PeerBytes returns the bytes exchanged with agents and entries that called this
 // one.
--- a/internal/node/entry/journal.go
+++ b/internal/node/entry/journal.go
@@ -73,7 +73,7 @@
 // and works without it.
 func (e *Entry) loadFromPeer(ctx context.Context) bool {
 	for _, addr := range e.cfg.Entries {
-		if addr == e.peers.Addr() {
+		if addr == e.PeerAddr() {
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -106,7 +106,7 @@
 	others := map[netip.AddrPort]bool{}
 	for _, w := range e.core.Fold().Entries() {
 		addr, err := netip.ParseAddrPort(w.PeerAddr)
-		if err == nil && addr != e.peers.Addr() {
+		if err == nil && addr != e.PeerAddr() {
 			others[addr] = true
 		}
 	}
--- a/internal/node/entry/route.go
+++ b/internal/node/entry/route.go
@@ -89,7 +89,11 @@
 
 // send sends the request to one upstream and returns the step that follows.
 func (j *journey) send(ctx context.Context, step flow.Step) flow.Step {
-	reply, err := j.entry.links.To(step.Upstream.Addr).Agent().Forward(ctx, j.message(step.Timeout))
+	to := j.entry.links.To(step.Upstream.Addr)
+	if step.Try > 0 {
+		to.Distrust()
+	}
+	reply, err := to.Agent().Forward(ctx, j.message(step.Timeout))
 	if err != nil {
 		err = callError(ctx, err)
 		return j.decide(func(now time.Time) flow.Step { return j.flow.Failed(now, random{}, step.Try, err) })
--- a/internal/node/link/link.go
+++ b/internal/node/link/link.go
@@ -33,6 +33,8 @@
 	mu        sync.Mutex
 	transport *http.Transport
 	discarded int
+	// answered is when a call was last answered.
+	answered time.Time
 }
 
 // New returns a link to the process at addr; nothing is dialled yet.
@@ -63,12 +65,29 @@
 	transport := l.transport
 	l.mu.Unlock()
 	resp, err := transport.RoundTrip(req)
+	if err == nil {
+		l.mu.Lock()
+		l.answered = time.Now()
+		l.mu.Unlock()
+	}
 	if err != nil && errors.Is(req.Context().Err(), context.DeadlineExceeded) {
 		l.discard(transport)
 	}
 	return resp, err
 }
 
+// Distrust gives the connections up if no call was answered on them of late. A
+// call that replaces a failed one should not meet the same fault: what lost track
+// of one connection may have lost track of all.
+func (l *Link) Distrust() {
+	l.mu.Lock()
+	transport, quiet := l.transport, time.Since(l.answered) > pingAfter
+	l.mu.Unlock()
+	if quiet {
+		l.discard(transport)
+	}
+}
+
 // discard leaves the connections of a transport to the calls under way.
 func (l *Link) discard(transport *http.Transport) {
 	l.mu.Lock()
--- a/internal/node/link/link_test.go
+++ b/internal/node/link/link_test.go
@@ -80,6 +80,24 @@
 		Expect(ping(l, 5*time.Second)).To(Succeed())
 	})
 
+	It("opens a new connection for a call that replaces a failed one", func() {
+		s := serve(0)
+		r, err := relay.Listen(s.Addr())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(r.Close)
+		l := link.New(r.Addr())
+		Expect(ping(l, 5*time.Second)).To(Succeed())
+		l.Distrust()
+		Expect(ping(l, 5*time.Second)).To(Succeed())
+		Expect(r.Connections()).To(Equal(1), "it answered a moment ago")
+		r.Silence()
+		Eventually(func() int {
+			l.Distrust()
+			return l.Discarded()
+		}, 5*time.Second).Should(Equal(1))
+		Expect(ping(l, 5*time.Second)).To(Succeed())
+	})
+
 	It("is refused beyond the connections that a server takes", func() {
 		s := serve(1)
 		Expect(ping(link.New(s.Addr()), 5*time.Second)).To(Succeed())
--- a/internal/tool/trial/fleet.go
+++ b/internal/tool/trial/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/conf/proc"
 	"github.com/ebonyarch/ebonyarch/internal/conf/teams"
 	"github.com/ebonyarch/ebonyarch/internal/fake/plog"
+	"github.com/ebonyarch/ebonyarch/internal/fake/relay"
 	"github.com/ebonyarch/ebonyarch/internal/fake/worker"
 	"github.com/ebonyarch/ebonyarch/internal/node/agent"
 	"github.com/ebonyarch/ebonyarch/internal/node/entry"
@@ -28,6 +29,8 @@
 	CPU             teams.CPU
 	Memory          jsonc.Memory
 	ServiceTime     time.Duration
+	// Relayed puts a relay before each agent.
+	Relayed bool
 }
 
 // VM is one VM of a fleet: its agent, its worker and the worker's server.
@@ -47,7 +50,9 @@
 
 // Fleet is a system on loopback. Make it with Start.
 type Fleet struct {
-	Log     *plog.Log
+	Log *plog.Log
+	// Relays lie between the entries and each VM, if Size.Relayed.
+	Relays  []*relay.Relay
 	LogAddr netip.AddrPort
 	Entries []*entry.Entry
 	VMs     []*VM
@@ -133,15 +138,35 @@
 		return err
 	}
 	cfg.Worker = server.Addr()
+	if err := f.relay(&cfg); err != nil {
+		return err
+	}
 	client := worker.NewClient(server.Addr(), &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}})
 	a, err := agent.Start(cfg, client, f.log.With("vm", cfg.VM))
 	if err != nil {
 		return err
 	}
+	if f.size.Relayed {
+		f.Relays[i].Point(a.Addr())
+	}
 	f.VMs = append(f.VMs, &VM{cfg.VM, a, w, server})
 	return nil
 }
 
+// relay opens the relay before an agent that is about to start.
+func (f *Fleet) relay(cfg *proc.Agent) error {
+	if !f.size.Relayed {
+		return nil
+	}
+	r, err := relay.Listen(netip.AddrPort{})
+	if err != nil {
+		return err
+	}
+	f.Relays = append(f.Relays, r)
+	cfg.Advertise = r.Addr()
+	return nil
+}
+
 // Stop ends everything.
 func (f *Fleet) Stop() {
 	for _, e := range f.Entries {
@@ -153,6 +178,9 @@
 	for _, s := range f.servers {
 		s.Close()
 	}
+	for _, r := range f.Relays {
+		r.Close()
+	}
 }
 
 // until asks ok every few milliseconds until it returns true or ctx ends.
