--- /dev/null
+++ b/internal/fake/worker/worker_test.go
@@ -0,0 +1,100 @@
+package worker_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ebonyarch/ebonyarch/internal/base/ident"
+	"github.com/ebonyarch/ebonyarch/internal/fake/worker"
+	"github.com/ebonyarch/ebonyarch/internal/plat/port"
+	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
+)
+
+func assignment(epoch, cpu uint32) *schema.Assignment {
+	return &schema.Assignment{
+		Task: &schema.TaskRef{Job: "j", Epoch: epoch}, Size: &schema.Size{CpuMilli: cpu}, WorkMs: 10_000,
+	}
+}
+
+var _ = Describe("the witness of the workers", func() {
+	ctx := context.Background()
+	var now time.Time
+	var w *worker.Witness
+	var a, b *worker.Worker
+
+	BeforeEach(func() {
+		now, w = time.Unix(1e9, 0), &worker.Witness{}
+		make := func(vm string) *worker.Worker {
+			return worker.New(worker.Config{
+				VM: vm, Capacity: &schema.Size{CpuMilli: 1000}, Witness: w, Now: func() time.Time { return now },
+			})
+		}
+		a, b = make("a"), make("b")
+	})
+
+	attempt := func(epoch uint32) ident.Attempt {
+		return ident.Attempt{Task: ident.Task{Job: "j"}, Epoch: epoch}
+	}
+
+	It("sees a task that runs in two places, and not one that moved", func() {
+		Expect(a.Start(ctx, assignment(1, 500), time.Hour)).To(Succeed())
+		now = now.Add(time.Second)
+		_, err := a.Stop(ctx, assignment(1, 500).Task, port.Checkpoint)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(b.Start(ctx, assignment(2, 500), time.Hour)).To(Succeed())
+		Expect(w.Overlaps(now)).To(BeEmpty())
+		Expect(a.Start(ctx, assignment(3, 500), time.Hour)).To(Succeed())
+		Expect(w.Overlaps(now.Add(time.Second))).To(ConsistOf(ident.Task{Job: "j"}))
+	})
+
+	It("sees a VM beyond its capacity", func() {
+		Expect(a.Start(ctx, assignment(1, 700), time.Hour)).To(Succeed())
+		Expect(w.Overfull()).To(BeEmpty())
+		Expect(a.Start(ctx, assignment(2, 700), time.Hour)).To(Succeed())
+		Expect(w.Overfull()).To(HaveLen(1))
+	})
+
+	It("sees outputs that count twice, are lost, or never came", func() {
+		Expect(a.Start(ctx, assignment(1, 500), time.Hour)).To(Succeed())
+		Expect(b.Start(ctx, assignment(2, 500), time.Hour)).To(Succeed())
+		now = now.Add(time.Minute)
+		a.Settle()
+		b.Settle()
+		accepted := map[ident.Attempt]bool{attempt(1): true}
+		completed, doubled, lost := w.Audit(accepted)
+		Expect(completed).To(Equal(1))
+		Expect(doubled).To(BeEmpty())
+		Expect(lost).To(BeEmpty())
+
+		_, err := b.Stop(ctx, assignment(2, 500).Task, port.Confirm)
+		Expect(err).NotTo(HaveOccurred())
+		_, doubled, _ = w.Audit(accepted)
+		Expect(doubled).NotTo(BeEmpty())
+
+		_, err = a.Stop(ctx, assignment(1, 500).Task, port.Discard)
+		Expect(err).NotTo(HaveOccurred())
+		_, _, lost = w.Audit(accepted)
+		Expect(lost).To(HaveLen(1))
+
+		completed, _, _ = w.Audit(map[ident.Attempt]bool{attempt(3): true})
+		Expect(completed).To(BeZero())
+	})
+
+	It("sees that a lease ended a run, and that work goes on from a checkpoint", func() {
+		Expect(a.Start(ctx, assignment(1, 500), 4*time.Second)).To(Succeed())
+		now = now.Add(3 * time.Second)
+		token, err := a.Stop(ctx, assignment(1, 500).Task, port.Checkpoint)
+		Expect(err).NotTo(HaveOccurred())
+		next := assignment(2, 500)
+		next.Checkpoint = token
+		Expect(b.Start(ctx, next, 5*time.Second)).To(Succeed())
+		now = now.Add(5 * time.Second)
+		b.Settle()
+		runs := w.Runs()
+		Expect(runs[1].End).To(Equal(worker.Lapsed))
+		Expect(a.Start(ctx, assignment(1, 500), time.Hour)).To(MatchError(port.ErrRefused))
+	})
+})
