--- a/internal/fake/worker/worker_test.go
+++ b/internal/fake/worker/worker_test.go
@@ -27,12 +27,12 @@
 
 	BeforeEach(func() {
 		now, w = time.Unix(1e9, 0), &worker.Witness{}
-		make := func(vm string) *worker.Worker {
+		newWorker := func(vm string) *worker.Worker {
 			return worker.New(worker.Config{
 				VM: vm, Capacity: &schema.Size{CpuMilli: 1000}, Witness: w, Now: func() time.Time { return now },
 			})
 		}
-		a, b = make("a"), make("b")
+		a, b = newWorker("a"), newWorker("b")
 	})
 
 	attempt := func(epoch uint32) ident.Attempt {
