--- /dev/null
+++ b/internal/state/fold/fuzz_test.go
@@ -0,0 +1,38 @@
+package fold_test
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ebonyarch/ebonyarch/internal/state/fold"
+)
+
+// framed gives bytes the header of a batch, so that they get past the checksum.
+func framed(body []byte) []byte {
+	data := make([]byte, 6, 6+len(body))
+	binary.BigEndian.PutUint16(data, 0xEB0A)
+	binary.BigEndian.PutUint32(data[2:], crc32.Checksum(body, crc32.MakeTable(crc32.Castagnoli)))
+	return append(data, body...)
+}
+
+// FuzzApply folds arbitrary batches after a good beginning: nothing may panic, and
+// the state must survive a snapshot.
+func FuzzApply(f *testing.F) {
+	j, id := running()
+	j.add("w1", grant(1, "vm", id, 0, 1))
+	j.add("w1", result(1, "vm", id, 0, 1, 1))
+	for _, data := range j.entries {
+		f.Add(data[6:])
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		j, _ := running()
+		j.put(framed(body))
+		state := j.fold.Encode()
+		if !proto.Equal(fold.Decode(state).Encode(), state) {
+			t.Fatal("the state does not survive a snapshot")
+		}
+	})
+}
