--- a/internal/fake/worker/worker.go
+++ b/internal/fake/worker/worker.go
@@ -37,6 +37,8 @@
 	ServiceTime time.Duration
 	// Slowdown returns the speed of a service beside kinds, 1 for full speed.
 	Slowdown func(service string, kinds []string) float64
+	// UsageLag is how old reported speeds and shares are.
+	UsageLag time.Duration
 	// Now tells the time; nil means time.Now.
 	Now func() time.Time
 	// Witness may be nil.
@@ -52,6 +54,8 @@
 	faults Faults
 	dead   bool
 	tasks  map[ident.Attempt]*task
+	// usage holds the measurements of the last while, oldest first.
+	usage []usageSample
 	// stopped holds attempts that were stopped; they never start again.
 	stopped map[ident.Attempt]bool
 }
@@ -192,18 +196,19 @@
 		return nil, err
 	}
 	w.advance()
+	usage := w.lateUsage()
 	tasks := make([]*schema.WorkerTask, 0, len(w.tasks))
-	for _, t := range w.tasks {
+	for id, t := range w.tasks {
 		a := t.assignment
 		entry := &schema.WorkerTask{
 			Task: a.GetTask(), Phase: schema.Phase_PHASE_RUNNING, Size: a.GetSize(), Used: a.GetSize(),
-			Ended: t.ended, Failed: t.failed, Assignment: a, Checkpoint: encodeCheckpoint(t.done), SharePercent: t.share,
+			Ended: t.ended, Failed: t.failed, Assignment: a, Checkpoint: encodeCheckpoint(t.done),
+			SpeedPercent: usage[id].speed, SharePercent: usage[id].share,
 		}
 		if t.failed {
 			entry.Reason = "the worker fails everything"
 		}
 		if a.GetService() {
-			entry.SpeedPercent = uint32(100 * w.speed(a.GetTeam()+"/"+a.GetKind()))
 			entry.Checkpoint = nil
 		}
 		tasks = append(tasks, entry)
--- a/internal/fake/worker/worker_test.go
+++ b/internal/fake/worker/worker_test.go
@@ -83,6 +83,25 @@
 		Expect(completed).To(BeZero())
 	})
 
+	It("reports usage late", func() {
+		late := worker.New(worker.Config{
+			VM: "c", Capacity: &schema.Size{CpuMilli: 1000}, UsageLag: 2 * time.Second,
+			Now: func() time.Time { return now },
+		})
+		Expect(late.Start(ctx, assignment(1, 500), time.Hour)).To(Succeed())
+		share := func() uint32 {
+			tasks, err := late.List(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			return tasks[0].GetSharePercent()
+		}
+		Expect(share()).To(BeZero())
+		Expect(late.Throttle(ctx, assignment(1, 500).Task, 50)).To(Succeed())
+		now = now.Add(2 * time.Second)
+		Expect(share()).To(BeEquivalentTo(100))
+		now = now.Add(2 * time.Second)
+		Expect(share()).To(BeEquivalentTo(50))
+	})
+
 	It("sees that a lease ended a run, and that work goes on from a checkpoint", func() {
 		Expect(a.Start(ctx, assignment(1, 500), 4*time.Second)).To(Succeed())
 		now = now.Add(3 * time.Second)
--- a/internal/node/link/link_test.go
+++ b/internal/node/link/link_test.go
@@ -40,6 +40,16 @@
 	return err
 }
 
+// relayed returns a link that was used once, through a relay.
+func relayed() (*link.Link, *relay.Relay) {
+	r, err := relay.Listen(serve(0).Addr())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(r.Close)
+	l := link.New(r.Addr())
+	Expect(ping(l, 5*time.Second)).To(Succeed())
+	return l, r
+}
+
 var _ = Describe("a link", func() {
 	It("carries many calls on one connection", func() {
 		s := serve(0)
@@ -51,12 +61,7 @@
 	})
 
 	It("never uses a connection again that let a call time out", func() {
-		s := serve(0)
-		r, err := relay.Listen(s.Addr())
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(r.Close)
-		l := link.New(r.Addr())
-		Expect(ping(l, 5*time.Second)).To(Succeed())
+		l, r := relayed()
 		Expect(r.Silence()).To(Equal(1))
 		Expect(ping(l, 50*time.Millisecond)).NotTo(Succeed())
 		Expect(ping(l, 5*time.Second)).To(Succeed())
@@ -65,28 +70,18 @@
 	})
 
 	It("finds a silent connection without waiting for a call's deadline", func() {
-		s := serve(0)
-		r, err := relay.Listen(s.Addr())
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(r.Close)
-		l := link.New(r.Addr())
-		Expect(ping(l, 5*time.Second)).To(Succeed())
+		l, r := relayed()
 		r.Silence()
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 		defer cancel()
-		_, err = l.Agent().Ping(ctx, &schema.PingRequest{})
+		_, err := l.Agent().Ping(ctx, &schema.PingRequest{})
 		Expect(err).To(HaveOccurred())
 		Expect(ctx.Err()).NotTo(HaveOccurred(), "the test of the idle connection ended the call")
 		Expect(ping(l, 5*time.Second)).To(Succeed())
 	})
 
 	It("opens a new connection for a call that replaces a failed one", func() {
-		s := serve(0)
-		r, err := relay.Listen(s.Addr())
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(r.Close)
-		l := link.New(r.Addr())
-		Expect(ping(l, 5*time.Second)).To(Succeed())
+		l, r := relayed()
 		l.Distrust()
 		Expect(ping(l, 5*time.Second)).To(Succeed())
 		Expect(r.Connections()).To(Equal(1), "it answered a moment ago")
--- a/internal/proof/world/vm.go
+++ b/internal/proof/world/vm.go
@@ -46,7 +46,7 @@
 
 func (v *VM) newWorker() {
 	v.Worker = worker.New(worker.Config{
-		VM: v.Name, Capacity: VMCapacity(), ServiceTime: serviceTime, Witness: v.world.Witness,
+		VM: v.Name, Capacity: VMCapacity(), ServiceTime: serviceTime, Witness: v.world.Witness, UsageLag: usageLag,
 		Now: func() time.Time { return v.world.Now },
 	})
 }
--- a/internal/proof/world/world.go
+++ b/internal/proof/world/world.go
@@ -27,6 +27,7 @@
 	syncEvery   = 500 * time.Millisecond
 	callTimeout = time.Second
 	serviceTime = 4 * time.Millisecond
+	usageLag    = 2 * time.Second
 )
 
 // AppendLatency is how long an append takes while the log is well.
--- a/internal/tool/cmds/serve.go
+++ b/internal/tool/cmds/serve.go
@@ -127,12 +127,12 @@
 	var vm string
 	var cpu float64
 	var memoryMB, accelerators uint32
-	var serviceTime time.Duration
+	var serviceTime, usageLag time.Duration
 	work := &cobra.Command{
 		Use: "worker", Short: "Run a stand-in for the executor on one VM", Args: exactArgs(0, "none"),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			w := worker.New(worker.Config{
-				VM: vm, ServiceTime: serviceTime, Witness: &worker.Witness{},
+				VM: vm, ServiceTime: serviceTime, UsageLag: usageLag, Witness: &worker.Witness{},
 				Capacity: &schema.Size{CpuMilli: teams.CPU(cpu).Milli(), MemoryMb: memoryMB, Accelerators: accelerators},
 			})
 			return r.serveStandin(cmd.Context(), workerListen, worker.Handler(w))
@@ -144,6 +144,7 @@
 	work.Flags().Uint32Var(&memoryMB, "memory-mb", 60<<10, "memory in megabytes")
 	work.Flags().Uint32Var(&accelerators, "accelerators", 0, "accelerators")
 	work.Flags().DurationVar(&serviceTime, "service-time", 2*time.Millisecond, "time that a request takes")
+	work.Flags().DurationVar(&usageLag, "usage-lag", 2*time.Second, "age of reported usage")
 	cmd.AddCommand(log, work)
 	return cmd
 }
--- a/internal/tool/trial/fleet.go
+++ b/internal/tool/trial/fleet.go
@@ -98,6 +98,9 @@
 	return s, nil
 }
 
+// usageLag is how old the workers' reports of usage are.
+const usageLag = 2 * time.Second
+
 func zone(i int) string { return fmt.Sprintf("zone-%c", 'a'+i%4) }
 
 // AddEntry adds an entry in the next availability zone.
@@ -131,7 +134,7 @@
 		Peers: loopback, Admin: loopback, Entries: f.peerAddrs(), CPU: f.size.CPU, Memory: f.size.Memory,
 	}
 	w := worker.New(worker.Config{
-		VM: cfg.VM, Capacity: cfg.Capacity(), ServiceTime: f.size.ServiceTime, Witness: f.Witness,
+		VM: cfg.VM, Capacity: cfg.Capacity(), ServiceTime: f.size.ServiceTime, Witness: f.Witness, UsageLag: usageLag,
 	})
 	server, err := f.serve(worker.Handler(w))
 	if err != nil {
