elect, plan: fewer wrong claims at a start; lasting tasks share VMs

Entries claimed three times at the start because agents that had not found the leader yet counted against it.

--- a/internal/jobs/elect/elect.go
+++ b/internal/jobs/elect/elect.go
@@ -22,7 +22,9 @@
 	// entry that reaches the store takes over.
 	storeTrouble = 1800 * time.Millisecond
 	// complaintFor is how long an agent's search for a leader counts.
-	complaintFor = 1500 * time.Millisecond
+	complaintFor = 700 * time.Millisecond
+	// settleFor is how long agents may take to find a new leader.
+	settleFor = 1500 * time.Millisecond
 )
 
 // Survey is what the other entries said when they were asked for a leader.
@@ -110,14 +112,15 @@
 }
 
 // Suspect reports whether a leader that is heard should be replaced: it has lost the
-// store, or more agents miss it than it hears.
-func Suspect(p *msgs.Ping, complaints int) (reason string, suspect bool) {
+// store, or more agents miss it than it hears. followed is how long this entry has
+// followed it.
+func Suspect(p *msgs.Ping, complaints int, followed time.Duration) (reason string, suspect bool) {
 	switch {
 	case p.Leaving:
 		return "the leader is leaving", true
 	case p.StoreAge > storeTrouble:
 		return "the leader has lost the store", true
-	case complaints > p.Agents && complaints > 1:
+	case followed > settleFor && complaints > p.Agents && complaints > 1:
 		return "agents miss the leader", true
 	}
 	return "", false
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -153,9 +153,6 @@
 // StoreAge returns how long ago the store last confirmed the leadership.
 func (l *Leader) StoreAge(now time.Time) time.Duration { return now.Sub(l.storeAt) }
 
-// Agents returns the number of VMs whose agents are heard.
-func (l *Leader) Agents() int { return len(l.agents) }
-
 // Effects returns the messages that may leave and forgets them.
 func (l *Leader) Effects() []Effect {
 	out := l.out
--- a/internal/jobs/plan/choose.go
+++ b/internal/jobs/plan/choose.go
@@ -8,8 +8,12 @@
 	remoteCost = 4
 	// crowdCost spreads the lasting tasks of one step.
 	crowdCost = 8
+	// freshCost keeps lasting tasks of different steps together, so that other VMs
+	// stay free for fillers; fillingCost keeps them off VMs with fillers.
+	freshCost   = 4
+	fillingCost = 4
 	// besideCost keeps fillers away from lasting tasks, which they disturb.
-	besideCost = 0.15
+	besideCost = 1
 	// avoidCost makes VMs on which the task failed the last resort.
 	avoidCost = 100
 	// doubtCost weighs a VM's failures and slowness.
@@ -39,7 +43,10 @@
 	}
 	if t.Step.Lasting {
 		cost += crowdCost * float64(v.Stages[t.Key])
-		cost += float64(v.Filling) / float64(max(1, v.Capacity.CPU))
+		cost += fillingCost * float64(v.Filling) / float64(max(1, v.Capacity.CPU))
+		if v.Lasting == 0 {
+			cost += freshCost
+		}
 	}
 	if t.Step.Filler {
 		cost += besideCost * float64(v.Lasting)
--- a/internal/run/entry/follow.go
+++ b/internal/run/entry/follow.go
@@ -113,7 +113,7 @@
 func (e *Entry) join(conn *peer.Conn, addr netip.AddrPort, w *msgs.Welcome) {
 	e.epoch, e.leaderAddr, e.heardAt = max(e.epoch, w.Epoch), addr, time.Now()
 	e.entries = elect.Merge(e.entries, e.cfg.Peers, w.Entries...)
-	e.upstream = conn
+	e.upstream, e.joinedAt = conn, e.heardAt
 	e.log.Info("follows", "leader", addr.String(), "epoch", e.epoch)
 	e.passAll()
 }
@@ -152,7 +152,7 @@
 		cfg := *m.Ping.Config
 		go e.configured(cfg)
 	}
-	reason, suspect := elect.Suspect(m.Ping, e.complaints.Count(now))
+	reason, suspect := elect.Suspect(m.Ping, e.complaints.Count(now), now.Sub(e.joinedAt))
 	if !suspect || e.stopping.Load() {
 		return ""
 	}
--- a/internal/run/entry/leading.go
+++ b/internal/run/entry/leading.go
@@ -202,14 +202,26 @@
 	}
 	e.pingAt = now
 	cfg := e.config.Load()
+	agents := e.agents()
 	for _, c := range e.conns {
 		if !c.entry {
 			continue
 		}
-		p := &msgs.Ping{Epoch: e.epoch, Agents: e.leader.Agents(), StoreAge: e.leader.StoreAge(now), Entries: e.entries}
+		p := &msgs.Ping{Epoch: e.epoch, Agents: agents, StoreAge: e.leader.StoreAge(now), Entries: e.entries}
 		if cfg != nil && cfg.Version > c.config {
 			p.Config, c.config = cfg, cfg.Version
 		}
 		c.conn.Send(&msgs.Message{Ping: p})
 	}
 }
+
+// agents returns the number of agents that are connected.
+func (e *Entry) agents() int {
+	n := 0
+	for _, c := range e.conns {
+		if !c.entry {
+			n++
+		}
+	}
+	return n
+}
