--- a/internal/jobs/exec/pace.go
+++ b/internal/jobs/exec/pace.go
@@ -6,24 +6,26 @@
 	fullPace = 100
 	// pressed is the part of a target from which fillers are slowed, relaxed that
 	// below which they are let go faster.
-	pressed, relaxed = 0.85, 0.6
-	// calmLooks is how many looks in a row must be relaxed for a faster pace.
-	calmLooks = 4
+	pressed, relaxed = 0.85, 0.65
+	// aimed is the part of a target that slowing aims at.
+	aimed = 0.6
+	// leastFactor bounds one step down.
+	leastFactor = 0.3
 	// leastPace is the pace below which fillers stand still, in percent.
-	leastPace = 10
+	leastPace = 4
 	// paceEvery spaces the adjustments: what is measured is the last half second.
 	paceEvery = 400 * time.Millisecond
 	// paceStep is added to the pace at a time, in percent.
-	paceStep = 15
+	paceStep = 12
 )
 
 // pacer sets the pace of the fillers on a VM by how late the lasting tasks beside
-// them answer. It answers noisy neighbours that come in waves: it slows quickly and
-// lets go slowly. Its zero value is full pace.
+// them answer. It answers noisy neighbours that come in waves: it slows in
+// proportion to what is too much, and lets go in small steps. Its zero value is full
+// pace.
 type pacer struct {
 	// slowed is how far the pace is below full, in percent.
 	slowed int
-	calm   int
 	at     time.Time
 }
 
@@ -34,22 +36,15 @@
 func (p *pacer) observe(worst float64) bool {
 	before := p.slowed
 	switch {
-	case worst >= 1:
-		p.calm = 0
-		p.slowed = fullPace
 	case worst >= pressed:
-		p.calm = 0
-		p.slowed = fullPace - p.percent()/2
-		if p.percent() < leastPace {
-			p.slowed = fullPace
+		factor := max(leastFactor, aimed/worst)
+		pace := int(float64(p.percent()) * factor)
+		if pace < leastPace {
+			pace = 0
 		}
+		p.slowed = fullPace - pace
 	case worst < relaxed:
-		if p.calm++; p.calm >= calmLooks {
-			p.calm = 0
-			p.slowed = max(0, p.slowed-paceStep)
-		}
-	default:
-		p.calm = 0
+		p.slowed = max(0, p.slowed-paceStep)
 	}
 	return p.slowed != before
 }
