--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -116,7 +116,7 @@
 	r.present = true
 	a.log.Info("run started", "task", k.task, "run", k.number, "vm", a.vm.ID, "tries", r.tries, "epoch", a.epoch)
 	if r.start.Filler && a.pace.percent() < fullPace {
-		a.callPace(k, a.pace.percent())
+		a.callPace(k, a.pace.share(r.start.Weight, a.meanWeight()))
 	}
 }
 
--- a/internal/jobs/exec/pace.go
+++ b/internal/jobs/exec/pace.go
@@ -1,6 +1,9 @@
 package exec
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	fullPace = 100
@@ -15,6 +18,8 @@
 	leastPace = 4
 	// paceEvery spaces the adjustments: what is measured is the last half second.
 	paceEvery = 400 * time.Millisecond
+	// leastExponent and mostExponent bound how differently fillers are slowed.
+	leastExponent, mostExponent = 0.3, 2.5
 	// paceStep is added to the pace at a time, in percent.
 	paceStep = 12
 )
@@ -49,6 +54,28 @@
 	return p.slowed != before
 }
 
+// share returns the pace of a filler whose weight is a multiple of the mean: what
+// presses more is slowed more.
+func (p *pacer) share(weight, mean float64) int {
+	if p.slowed == 0 || weight <= 0 || mean <= 0 {
+		return p.percent()
+	}
+	exponent := min(max(weight/mean, leastExponent), mostExponent)
+	return int(fullPace * math.Pow(float64(p.percent())/fullPace, exponent))
+}
+
+// meanWeight returns the mean weight of the fillers present.
+func (a *Agent) meanWeight() float64 {
+	sum, n := 0.0, 0
+	for _, r := range a.runs {
+		if r.start.Filler && r.start.Weight > 0 {
+			sum += r.start.Weight
+			n++
+		}
+	}
+	return sum / float64(max(1, n))
+}
+
 // adjust paces the fillers after a look.
 func (a *Agent) adjust(now time.Time) {
 	if now.Sub(a.pace.at) < paceEvery {
@@ -66,9 +93,10 @@
 		return
 	}
 	a.log.Info("pace changes", "vm", a.vm.ID, "percent", a.pace.percent(), "worst", worst)
+	mean := a.meanWeight()
 	for k, r := range a.runs {
 		if r.start.Filler && r.present && !r.stopping {
-			a.callPace(k, a.pace.percent())
+			a.callPace(k, a.pace.share(r.start.Weight, mean))
 		}
 	}
 }
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -48,6 +48,7 @@
 	// agents names the VM that an agent's connection speaks for.
 	agents map[uint64]string
 	learn  durations
+	harm   harm
 	// out holds effects that may leave now, held those that wait for the next batch.
 	out, held []Effect
 	// flight is the batch on its way to the store.
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/book"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/plan"
 )
@@ -42,6 +43,7 @@
 			continue
 		}
 		v.room.Doubt, v.room.Probe = v.health.doubt(now), v.health.probe(now)
+		v.room.Harm = func(filler *model.Step) float64 { return l.harm.cost(v, filler) }
 		p.vms = append(p.vms, v)
 		p.room = append(p.room, &v.room)
 	}
@@ -181,19 +183,23 @@
 		o = &msgs.Orders{Epoch: p.l.epoch, VM: v.info.ID, Life: v.info.Life}
 		p.orders[v.info.ID] = o
 	}
-	o.Starts = append(o.Starts, p.l.startOf(it))
+	o.Starts = append(o.Starts, p.l.startOf(v, it))
 	p.starts++
 	p.l.stats.Started++
 	p.l.log.Info("task placed", "req", ref.Job, "task", ref.String(), "run", r.Number, "vm", v.info.ID,
 		"waited", p.now.Sub(e.Job.Accepted), "freeCPU", v.room.Free().CPU, "doubt", v.room.Doubt)
 }
 
-func (l *Leader) startOf(it *run) msgs.Start {
+func (l *Leader) startOf(v *vm, it *run) msgs.Start {
 	t := it.entry.Task(it.ref)
-	return msgs.Start{
+	start := msgs.Start{
 		Task: it.ref.String(), Run: it.number, Payload: it.entry.Job.Payload, Checkpoint: t.Checkpoint,
 		Image: it.step.Image, Filler: it.step.Filler, Lasting: it.step.Lasting, Target: it.step.Target,
 	}
+	if it.step.Filler {
+		start.Weight = l.harm.weight(v, it.step)
+	}
+	return start
 }
 
 // failedOn returns the VMs on which a task failed.
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -74,12 +74,13 @@
 		}
 		l.book.Checkpoint(it.ref, row.Run, row.Checkpoint)
 	}
+	l.harm.observe(now, v, b.Rows)
 	orders := &msgs.Orders{Epoch: l.epoch, VM: v.info.ID, Life: v.info.Life, Stops: stops}
 	if b.Synced {
 		for _, it := range v.runs {
 			if !it.stopped && !it.entry.State.Ended() {
 				// The agent starts what is missing and learns what the rest is for.
-				orders.Starts = append(orders.Starts, l.startOf(it))
+				orders.Starts = append(orders.Starts, l.startOf(v, it))
 			}
 		}
 		l.endSurplus(now, v, present)
--- a/internal/jobs/msgs/agent.go
+++ b/internal/jobs/msgs/agent.go
@@ -31,7 +31,8 @@
 	Run  uint32
 	// Checkpoint is the latest saved progress.
 	Checkpoint string
-	// Percent is the pace of the run.
+	// Percent is how much of its work the run has done; of a lasting run, 100 once it
+	// is at work.
 	Percent int
 	// Measure is the tail latency in milliseconds of tasks that serve, and the
 	// processors in use, in thousandths, of all others.
@@ -122,6 +123,8 @@
 	Lasting bool
 	Target  time.Duration
 	Ticket  string
+	// Weight is how heavily a filler is expected to press on the VM's lasting tasks.
+	Weight float64
 }
 
 // Stop orders the end of one run, also of one that has not started.
--- a/internal/jobs/plan/choose.go
+++ b/internal/jobs/plan/choose.go
@@ -12,8 +12,6 @@
 	// stay free for fillers; fillingCost keeps them off VMs with fillers.
 	freshCost   = 4
 	fillingCost = 4
-	// besideCost keeps fillers away from lasting tasks, which they disturb.
-	besideCost = 1
 	// avoidCost makes VMs on which the task failed the last resort.
 	avoidCost = 100
 	// doubtCost weighs a VM's failures and slowness.
@@ -48,8 +46,8 @@
 			cost += freshCost
 		}
 	}
-	if t.Step.Filler {
-		cost += besideCost * float64(v.Lasting)
+	if t.Step.Filler && v.Harm != nil {
+		cost += v.Harm(t.Step)
 	}
 	if slices.Contains(t.Avoid, v.ID) {
 		cost += avoidCost
--- a/internal/jobs/plan/vm.go
+++ b/internal/jobs/plan/vm.go
@@ -43,6 +43,8 @@
 	Probe bool
 	// Runs is the number of runs that may be present.
 	Runs int
+	// Harm returns what a filler costs the lasting tasks on the VM; nil is nothing.
+	Harm func(filler *model.Step) float64
 }
 
 // Add accounts for a run of a step, Remove takes it back.
