--- a/internal/run/agent/agent.go
+++ b/internal/run/agent/agent.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,10 +34,8 @@
 	core *exec.Agent
 	// conn is the connection to the leader, nil if there is none.
 	conn *peer.Conn
-	// entries are the addresses of all entries known, leader the one that leads, as
-	// far as known.
+	// entries are the addresses of all entries known, sorted.
 	entries []netip.AddrPort
-	leader  netip.AddrPort
 	// cancelLook ends the look that is under way.
 	cancelLook context.CancelFunc
 }
@@ -111,3 +110,20 @@
 	case <-time.After(d):
 	}
 }
+
+// Reseed learns of entries at further addresses.
+func (a *Agent) Reseed(seeds proc.Seeds) { a.meet(seeds.At(a.cfg.PeerPort)...) }
+
+// meet notes the addresses of entries.
+func (a *Agent) meet(addrs ...netip.AddrPort) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.entries = elect.Merge(a.entries, netip.AddrPort{}, addrs...)
+}
+
+// known returns the addresses of all entries known.
+func (a *Agent) known() []netip.AddrPort {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Clone(a.entries)
+}
--- a/internal/run/agent/leader.go
+++ b/internal/run/agent/leader.go
@@ -29,20 +29,21 @@
 // connect stays connected to the leader until the agent ends.
 func (a *Agent) connect() {
 	silent := 0
+	var leader netip.AddrPort
 	for a.ctx.Err() == nil {
-		if a.leader.IsValid() {
-			if a.attend(a.leader) {
+		if leader.IsValid() {
+			if a.attend(leader) {
 				continue
 			}
-			a.leader = netip.AddrPort{}
+			leader = netip.AddrPort{}
 		}
-		answers := peer.Survey(a.ctx, a.entries, a.greeting())
+		answers := peer.Survey(a.ctx, a.known(), a.greeting())
 		s := elect.Survey{Answers: answers}
 		if addr, epoch, claimed := s.Leader(); addr.IsValid() && (claimed || epoch >= a.epoch()) {
-			a.leader = addr
+			leader = addr
 		}
 		for _, w := range answers {
-			a.entries = elect.Merge(a.entries, netip.AddrPort{}, w.Entries...)
+			a.meet(w.Entries...)
 		}
 		if silent++; len(answers) > 0 {
 			silent = 0
@@ -50,7 +51,7 @@
 		if silent%storeAfter == storeAfter-1 {
 			a.readEntries()
 		}
-		if !a.leader.IsValid() || len(answers) == 0 {
+		if !leader.IsValid() || len(answers) == 0 {
 			a.pause(roundEvery)
 		}
 	}
@@ -82,7 +83,7 @@
 			}
 		})
 	}
-	a.entries = elect.Merge(a.entries, netip.AddrPort{}, w.Entries...)
+	a.meet(w.Entries...)
 	if !joined {
 		return false
 	}
@@ -140,6 +141,6 @@
 			a.log.Warn("ignored the address of an entry", "node", r.Key, "err", err)
 			continue
 		}
-		a.entries = elect.Merge(a.entries, netip.AddrPort{}, addr)
+		a.meet(addr)
 	}
 }
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -198,3 +198,8 @@
 
 // jitter returns a random time up to d.
 func jitter(d time.Duration) time.Duration { return rand.N(d) }
+
+// Reseed learns of entries at further addresses.
+func (e *Entry) Reseed(seeds proc.Seeds) {
+	e.post(func() { e.entries = elect.Merge(e.entries, e.cfg.Peers, seeds.At(e.cfg.Peers.Port())...) })
+}
--- a/internal/tool/cmds/placed.go
+++ b/internal/tool/cmds/placed.go
@@ -8,12 +8,15 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
 	"github.com/ebonyarch/ebonyarch/internal/base/logs"
+	"github.com/ebonyarch/ebonyarch/internal/conf/jsonc"
 	"github.com/ebonyarch/ebonyarch/internal/conf/proc"
 	"github.com/ebonyarch/ebonyarch/internal/run/agent"
 	"github.com/ebonyarch/ebonyarch/internal/run/entry"
@@ -61,14 +64,10 @@
 }
 
 func (r *root) runJobEntry(ctx context.Context, file string) error {
-	data, err := readSettings(file)
+	cfg, err := loadJobEntry(file)
 	if err != nil {
 		return err
 	}
-	cfg, faults := proc.ParseJobEntry(file, data)
-	if len(faults) > 0 {
-		return codes.Wrap(faults.Err(), codes.SettingsInvalid, "settings have faults")
-	}
 	log, flush, err := r.placedLog()
 	if err != nil {
 		return err
@@ -95,6 +94,13 @@
 	log.Info("entry starts", "version", Version, "callers", cfg.Callers.String(), "peers", cfg.Peers.String(), "store", cfg.Store.String())
 	ctx, stop := signalContext(ctx)
 	defer stop()
+	go reloadOnSignal(ctx, log, func() error {
+		next, err := loadJobEntry(file)
+		if err == nil {
+			e.Reseed(next.Seeds)
+		}
+		return err
+	})
 	go func() {
 		<-ctx.Done()
 		log.Info("entry stops", "leaveAfter", leaveAfter)
@@ -113,14 +119,10 @@
 }
 
 func (r *root) runJobAgent(ctx context.Context, file string) error {
-	data, err := readSettings(file)
+	cfg, err := loadJobAgent(file)
 	if err != nil {
 		return err
 	}
-	cfg, faults := proc.ParseJobAgent(file, data)
-	if len(faults) > 0 {
-		return codes.Wrap(faults.Err(), codes.SettingsInvalid, "settings have faults")
-	}
 	log, flush, err := r.placedLog()
 	if err != nil {
 		return err
@@ -134,6 +136,13 @@
 	log.Info("agent starts", "version", Version, "worker", cfg.Worker.String(), "registry", cfg.Registry.String())
 	ctx, stop := signalContext(ctx)
 	defer stop()
+	go reloadOnSignal(ctx, log, func() error {
+		next, err := loadJobAgent(file)
+		if err == nil {
+			a.Reseed(next.Seeds)
+		}
+		return err
+	})
 	go func() {
 		<-ctx.Done()
 		log.Info("agent stops")
@@ -166,3 +175,48 @@
 	}()
 	return s, nil
 }
+
+func loadJobEntry(file string) (proc.JobEntry, error) {
+	data, err := readSettings(file)
+	if err != nil {
+		return proc.JobEntry{}, err
+	}
+	cfg, faults := proc.ParseJobEntry(file, data)
+	return cfg, settingsError(faults)
+}
+
+func loadJobAgent(file string) (proc.JobAgent, error) {
+	data, err := readSettings(file)
+	if err != nil {
+		return proc.JobAgent{}, err
+	}
+	cfg, faults := proc.ParseJobAgent(file, data)
+	return cfg, settingsError(faults)
+}
+
+func settingsError(faults jsonc.Faults) error {
+	if len(faults) == 0 {
+		return nil
+	}
+	return codes.Wrap(faults.Err(), codes.SettingsInvalid, "settings have faults")
+}
+
+// reloadOnSignal reads the settings anew at each SIGHUP until ctx is done. Settings
+// with faults change nothing.
+func reloadOnSignal(ctx context.Context, log *slog.Logger, reload func() error) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		if err := reload(); err != nil {
+			log.Error("settings not reloaded", "err", err)
+			continue
+		}
+		log.Info("settings reloaded")
+	}
+}
