plan, lead: pack lasting tasks, pace fillers by learned pairs

Cause: with lasting tasks spread, each VM had one at the crest of its own load at any moment, so its fillers stood still.

--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -54,7 +54,6 @@
 	seq   uint64
 	// absentSince is since when no process listens at the worker's address.
 	absentSince time.Time
-	pace        pacer
 	calls       []Call
 	out         []*msgs.Message
 }
@@ -183,7 +182,6 @@
 func (a *Agent) forget() {
 	a.runs = map[key]*run{}
 	a.ends, a.seen, a.deadline = nil, 0, 0
-	a.pace = pacer{}
 	a.absentSince = time.Time{}
 }
 
--- a/internal/jobs/exec/look.go
+++ b/internal/jobs/exec/look.go
@@ -68,7 +68,6 @@
 	if fresh {
 		a.report()
 	}
-	a.adjust(now)
 }
 
 // sync tells a new leader all that runs and has ended.
--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -8,6 +8,9 @@
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 )
 
+// fullPace is the pace at which a worker starts a run, in percent.
+const fullPace = 100
+
 // retryAfter spaces the tries of a call that was not answered.
 const retryAfter = 30 * time.Millisecond
 
@@ -24,6 +27,26 @@
 	for _, s := range o.Stops {
 		a.stop(key{s.Task, s.Run})
 	}
+	for _, p := range o.Paces {
+		a.pace(key{p.Task, p.Run}, p.Percent)
+	}
+}
+
+// pace sets the pace of a run, now or once it has started.
+func (a *Agent) pace(k key, percent int) {
+	r := a.runs[k]
+	if r == nil || r.stopping {
+		return
+	}
+	r.start.Percent = percent
+	if r.present {
+		a.callPace(k, percent)
+	}
+}
+
+func (a *Agent) callPace(k key, percent int) {
+	order := a.order(k)
+	a.calls = append(a.calls, Call{Life: a.vm.Life, Pace: &order, Percent: percent})
 }
 
 func (a *Agent) start(now time.Time, s msgs.Start) {
@@ -45,7 +68,7 @@
 		a.lose(k, "the VM has no lease")
 		return
 	}
-	a.runs[k] = &run{start: s, row: msgs.Row{Percent: fullPace}}
+	a.runs[k] = &run{start: s}
 	a.callStart(now, k, 0)
 }
 
@@ -115,8 +138,8 @@
 func (a *Agent) started(k key, r *run) {
 	r.present = true
 	a.log.Info("run started", "task", k.task, "run", k.number, "vm", a.vm.ID, "tries", r.tries, "epoch", a.epoch)
-	if r.start.Filler && a.pace.percent() < fullPace {
-		a.callPace(k, a.pace.share(r.start.Weight, a.meanWeight()))
+	if r.start.Percent < fullPace {
+		a.callPace(k, r.start.Percent)
 	}
 }
 
--- a/internal/jobs/lead/harm.go
+++ b/internal/jobs/lead/harm.go
@@ -1,89 +1,168 @@
 package lead
 
 import (
+	"math"
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
-	"github.com/ebonyarch/ebonyarch/internal/sched/learn"
 )
 
 const (
-	// coresUnit is the work of fillers that the model counts as one, in thousandths of
-	// a processor.
-	coresUnit = 5000
-	// firstRest is the utilization assumed of a lasting task without fillers.
-	firstRest = 0.45
-	// restRate is the weight of a new measurement of that.
-	restRate = 0.01
-	// leastShare is the tail latency of an idle task as a part of the least that was
-	// measured, firstLeast that least as a part of the target before it was.
-	leastShare, firstLeast = 0.75, 0.25
+	// firstPress is what a core's work of a filler is assumed to add to the utilization
+	// of a lasting task; mostPress bounds what is learned.
+	firstPress, mostPress = 0.01, 0.08
+	// pressRate is the weight of a new measurement.
+	pressRate = 0.3
+	// leastChange is the change of a VM's fillers, in cores, that is learned from.
+	leastChange = 1.0
+	// saturated is the utilization from which latency no longer tells how much more
+	// there is.
+	saturated = 0.96
+	// firstOwn is the utilization assumed of a lasting task without fillers.
+	firstOwn = 0.45
+	// idleShare is the tail latency of an idle task as a part of the least that was
+	// measured, idleTarget the most that it is believed to be of the target.
+	idleShare, idleTarget = 0.75, 0.2
+	// aimedShare is the part of its target up to which fillers may take a task's
+	// latency.
+	aimedShare = 0.7
 	// settled is the age from which a lasting task's latency is believed.
 	settled = 2 * time.Second
-	// tolerated is the utilization up to which fillers count little: beyond it a swing
-	// of the task's own load may take it over its target.
-	tolerated = 0.66
-	// overCost weighs what is beyond.
+	// tolerated is the distance from the aim at which fillers count little.
+	tolerated = 0.1
+	// overCost weighs what is nearer.
 	overCost = 8.0
 	// harmCost weighs the disturbance of lasting tasks against even use of VMs.
-	harmCost = 4.0
+	harmCost = 12.0
 )
 
 // harm learns how much fillers of each image disturb lasting tasks of each image.
+//
 // Tail latency grows without bound as a task nears what its VM gives it, so what is
-// learned is utilization, to which each neighbour adds its part. Its zero value
-// assumes the same of all.
+// learned is utilization, to which each neighbour adds its part. A task's own load
+// swings slowly, while fillers come and go at once: the parts are learned from the
+// changes between two measurements. The zero value assumes the same of all.
 type harm struct {
-	pairs learn.Model
-	// least is the least tail latency measured of an image, rest its mean utilization
-	// without fillers.
+	// parts holds what a core's work of a filler adds, by images.
+	parts map[imagePair]float64
+	// least is the least tail latency measured of an image, in milliseconds.
 	least map[string]float64
-	rest  map[string]float64
+}
+
+type imagePair struct {
+	lasting, filler string
+}
+
+// sample is what was measured of a lasting run last.
+type sample struct {
+	// used is the utilization, own the part of it that no filler explains.
+	used, own float64
+	// cores is the work of fillers beside it, by image.
+	cores map[string]float64
+}
+
+func (h *harm) part(lasting, filler string) float64 {
+	if p, ok := h.parts[imagePair{lasting, filler}]; ok {
+		return p
+	}
+	return firstPress
 }
 
 // observe takes the measurements of a VM.
 func (h *harm) observe(now time.Time, v *vm, rows []msgs.Row) {
-	var loads []learn.Load
+	cores := map[string]float64{}
 	for _, row := range rows {
-		if it := v.runs[runKey{row.Task, row.Run}]; it != nil && it.step.Filler && row.Measure > 0 {
-			loads = append(loads, learn.Load{Kind: it.step.Image, Share: float64(row.Measure) / coresUnit})
+		if it := v.runs[runKey{row.Task, row.Run}]; it != nil && it.step.Filler {
+			cores[it.step.Image] += coresOf(row)
 		}
 	}
 	for _, row := range rows {
 		it := v.runs[runKey{row.Task, row.Run}]
-		if it == nil || it.step.Target <= 0 || row.Measure <= 0 || now.Sub(it.since) < settled {
-			continue
+		if it != nil && it.step.Target > 0 && row.Measure > 0 && now.Sub(it.since) > settled {
+			h.measure(it, float64(row.Measure), cores)
 		}
-		h.measure(now, it.step, float64(row.Measure), loads)
 	}
 }
 
-func (h *harm) measure(now time.Time, s *model.Step, tail float64, loads []learn.Load) {
+// coresOf returns the processors that a run uses.
+func coresOf(row msgs.Row) float64 { return float64(row.Measure) / 1000 }
+
+func (h *harm) measure(it *run, tail float64, cores map[string]float64) {
 	if h.least == nil {
-		h.least, h.rest = map[string]float64{}, map[string]float64{}
+		h.least, h.parts = map[string]float64{}, map[imagePair]float64{}
+	}
+	image := it.step.Image
+	if least, ok := h.least[image]; !ok || tail < least {
+		h.least[image] = tail
+	}
+	s := sample{used: h.used(it.step, tail), cores: cores}
+	if last := it.last; last != nil && s.used < saturated && last.used < saturated {
+		h.learn(image, s, *last)
+	}
+	s.own = s.used
+	for f, c := range cores {
+		s.own -= c * h.part(image, f)
+	}
+	s.own = max(0, s.own)
+	it.last = &s
+}
+
+// learn corrects the parts by the change between two samples, by normalized least
+// mean squares.
+func (h *harm) learn(image string, s, last sample) {
+	changes := map[string]float64{}
+	for f, c := range s.cores {
+		changes[f] = c
+	}
+	for f, c := range last.cores {
+		changes[f] -= c
 	}
-	least, ok := h.least[s.Image]
-	if !ok {
-		least, h.rest[s.Image] = firstLeast*float64(s.Target.Milliseconds()), firstRest
+	missing, norm := s.used-last.used, 0.0
+	for f, c := range changes {
+		missing -= c * h.part(image, f)
+		norm += c * c
 	}
-	least = min(least, tail)
-	h.least[s.Image] = least
-	used := 1 - leastShare*least/tail
-	if len(loads) > 0 {
-		h.pairs.Measure(now, s.Image, loads, max(0, used-h.rest[s.Image]))
+	if math.Sqrt(norm) < leastChange {
+		return
 	}
-	rest := used
-	for _, l := range loads {
-		rest -= h.pairs.Slowdown(s.Image, l.Kind) * l.Share
+	for f, c := range changes {
+		p := h.part(image, f) + pressRate*missing*c/norm
+		h.parts[imagePair{image, f}] = min(max(0, p), mostPress)
 	}
-	h.rest[s.Image] += (max(0, rest) - h.rest[s.Image]) * restRate
+}
+
+// idle returns the tail latency in milliseconds of a step's task without load.
+func (h *harm) idle(s *model.Step) float64 {
+	idle := idleTarget * float64(s.Target.Milliseconds())
+	if least, ok := h.least[s.Image]; ok {
+		idle = min(idle, idleShare*least)
+	}
+	return idle
+}
+
+// used returns the utilization that a tail latency in milliseconds tells.
+func (h *harm) used(s *model.Step, tail float64) float64 {
+	return max(0, 1-h.idle(s)/max(tail, 1))
+}
+
+// aim returns the utilization up to which fillers may take a step's tasks.
+func (h *harm) aim(s *model.Step) float64 {
+	return 1 - h.idle(s)/(aimedShare*float64(s.Target.Milliseconds()))
+}
+
+// own returns the utilization of a lasting run without fillers.
+func (it *run) own() float64 {
+	if it.last == nil {
+		return firstOwn
+	}
+	return it.last.own
 }
 
 // press returns how much a filler of a step adds to the utilization of a lasting
-// task.
+// task at full pace.
 func (h *harm) press(lasting, filler *model.Step) float64 {
-	return h.pairs.Slowdown(lasting.Image, filler.Image) * float64(filler.Size.CPU) / coresUnit
+	return h.part(lasting.Image, filler.Image) * float64(filler.Size.CPU) / 1000
 }
 
 // cost returns what a filler costs the lasting tasks on a VM.
@@ -93,28 +172,15 @@
 		if !it.step.Lasting || it.step.Target <= 0 {
 			continue
 		}
-		used := firstRest
-		if rest, ok := h.rest[it.step.Image]; ok {
-			used = rest
-		}
+		used := it.own()
 		for _, other := range v.runs {
 			if other.step.Filler {
 				used += h.press(it.step, other.step)
 			}
 		}
+		limit := h.aim(it.step) - tolerated
 		adds := h.press(it.step, filler)
-		cost += adds + overCost*(max(0, used+adds-tolerated)-max(0, used-tolerated))
+		cost += adds + overCost*(max(0, used+adds-limit)-max(0, used-limit))
 	}
 	return harmCost * cost
 }
-
-// weight returns how heavily a filler presses on the VM's most sensitive lasting task.
-func (h *harm) weight(v *vm, filler *model.Step) float64 {
-	weight := 0.0
-	for _, it := range v.runs {
-		if it.step.Lasting && it.step.Target > 0 {
-			weight = max(weight, h.press(it.step, filler))
-		}
-	}
-	return weight
-}
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -162,6 +162,9 @@
 }
 
 func (l *Leader) send(conn uint64, m *msgs.Message) {
+	if m == nil {
+		return
+	}
 	l.out = append(l.out, Effect{conn, m})
 }
 
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -178,28 +178,27 @@
 	ref := e.Ref(st, index)
 	r := p.l.book.Assign(e, ref, v.info.ID, v.info.Life, number)
 	it := v.add(e, ref, r, p.now)
+	if it.step.Filler {
+		it.percent = p.l.harm.firstPace(v, it)
+	}
 	o := p.orders[v.info.ID]
 	if o == nil {
 		o = &msgs.Orders{Epoch: p.l.epoch, VM: v.info.ID, Life: v.info.Life}
 		p.orders[v.info.ID] = o
 	}
-	o.Starts = append(o.Starts, p.l.startOf(v, it))
+	o.Starts = append(o.Starts, startOf(it))
 	p.starts++
 	p.l.stats.Started++
 	p.l.log.Info("task placed", "req", ref.Job, "task", ref.String(), "run", r.Number, "vm", v.info.ID,
 		"waited", p.now.Sub(e.Job.Accepted), "freeCPU", v.room.Free().CPU, "doubt", v.room.Doubt)
 }
 
-func (l *Leader) startOf(v *vm, it *run) msgs.Start {
+func startOf(it *run) msgs.Start {
 	t := it.entry.Task(it.ref)
-	start := msgs.Start{
+	return msgs.Start{
 		Task: it.ref.String(), Run: it.number, Payload: it.entry.Job.Payload, Checkpoint: t.Checkpoint,
-		Image: it.step.Image, Filler: it.step.Filler, Lasting: it.step.Lasting, Target: it.step.Target,
-	}
-	if it.step.Filler {
-		start.Weight = l.harm.weight(v, it.step)
+		Percent: it.percent,
 	}
-	return start
 }
 
 // failedOn returns the VMs on which a task failed.
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -80,11 +80,12 @@
 		for _, it := range v.runs {
 			if !it.stopped && !it.entry.State.Ended() {
 				// The agent starts what is missing and learns what the rest is for.
-				orders.Starts = append(orders.Starts, l.startOf(v, it))
+				orders.Starts = append(orders.Starts, startOf(it))
 			}
 		}
 		l.endSurplus(now, v, present)
 	}
+	l.send(v.conn, l.paces(v, b.Rows))
 	if len(orders.Starts)+len(orders.Stops) > 0 {
 		l.hold(v.conn, &msgs.Message{Orders: orders})
 	}
--- a/internal/jobs/lead/vm.go
+++ b/internal/jobs/lead/vm.go
@@ -43,6 +43,10 @@
 	since   time.Time
 	step    *model.Step
 	stopped bool
+	// percent is the pace that the run was given last.
+	percent int
+	// last is what was measured last of a lasting run, nil before.
+	last *sample
 }
 
 func newVM(info msgs.VM) *vm {
@@ -59,7 +63,7 @@
 }
 
 func (v *vm) add(e *book.Entry, ref model.TaskRef, r book.Run, now time.Time) *run {
-	it := &run{entry: e, ref: ref, number: r.Number, life: r.Life, since: now, step: &e.Job.Steps[ref.Step]}
+	it := &run{entry: e, ref: ref, number: r.Number, life: r.Life, since: now, step: &e.Job.Steps[ref.Step], percent: fullPace}
 	v.runs[runKey{ref.String(), r.Number}] = it
 	v.room.Add(stageKey(ref), it.step)
 	return it
--- a/internal/jobs/msgs/agent.go
+++ b/internal/jobs/msgs/agent.go
@@ -117,14 +117,9 @@
 	Run        uint32
 	Payload    string
 	Checkpoint string
-	Image      string
-	// Filler, Lasting and Target are the step's, for pacing beside services.
-	Filler  bool
-	Lasting bool
-	Target  time.Duration
-	Ticket  string
-	// Weight is how heavily a filler is expected to press on the VM's lasting tasks.
-	Weight float64
+	Ticket     string
+	// Percent is the pace at which the run begins.
+	Percent int
 }
 
 // Stop orders the end of one run, also of one that has not started.
@@ -134,6 +129,14 @@
 	Run  uint32
 }
 
+// Pace lets a run go on at a share of its speed.
+type Pace struct {
+	_       struct{} `cbor:",toarray"`
+	Task    string
+	Run     uint32
+	Percent int
+}
+
 // Orders is what the leader wants of a VM.
 type Orders struct {
 	_      struct{} `cbor:",toarray"`
@@ -142,4 +145,5 @@
 	Life   int64
 	Starts []Start
 	Stops  []Stop
+	Paces  []Pace
 }
--- a/internal/jobs/plan/choose.go
+++ b/internal/jobs/plan/choose.go
@@ -6,12 +6,13 @@
 const (
 	// remoteCost keeps tasks near their data as long as any of it has room.
 	remoteCost = 4
-	// crowdCost spreads the lasting tasks of one step.
-	crowdCost = 8
-	// freshCost keeps lasting tasks of different steps together, so that other VMs
-	// stay free for fillers; fillingCost keeps them off VMs with fillers.
-	freshCost   = 4
-	fillingCost = 4
+	// crowdCost spreads the lasting tasks of one step a little.
+	crowdCost = 0.1
+	// fillingCost keeps lasting tasks off VMs with fillers.
+	fillingCost = 0.5
+	// besideBonus draws tasks that disturb nobody to VMs with lasting tasks, so that
+	// other VMs stay free for fillers.
+	besideBonus = 1
 	// avoidCost makes VMs on which the task failed the last resort.
 	avoidCost = 100
 	// doubtCost weighs a VM's failures and slowness.
@@ -34,20 +35,27 @@
 }
 
 func (v *VM) cost(t *Task) float64 {
-	left := float64(v.spare()+v.Unused-t.Step.Size.CPU) / float64(max(1, v.Capacity.CPU))
-	cost := -left + doubtCost*v.Doubt
-	if t.Step.Rack != "" && !slices.Contains(v.Labels, t.Step.Rack) {
-		cost += remoteCost
-	}
-	if t.Step.Lasting {
-		cost += crowdCost * float64(v.Stages[t.Key])
-		cost += fillingCost * float64(v.Filling) / float64(max(1, v.Capacity.CPU))
-		if v.Lasting == 0 {
-			cost += freshCost
+	capacity := float64(max(1, v.Capacity.CPU))
+	left := float64(v.spare()+v.Unused-t.Step.Size.CPU) / capacity
+	cost := doubtCost * v.Doubt
+	switch {
+	case t.Step.Lasting:
+		// Lasting tasks fill one VM after the other.
+		cost += float64(v.Free().CPU-t.Step.Size.CPU)/capacity + crowdCost*float64(v.Stages[t.Key])
+		cost += fillingCost * float64(v.Filling) / capacity
+	case t.Step.Filler:
+		cost -= left
+		if v.Harm != nil {
+			cost += v.Harm(t.Step)
+		}
+	default:
+		cost -= left
+		if v.Lasting > 0 {
+			cost -= besideBonus
 		}
 	}
-	if t.Step.Filler && v.Harm != nil {
-		cost += v.Harm(t.Step)
+	if t.Step.Rack != "" && !slices.Contains(v.Labels, t.Step.Rack) {
+		cost += remoteCost
 	}
 	if slices.Contains(t.Avoid, v.ID) {
 		cost += avoidCost
