lead: an agent's earlier workers are over when it announces another

Cause: after a loss of power workers come back under new ids, and the runs of the old ids were waited out for 15 s. The agent's name is kept with each run now.

--- a/internal/jobs/book/runs.go
+++ b/internal/jobs/book/runs.go
@@ -8,14 +8,15 @@
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 )
 
-// Assign gives a task a new run on a VM and returns it. number is the least that
-// the run may have, which gangs use to give all members the same; 0 is no bound.
-func (b *Book) Assign(e *Entry, ref model.TaskRef, vm string, life int64, number uint32) Run {
+// Assign gives a task a new run at a worker and returns it. at.Number is the least
+// number that the run may have, which gangs use to give all members the same; 0 is
+// no bound.
+func (b *Book) Assign(e *Entry, ref model.TaskRef, at Run) Run {
 	st := e.Stage(ref)
 	t := &e.Tasks[st.First+ref.Index]
-	t.Last = max(t.Last+1, number)
-	run := Run{Number: t.Last, VM: vm, Life: life}
-	t.Runs = append(t.Runs, run)
+	t.Last = max(t.Last+1, at.Number)
+	at.Number = t.Last
+	t.Runs = append(t.Runs, at)
 	if i := slices.Index(st.Waiting, ref.Index); i >= 0 {
 		st.Waiting = slices.Delete(st.Waiting, i, i+1)
 	}
@@ -23,7 +24,7 @@
 		e.State = Running
 	}
 	b.touch(e)
-	return run
+	return at
 }
 
 // End records the end of a run and returns the run. It returns false if the book
--- a/internal/jobs/book/state.go
+++ b/internal/jobs/book/state.go
@@ -57,4 +57,6 @@
 	// VM and Life name the worker that has the order.
 	VM   string
 	Life int64
+	// Node is the agent beside the worker.
+	Node string
 }
--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -30,7 +30,9 @@
 // use.
 type Agent struct {
 	log *slog.Logger
-	vm  msgs.VM
+	// node is the agent's name.
+	node string
+	vm   msgs.VM
 	// present is set while the worker is believed to live.
 	present bool
 	// epoch is the highest leadership heard of, joined is set while its leader is
@@ -87,9 +89,9 @@
 	After time.Duration
 }
 
-// New returns an agent that knows nothing of its worker.
-func New(log *slog.Logger) *Agent {
-	return &Agent{log: log, runs: map[key]*run{}, beats: map[uint64]time.Time{}}
+// New returns the agent named node, which knows nothing of its worker.
+func New(node string, log *slog.Logger) *Agent {
+	return &Agent{node: node, log: log, runs: map[key]*run{}, beats: map[uint64]time.Time{}}
 }
 
 // Epoch returns the highest leadership heard of.
@@ -164,6 +166,7 @@
 		h.VM.Draining = true // a worker that drains never comes back in this life
 	}
 	a.vm = h.VM
+	a.vm.Node = a.node
 	if changed && a.synced {
 		a.beat(now, false)
 	}
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -82,7 +82,7 @@
 		for _, p := range e.Runs() {
 			v := l.vms[p.Run.VM]
 			if v == nil {
-				v = newVM(msgs.VM{ID: p.Run.VM, Life: p.Run.Life})
+				v = newVM(msgs.VM{ID: p.Run.VM, Life: p.Run.Life, Node: p.Run.Node})
 				v.until = now.Add(StoreSilence + leaseEnd(LeaseFor))
 				l.vms[p.Run.VM] = v
 			}
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -176,7 +176,7 @@
 // start gives a task to a VM.
 func (p *pass) start(e *book.Entry, st *book.Stage, index int, v *vm, number uint32) {
 	ref := e.Ref(st, index)
-	r := p.l.book.Assign(e, ref, v.info.ID, v.info.Life, number)
+	r := p.l.book.Assign(e, ref, book.Run{Number: number, VM: v.info.ID, Life: v.info.Life, Node: v.info.Node})
 	it := v.add(e, ref, r, p.now)
 	if it.step.Filler {
 		it.percent = p.l.harm.firstPace(v, it)
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -28,6 +28,7 @@
 		l.endLife(now, v, b.VM.Life, "the worker was started again")
 	}
 	l.describe(v, b.VM)
+	l.replaced(now, v)
 	v.conn, v.heardAt = conn, now
 	l.agents[conn] = b.VM.ID
 	if b.Synced {
@@ -49,6 +50,16 @@
 	v.describe(info)
 }
 
+// replaced gives up earlier workers beside a VM's agent: each had to end before the
+// next could listen at its address.
+func (l *Leader) replaced(now time.Time, v *vm) {
+	for _, other := range l.vms {
+		if other != v && other.info.Node != "" && other.info.Node == v.info.Node && other.info.Life < v.info.Life {
+			l.down(now, other, "another worker runs beside its agent")
+		}
+	}
+}
+
 // lease answers a beat while the store confirms that this entry leads.
 func (l *Leader) lease(now time.Time, conn uint64, v *vm, seq uint64) {
 	if l.StoreAge(now) > StoreSilence {
--- a/internal/jobs/msgs/agent.go
+++ b/internal/jobs/msgs/agent.go
@@ -20,6 +20,8 @@
 	// Draining VMs get no new work. Remaining is the least time left to them.
 	Draining  bool
 	Remaining time.Duration
+	// Node is the agent's name. One worker at a time runs beside an agent.
+	Node string
 	// Down is set once this life is over and everything in it has ended.
 	Down bool
 }
--- a/internal/run/agent/agent.go
+++ b/internal/run/agent/agent.go
@@ -45,7 +45,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Agent{
 		cfg: cfg, worker: worker, store: store, log: log, ctx: ctx, cancel: cancel,
-		stored: make(chan struct{}, 1), kicked: make(chan struct{}, 1), core: exec.New(log),
+		stored: make(chan struct{}, 1), kicked: make(chan struct{}, 1), core: exec.New(cfg.Name, log),
 		entries: elect.Merge(nil, netip.AddrPort{}, cfg.Seeds.At(cfg.PeerPort)...),
 	}
 }
