lead: move runs that would be done sooner elsewhere

Cause: a step waits for its slowest task; the median filler took 3 s, the slowest tenth 10 to 13 s, beside lasting tasks at the crest of their load. Moves keep the progress of tasks that save it.

--- a/internal/jobs/lead/health.go
+++ b/internal/jobs/lead/health.go
@@ -50,6 +50,13 @@
 	}
 }
 
+// slowed notes a run that is moved away because the VM is slow.
+func (h *health) slowed(it *run) {
+	if !it.step.Filler {
+		h.slow += (maxSlow - 1 - h.slow) * slowRate
+	}
+}
+
 // doubt weighs the VM against sound ones.
 func (h *health) doubt(time.Time) float64 {
 	doubt := float64(len(h.failed)) / suspectAfter
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -59,6 +59,7 @@
 	storeAt   time.Time
 	flushedAt time.Time
 	forgotAt  time.Time
+	movedAt   time.Time
 	// changed is set when waiting work might find room.
 	changed bool
 	log     *slog.Logger
@@ -141,6 +142,9 @@
 		l.book.Forget(now.Add(-keepEnded))
 		l.changed = true
 	}
+	if now.Sub(l.movedAt) > moveEvery {
+		l.changed = true
+	}
 	if l.slow(now) {
 		l.refuseStaged(now)
 	}
--- a/internal/jobs/lead/learn.go
+++ b/internal/jobs/lead/learn.go
@@ -53,6 +53,15 @@
 	return est
 }
 
+// whole returns the mean run time of a step of which a task has ended.
+func (d *durations) whole(e *book.Entry, step int) (time.Duration, bool) {
+	m := d.stages[plan.StageKey{Job: e.Job.ID, Step: step}]
+	if m == nil {
+		return 0, false
+	}
+	return time.Duration(m.value), true
+}
+
 func (d *durations) done(e *book.Entry, step int, took time.Duration) {
 	if d.ratio == nil || len(d.stages) > maxKnown {
 		d.ratio, d.stages = map[string]*mean{}, map[plan.StageKey]*mean{}
--- a/internal/jobs/lead/pace.go
+++ b/internal/jobs/lead/pace.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 )
 
@@ -111,7 +112,8 @@
 	}
 }
 
-// firstPace returns the pace at which a filler begins, by what is expected of it.
+// firstPace returns the pace at which a filler that a VM has been given begins, by
+// what is expected of it.
 func (h *harm) firstPace(v *vm, filler *run) int {
 	aims := map[*run]int{}
 	for _, it := range v.runs {
@@ -124,3 +126,12 @@
 	}
 	return fullPace
 }
+
+// pace returns the pace that a further filler would have on a VM.
+func (h *harm) pace(v *vm, filler *model.Step) int {
+	further := &run{step: filler, percent: fullPace}
+	key := runKey{}
+	v.runs[key] = further
+	defer delete(v.runs, key)
+	return h.firstPace(v, further)
+}
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -1,7 +1,6 @@
 package lead
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -34,11 +33,8 @@
 // place gives waiting work to VMs.
 func (l *Leader) place(now time.Time) {
 	work := l.waiting(now)
-	if len(work) == 0 {
-		return
-	}
 	p := &pass{l: l, now: now, orders: map[string]*msgs.Orders{}}
-	for _, v := range slices.SortedFunc(maps.Values(l.vms), func(a, b *vm) int { return cmp.Compare(a.info.ID, b.info.ID) }) {
+	for _, v := range l.sortedVMs() {
 		if !v.usable(now) {
 			continue
 		}
@@ -51,6 +47,7 @@
 	for i := range work {
 		p.stage(&work[i])
 	}
+	p.move()
 	for _, id := range slices.Sorted(maps.Keys(p.orders)) {
 		l.hold(l.vms[id].conn, &msgs.Message{Orders: p.orders[id]})
 	}
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -86,6 +86,7 @@
 		l.book.Checkpoint(it.ref, row.Run, row.Checkpoint)
 	}
 	l.harm.observe(now, v, b.Rows)
+	l.advance(now, v, b.Rows)
 	orders := &msgs.Orders{Epoch: l.epoch, VM: v.info.ID, Life: v.info.Life, Stops: stops}
 	if b.Synced {
 		for _, it := range v.runs {
--- a/internal/jobs/lead/vm.go
+++ b/internal/jobs/lead/vm.go
@@ -47,6 +47,8 @@
 	percent int
 	// last is what was measured last of a lasting run, nil before.
 	last *sample
+	// progress is how far the run is.
+	progress progress
 }
 
 func newVM(info msgs.VM) *vm {
--- a/internal/jobs/plan/vm.go
+++ b/internal/jobs/plan/vm.go
@@ -55,7 +55,7 @@
 
 // unusedShare is the part of a lasting task's processors that others may count on,
 // as a divisor: lasting tasks are sized for their peak.
-const unusedShare = 4
+const unusedShare = 2
 
 func (v *VM) change(key StageKey, s *model.Step, n int) {
 	if v.Stages == nil {
