lead: much batch work is not slowed for few lasting tasks

Cause: one lasting task at the crest of its load stopped up to 24 cores of fillers on its VM. They now yield when they weigh less than 8 cores for each task that they take over its target, and always after 2 s on end. Beliefs that a VM is slow fade.

--- a/internal/jobs/lead/health.go
+++ b/internal/jobs/lead/health.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"math"
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
@@ -17,6 +18,8 @@
 	slowFrom = 1.5
 	// slowRate is the weight of a new run time.
 	slowRate = 0.3
+	// fadeSeconds is the time in which a belief of slowness fades to a third.
+	fadeSeconds = 4.0
 	// maxSlow bounds what one run says of a VM.
 	maxSlow = 8.0
 )
@@ -28,6 +31,8 @@
 	until  time.Time
 	// slow is the mean of run time by expected run time, less 1.
 	slow float64
+	// slowAt is when that was measured last.
+	slowAt time.Time
 }
 
 func (h *health) ended(now time.Time, it *run, outcome msgs.Outcome, expected time.Duration) {
@@ -37,7 +42,9 @@
 		h.until = time.Time{}
 		if !it.step.Filler && expected > 0 {
 			ratio := min(float64(now.Sub(it.since))/float64(expected), maxSlow)
+			h.slow = h.slowness(now)
 			h.slow += (ratio - 1 - h.slow) * slowRate
+			h.slowAt = now
 		}
 	case msgs.Failed:
 		if h.failed == nil {
@@ -51,17 +58,28 @@
 }
 
 // slowed notes a run that is moved away because the VM is slow.
-func (h *health) slowed(it *run) {
+func (h *health) slowed(now time.Time, it *run) {
 	if !it.step.Filler {
+		h.slow = h.slowness(now)
 		h.slow += (maxSlow - 1 - h.slow) * slowRate
+		h.slowAt = now
 	}
 }
 
+// slowness returns how slow the VM is believed to be; the belief fades, so that a VM
+// that recovered is tried again.
+func (h *health) slowness(now time.Time) float64 {
+	if h.slowAt.IsZero() {
+		return 0
+	}
+	return h.slow * math.Exp(-now.Sub(h.slowAt).Seconds()/fadeSeconds)
+}
+
 // doubt weighs the VM against sound ones.
-func (h *health) doubt(time.Time) float64 {
+func (h *health) doubt(now time.Time) float64 {
 	doubt := float64(len(h.failed)) / suspectAfter
-	if h.slow > slowFrom-1 {
-		doubt += h.slow
+	if slow := h.slowness(now); slow > slowFrom-1 {
+		doubt += slow
 	}
 	return doubt
 }
--- a/internal/jobs/lead/pace.go
+++ b/internal/jobs/lead/pace.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
@@ -11,6 +12,12 @@
 const (
 	// fullPace is the pace of runs that nothing slows, in percent.
 	fullPace = 100
+	// coresPerService is how much batch work, in cores, weighs as much as one lasting
+	// task's being within its target.
+	coresPerService = 8.0
+	// overFor is how long a lasting task may be over its target on end before its
+	// fillers yield whatever they weigh.
+	overFor = 2 * time.Second
 	// leastPace is the pace below which a filler stands still, in percent.
 	leastPace = 4
 	// paceChange is the least change that is worth a call, in percent.
@@ -26,27 +33,92 @@
 	now, full float64
 }
 
+// demand is what a lasting task needs of the fillers beside it.
+type demand struct {
+	presses []press
+	// budget is what the fillers may add to its utilization.
+	budget float64
+	// over is set if full pace would take the task over its target, must if it has been
+	// over for too long.
+	over, must bool
+}
+
 // paces sets the pace of a VM's fillers by what was measured, and returns the orders
 // that this takes, nil if none. It answers noisy neighbours that come in waves: each
-// filler may press equally much, so light ones go on while heavy ones are slowed.
-func (l *Leader) paces(v *vm, rows []msgs.Row) *msgs.Message {
+// filler may press equally much, so light ones go on while heavy ones are slowed. Much
+// batch work is not slowed for few lasting tasks unless these are over their targets
+// for long.
+func (l *Leader) paces(now time.Time, v *vm, rows []msgs.Row) *msgs.Message {
 	cores := map[runKey]float64{}
 	for _, row := range rows {
 		cores[runKey{row.Task, row.Run}] = coresOf(row)
 	}
-	aims := map[*run]int{}
+	var demands []demand
+	over := 0
 	for _, row := range rows {
 		it := v.runs[runKey{row.Task, row.Run}]
 		if it == nil || it.step.Target <= 0 || row.Measure <= 0 {
 			continue
 		}
-		presses := l.harm.presses(v, it, cores)
-		own := l.harm.used(it.step, float64(row.Measure))
-		for _, p := range presses {
-			own -= p.now
+		d := l.harm.demand(now, v, it, float64(row.Measure), cores)
+		if d.over {
+			over++
+		}
+		demands = append(demands, d)
+	}
+	yield := v.fillerCores(cores) <= coresPerService*float64(over)
+	aims := map[*run]int{}
+	for _, d := range demands {
+		if d.must || (d.over && yield) {
+			share(d.presses, d.budget, aims)
 		}
-		share(presses, l.harm.aim(it.step)-max(0, own), aims)
 	}
+	return l.paceOrders(v, aims)
+}
+
+// demand returns what a lasting task with a tail latency, in milliseconds, needs.
+func (h *harm) demand(now time.Time, v *vm, it *run, tail float64, cores map[runKey]float64) demand {
+	target := float64(it.step.Target.Milliseconds())
+	if tail < target {
+		it.overSince = time.Time{}
+	} else if it.overSince.IsZero() {
+		it.overSince = now
+	}
+	d := demand{presses: h.presses(v, it, cores)}
+	own, full := h.used(it.step, tail), 0.0
+	for _, p := range d.presses {
+		own -= p.now
+		full += p.full
+	}
+	d.budget = h.aim(it.step) - max(0, own)
+	d.over = full > d.budget
+	d.must = !it.overSince.IsZero() && now.Sub(it.overSince) > overFor
+	return d
+}
+
+// fillerCores returns the processors that a VM's fillers would use at full pace.
+func (v *vm) fillerCores(cores map[runKey]float64) float64 {
+	sum := 0.0
+	for key, it := range v.runs {
+		if it.step.Filler && !it.stopped {
+			sum += it.fullCores(cores[key])
+		}
+	}
+	return sum
+}
+
+// fullCores returns the processors that a filler would use at full pace, by what it
+// uses at its present one.
+func (it *run) fullCores(cores float64) float64 {
+	full := float64(it.step.Size.CPU) / 1000
+	if it.percent > leastPace && cores > 0 {
+		full = min(full, cores*fullPace/float64(it.percent))
+	}
+	return full
+}
+
+// paceOrders sets the fillers' paces to the aims; those without one go at full pace.
+func (l *Leader) paceOrders(v *vm, aims map[*run]int) *msgs.Message {
 	var list []msgs.Pace
 	for key, it := range v.runs {
 		aim, slowed := aims[it]
@@ -78,11 +150,7 @@
 			continue
 		}
 		weight := h.part(lasting.step.Image, it.step.Image)
-		full := float64(it.step.Size.CPU) / 1000
-		if c := cores[key]; it.percent > leastPace && c > 0 {
-			full = min(full, c*fullPace/float64(it.percent))
-		}
-		list = append(list, press{it, weight * cores[key], weight * full})
+		list = append(list, press{it, weight * cores[key], weight * it.fullCores(cores[key])})
 	}
 	slices.SortFunc(list, func(a, b press) int {
 		if c := cmp.Compare(a.full, b.full); c != 0 {
@@ -116,11 +184,24 @@
 // what is expected of it.
 func (h *harm) firstPace(v *vm, filler *run) int {
 	aims := map[*run]int{}
+	over := 0
 	for _, it := range v.runs {
-		if it.step.Lasting && it.step.Target > 0 {
-			share(h.presses(v, it, nil), h.aim(it.step)-it.own(), aims)
+		if !it.step.Lasting || it.step.Target <= 0 {
+			continue
+		}
+		presses, full := h.presses(v, it, nil), 0.0
+		for _, p := range presses {
+			full += p.full
+		}
+		budget := h.aim(it.step) - it.own()
+		if full > budget {
+			over++
+			share(presses, budget, aims)
 		}
 	}
+	if v.fillerCores(nil) > coresPerService*float64(over) {
+		return fullPace
+	}
 	if aim, ok := aims[filler]; ok {
 		return max(aim, leastPace)
 	}
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -97,7 +97,7 @@
 		}
 		l.endSurplus(now, v, present)
 	}
-	l.send(v.conn, l.paces(v, b.Rows))
+	l.send(v.conn, l.paces(now, v, b.Rows))
 	if len(orders.Starts)+len(orders.Stops) > 0 {
 		l.hold(v.conn, &msgs.Message{Orders: orders})
 	}
--- a/internal/jobs/lead/vm.go
+++ b/internal/jobs/lead/vm.go
@@ -47,6 +47,8 @@
 	percent int
 	// last is what was measured last of a lasting run, nil before.
 	last *sample
+	// overSince is since when a lasting run has been over its target.
+	overSince time.Time
 	// progress is how far the run is.
 	progress progress
 }
