lead: fillers halt once a lasting task is over its target for 2.6 s

Cause: after 2 s they only shared what the task's own load left, which at its crest is still too much; a figure just below the target began the count anew.

--- a/internal/jobs/lead/pace.go
+++ b/internal/jobs/lead/pace.go
@@ -17,7 +17,12 @@
 	coresPerService = 8.0
 	// overFor is how long a lasting task may be over its target on end before its
 	// fillers yield whatever they weigh.
-	overFor = 2 * time.Second
+	overFor = 1800 * time.Millisecond
+	// haltFor is how long it may be over before they stand still.
+	haltFor = 2600 * time.Millisecond
+	// nearTarget is the part of the target from which a task counts as over: what is
+	// measured is rough.
+	nearTarget = 0.9
 	// leastPace is the pace below which a filler stands still, in percent.
 	leastPace = 4
 	// paceChange is the least change that is worth a call, in percent.
@@ -39,8 +44,8 @@
 	// budget is what the fillers may add to its utilization.
 	budget float64
 	// over is set if full pace would take the task over its target, must if it has been
-	// over for too long.
-	over, must bool
+	// over for long, halt if for too long.
+	over, must, halt bool
 }
 
 // paces sets the pace of a VM's fillers by what was measured, and returns the orders
@@ -69,6 +74,9 @@
 	yield := v.fillerCores(cores) <= coresPerService*float64(over)
 	aims := map[*run]int{}
 	for _, d := range demands {
+		if d.halt {
+			d.budget = 0
+		}
 		if d.must || (d.over && yield) {
 			share(d.presses, d.budget, aims)
 		}
@@ -79,7 +87,7 @@
 // demand returns what a lasting task with a tail latency, in milliseconds, needs.
 func (h *harm) demand(now time.Time, v *vm, it *run, tail float64, cores map[runKey]float64) demand {
 	target := float64(it.step.Target.Milliseconds())
-	if tail < target {
+	if tail < nearTarget*target {
 		it.overSince = time.Time{}
 	} else if it.overSince.IsZero() {
 		it.overSince = now
@@ -92,7 +100,10 @@
 	}
 	d.budget = h.aim(it.step) - max(0, own)
 	d.over = full > d.budget
-	d.must = !it.overSince.IsZero() && now.Sub(it.overSince) > overFor
+	if !it.overSince.IsZero() {
+		d.must = now.Sub(it.overSince) > overFor
+		d.halt = now.Sub(it.overSince) > haltFor
+	}
 	return d
 }
 
