--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -56,8 +56,10 @@
 	seq   uint64
 	// absentSince is since when no process listens at the worker's address.
 	absentSince time.Time
-	calls       []Call
-	out         []*msgs.Message
+	// lookAt is when the look under way began.
+	lookAt time.Time
+	calls  []Call
+	out    []*msgs.Message
 }
 
 type key struct {
@@ -69,11 +71,16 @@
 type run struct {
 	start msgs.Start
 	row   msgs.Row
-	// present is set once the worker has confirmed the start.
-	present bool
-	tries   int
+	// present is set once the worker has confirmed the start, listed while its latest
+	// list has the run.
+	present, listed bool
+	tries           int
 	// stopping is set once the run is to end.
 	stopping bool
+	// doubted is why the run may not be present, since doubtedAt: the next look that
+	// begins later tells.
+	doubted   string
+	doubtedAt time.Time
 }
 
 // Call is a call to the worker that the process makes. One of the orders is set.
--- a/internal/jobs/exec/look.go
+++ b/internal/jobs/exec/look.go
@@ -18,6 +18,7 @@
 	if !a.present || a.epoch == 0 {
 		return port.Look{}, false
 	}
+	a.lookAt = now
 	l := port.Look{Worker: a.vm.ID, Fence: a.epoch, Seen: a.seen}
 	if d := a.lease(now); d > a.deadline {
 		a.deadline = d
@@ -60,7 +61,7 @@
 	}
 	a.takeRows(v.Running, v.Ended)
 	fresh := a.takeEnds(v.Ended)
-	a.confirmStops(v)
+	a.settleDoubts()
 	if a.NeedsSync() && l.Fence == a.epoch {
 		a.sync(now)
 		return
@@ -80,6 +81,9 @@
 // takeRows notes what is present. Runs that nobody here has ordered come from before
 // the agent was started.
 func (a *Agent) takeRows(rows []msgs.Row, ended []msgs.End) {
+	for _, r := range a.runs {
+		r.listed = false
+	}
 	for _, row := range rows {
 		k := key{row.Task, row.Run}
 		if slices.ContainsFunc(ended, func(e msgs.End) bool { return e.Task == row.Task && e.Run == row.Run }) {
@@ -90,7 +94,7 @@
 			r = &run{start: msgs.Start{Task: row.Task, Run: row.Run}}
 			a.runs[k] = r
 		}
-		r.row, r.present = row, true
+		r.row, r.present, r.listed = row, true, true
 	}
 }
 
@@ -109,15 +113,18 @@
 	return fresh
 }
 
-// confirmStops gives up runs whose stop was answered before they were ever seen.
-func (a *Agent) confirmStops(v port.View) {
+// settleDoubts decides about runs that may not be present, by a list from after the
+// doubt arose: what is neither present nor ended never began and never will.
+func (a *Agent) settleDoubts() {
 	for k, r := range a.runs {
-		if r.tries != stopConfirmed || r.present {
+		if r.doubted == "" || !a.lookAt.After(r.doubtedAt) {
 			continue
 		}
-		if !slices.ContainsFunc(v.Running, func(row msgs.Row) bool { return row.Task == k.task && row.Run == k.number }) {
-			a.lose(k, "stopped before it started")
+		if r.listed {
+			r.doubted = ""
+			continue
 		}
+		a.lose(k, r.doubted)
 	}
 }
 
--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -121,6 +121,11 @@
 		}
 		a.lose(k, err.Error())
 	case refusedForGood(err):
+		// An earlier try may have begun the run, which may even have ended since.
+		if r.tries > 1 || errors.Is(err, port.ErrRunOld) {
+			r.doubt(now, err.Error())
+			return
+		}
 		a.lose(k, err.Error())
 	case r.present:
 	case r.stopping:
@@ -158,20 +163,24 @@
 
 // Stopped takes what came of a call to stop a run. A run that is present ends later,
 // by the worker's list.
-func (a *Agent) Stopped(c Call, err error) {
+func (a *Agent) Stopped(now time.Time, c Call, err error) {
 	k := key{c.Stop.Task, c.Stop.Run}
 	if c.Life != a.vm.Life {
 		return
 	}
 	r := a.runs[k]
 	switch {
-	case err == nil && r != nil && !r.present:
-		r.tries = stopConfirmed // the next look tells whether it ever began
+	case err == nil && r != nil:
+		r.doubt(now, "stopped before it started")
 	case err == nil, errors.Is(err, port.ErrRunOld), errors.Is(err, port.ErrRunFenced), errors.Is(err, port.ErrAbsent), errors.Is(err, port.ErrReplaced):
 	case r != nil:
 		a.callStop(k, retryAfter)
 	}
 }
 
-// stopConfirmed marks runs whose stop the worker answered before they were seen.
-const stopConfirmed = -1
+// doubt notes that a run may not be present.
+func (r *run) doubt(now time.Time, reason string) {
+	if r.doubted == "" {
+		r.doubted, r.doubtedAt = reason, now
+	}
+}
--- a/internal/jobs/lead/harm.go
+++ b/internal/jobs/lead/harm.go
@@ -26,7 +26,7 @@
 	idleShare, idleTarget = 0.75, 0.2
 	// aimedShare is the part of its target up to which fillers may take a task's
 	// latency.
-	aimedShare = 0.7
+	aimedShare = 0.8
 	// settled is the age from which a lasting task's latency is believed.
 	settled = 2 * time.Second
 	// tolerated is the distance from the aim at which fillers count little.
--- a/internal/run/agent/worker.go
+++ b/internal/run/agent/worker.go
@@ -34,7 +34,7 @@
 		a.with(func(now time.Time) { a.core.Started(now, c, err) })
 	case c.Stop != nil:
 		err := a.worker.Stop(ctx, *c.Stop)
-		a.with(func(time.Time) { a.core.Stopped(c, err) })
+		a.with(func(now time.Time) { a.core.Stopped(now, c, err) })
 	case c.Pace != nil:
 		if err := a.worker.Pace(ctx, *c.Pace, c.Percent); err != nil {
 			a.log.Warn("cannot pace a run", "task", c.Pace.Task, "run", c.Pace.Run, "percent", c.Percent, "err", err)
