--- /dev/null
+++ b/internal/proof/fleet/fault.go
@@ -0,0 +1,78 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/ebonyarch/ebonyarch/internal/fake/topics"
+)
+
+// Fault is something that goes wrong in a world.
+type Fault struct {
+	Name string
+	// Strike lets it begin; it ends by itself.
+	Strike func(w *World)
+}
+
+// storeFault gives the store faults for a time.
+func storeFault(f topics.Faults, d time.Duration) func(*World) {
+	return func(w *World) {
+		w.Store.Set(f)
+		w.After(d, func() { w.Store.Set(topics.Faults{}) })
+	}
+}
+
+// Faults are the faults of the matrix.
+var Faults = []Fault{
+	{"leader killed", func(w *World) { w.Leader().Kill(time.Second) }},
+	{"leader frozen", func(w *World) { w.Leader().Freeze(4 * time.Second) }},
+	{"leader cut from the store", func(w *World) {
+		e := w.Leader()
+		e.Cut = true
+		w.After(5*time.Second, func() { e.Cut = false })
+	}},
+	{"all entries killed", func(w *World) {
+		for _, e := range w.Entries {
+			e.Kill(time.Second)
+		}
+	}},
+	{"everything loses power", func(w *World) {
+		for _, e := range w.Entries {
+			e.Kill(time.Second)
+		}
+		for _, a := range w.Agents {
+			a.Kill(time.Second)
+			a.Crash(time.Second)
+		}
+	}},
+	{"store refuses", storeFault(topics.Faults{Busy: true}, 4*time.Second)},
+	{"store silent", storeFault(topics.Faults{Silent: true}, 9*time.Second)},
+	{"store's answers lost", storeFault(topics.Faults{Lose: true}, 2*time.Second)},
+	{"agent killed", func(w *World) { w.Agents[0].Kill(time.Second) }},
+	{"agent gone for long", func(w *World) { w.Agents[1].Kill(8 * time.Second) }},
+	{"agent cut off", func(w *World) {
+		w.Agents[0].Cut = true
+		w.After(7*time.Second, func() { w.Agents[0].Cut = false })
+	}},
+	{"worker crashes", func(w *World) { w.Agents[0].Crash(500 * time.Millisecond) }},
+	{"worker crashes for long", func(w *World) { w.Agents[2].Crash(6 * time.Second) }},
+	{"worker silent", func(w *World) {
+		w.Agents[1].Silent = true
+		w.After(7*time.Second, func() { w.Agents[1].Silent = false })
+	}},
+	{"orders carried out late", func(w *World) {
+		w.Late = 0.2
+		w.After(5*time.Second, func() { w.Late = 0 })
+	}},
+}
+
+// Story is the load that each cell of the matrix plays: jobs that overfill the VMs,
+// some of them cancelled.
+func (w *World) Story() {
+	for n := range 40 {
+		cancel := time.Duration(0)
+		if n%9 == 4 {
+			cancel = 900 * time.Millisecond
+		}
+		w.After(500*time.Millisecond+time.Duration(n)*150*time.Millisecond, func() { w.Callers.Submit(n, cancel) })
+	}
+}
