exec: the fence grows with the worker's lives

Cause (fault matrix, seed 1412): a worker that was started again under the same id has seen no fence and its clock starts anew, so it carried out an order that was meant for its earlier life. The token's lower bits now tell the life.

--- a/internal/jobs/exec/lease.go
+++ b/internal/jobs/exec/lease.go
@@ -93,3 +93,17 @@
 
 // Unstored reports whether the leader has still to store an end.
 func (a *Agent) Unstored() bool { return len(a.ends) > 0 }
+
+const (
+	// lifeBits is how many bits of a fence tell the worker's life, lifeUnit what the
+	// lowest one stands for.
+	lifeBits = 31
+	lifeUnit = 128 // milliseconds
+)
+
+// fence returns the token of orders to the worker in its present life. It grows with
+// the epoch and, within one, with the worker's lives: a worker that was started again
+// has seen no fence, and must refuse what was meant for its earlier life.
+func (a *Agent) fence() uint64 {
+	return a.epoch<<lifeBits | uint64(a.vm.Life/lifeUnit)&(1<<lifeBits-1)
+}
--- a/internal/jobs/exec/look.go
+++ b/internal/jobs/exec/look.go
@@ -19,7 +19,7 @@
 		return port.Look{}, false
 	}
 	a.lookAt = now
-	l := port.Look{Worker: a.vm.ID, Fence: a.epoch, Seen: a.seen}
+	l := port.Look{Worker: a.vm.ID, Fence: a.fence(), Seen: a.seen}
 	if d := a.lease(now); d > a.deadline {
 		a.deadline = d
 	}
@@ -62,7 +62,7 @@
 	a.takeRows(v.Running, v.Ended)
 	fresh := a.takeEnds(v.Ended)
 	a.settleDoubts()
-	if a.NeedsSync() && l.Fence == a.epoch {
+	if a.NeedsSync() && l.Fence == a.fence() {
 		a.sync(now)
 		return
 	}
--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -84,7 +84,7 @@
 }
 
 func (a *Agent) order(k key) port.Order {
-	return port.Order{Worker: a.vm.ID, Task: k.task, Run: k.number, Fence: a.epoch}
+	return port.Order{Worker: a.vm.ID, Task: k.task, Run: k.number, Fence: a.fence()}
 }
 
 func (a *Agent) stop(k key) {
@@ -114,7 +114,7 @@
 		a.started(k, r)
 	case errors.Is(err, port.ErrRunFenced):
 		// A later leader is connected; it knows of this run and asks for it anew.
-		if c.Start.Fence < a.epoch && !r.stopping {
+		if c.Start.Fence < a.fence() && !r.stopping {
 			r.tries = 0
 			a.callStart(now, k, retryAfter)
 			return
