--- a/internal/fake/tasks/witness.go
+++ b/internal/fake/tasks/witness.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
@@ -11,6 +13,7 @@
 // Witness notes what all workers did, and faults of whoever gave them orders. Its zero
 // value has seen nothing.
 type Witness struct {
+	mu     sync.Mutex
 	faults []string
 	// running holds where each task runs, by task and worker.
 	running map[string]map[string]uint32
@@ -28,13 +31,25 @@
 }
 
 // Faults returns what must never have happened.
-func (x *Witness) Faults() []string { return x.faults }
+func (x *Witness) Faults() []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return slices.Clone(x.faults)
+}
 
 // Starts returns how often a task was started.
-func (x *Witness) Starts(task string) int { return x.starts[task] }
+func (x *Witness) Starts(task string) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.starts[task]
+}
 
 // Done reports whether a task has ended as done.
-func (x *Witness) Done(task string) bool { return x.finished[task] }
+func (x *Witness) Done(task string) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.finished[task]
+}
 
 func (x *Witness) init() {
 	if x.running == nil {
@@ -44,6 +59,8 @@
 }
 
 func (x *Witness) started(now time.Time, w *Worker, r *run) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	x.init()
 	x.starts[r.task]++
 	at := now.Format("05.000")
@@ -74,6 +91,8 @@
 }
 
 func (x *Witness) ended(_ time.Time, worker, task string, _ uint32, o msgs.Outcome) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	x.init()
 	delete(x.running[task], worker)
 	if o == msgs.Done {
@@ -83,6 +102,8 @@
 
 // seen notes that ends up to a number were taken note of.
 func (x *Witness) seen(w *Worker, number int64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	x.init()
 	for _, e := range w.ended {
 		if e.Number > w.void && e.Number <= number && e.Outcome == msgs.Done {
--- a/internal/jobs/model/job.go
+++ b/internal/jobs/model/job.go
@@ -40,10 +40,13 @@
 	case len(j.Steps) == 0 || len(j.Steps) > maxSteps:
 		return fmt.Errorf("%d steps, want 1 to %d", len(j.Steps), maxSteps)
 	}
+	if j.Repeat < 0 || j.Repeat > maxTasks || j.Interval < 0 {
+		return fmt.Errorf("repeated %d times every %s, want at most %d times", j.Repeat, j.Interval, maxTasks)
+	}
 	total := 0
 	for i := range j.Steps {
 		s := &j.Steps[i]
-		if s.Tasks < 1 || s.Size.CPU < 0 || s.Size.Memory < 0 || s.Size.Accelerators < 0 {
+		if s.Tasks < 1 || s.Tasks > maxTasks || s.Size.CPU < 0 || s.Size.Memory < 0 || s.Size.Accelerators < 0 {
 			return fmt.Errorf("step %d: count or size out of range", i)
 		}
 		for _, a := range s.After {
--- a/internal/tool/cmds/placed.go
+++ b/internal/tool/cmds/placed.go
@@ -20,6 +20,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/conf/proc"
 	"github.com/ebonyarch/ebonyarch/internal/run/agent"
 	"github.com/ebonyarch/ebonyarch/internal/run/entry"
+	"github.com/ebonyarch/ebonyarch/internal/tool/demo"
 	"github.com/ebonyarch/ebonyarch/platform"
 )
 
@@ -49,6 +50,15 @@
 			Use: "agent SETTINGS", Short: "Run an agent beside a worker",
 			Args: exactArgs(1, "the settings file"),
 			RunE: func(cmd *cobra.Command, args []string) error { return r.runJobAgent(cmd.Context(), args[0]) },
+		},
+		&cobra.Command{
+			Use: "try", Short: "Run the whole path on stand-ins, kill the leader, and check every task",
+			Args: exactArgs(0, "none"),
+			RunE: func(cmd *cobra.Command, _ []string) error {
+				ctx, stop := signalContext(cmd.Context())
+				defer stop()
+				return demo.Try(ctx, r.stdout, logs.New(r.stderr, slog.LevelWarn))
+			},
 		})
 	return cmd
 }
--- /dev/null
+++ b/internal/tool/demo/demo.go
@@ -0,0 +1,224 @@
+// Package demo runs the whole path on loopback: entries and agents, with stand-ins for
+// the platform's store and workers behind the same adapter that meets the platform.
+package demo
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/ebonyarch/ebonyarch/internal/conf/proc"
+	"github.com/ebonyarch/ebonyarch/internal/fake/tasks"
+	"github.com/ebonyarch/ebonyarch/internal/fake/topics"
+	"github.com/ebonyarch/ebonyarch/internal/plat/port"
+	"github.com/ebonyarch/ebonyarch/internal/run/agent"
+	"github.com/ebonyarch/ebonyarch/internal/run/entry"
+	"github.com/ebonyarch/ebonyarch/internal/sched/place"
+	"github.com/ebonyarch/ebonyarch/platform"
+	"github.com/ebonyarch/ebonyarch/platform/fake"
+)
+
+const (
+	entries = 2
+	vms     = 3
+	// taskTime is how long a task runs.
+	taskTime = 150 * time.Millisecond
+	// heartbeatEvery spaces the workers' announcements.
+	heartbeatEvery = 200 * time.Millisecond
+)
+
+var capacity = place.Amount{CPU: 16000, Memory: 64000}
+
+// Fleet is a running set of processes. Make it with Start.
+type Fleet struct {
+	Store   topics.Store
+	Witness tasks.Witness
+	Entries []*Entry
+	workers []*fake.Worker
+	agents  []*agent.Agent
+	servers []*http.Server
+	log     *slog.Logger
+	ctx     context.Context
+	cancel  context.CancelFunc
+}
+
+// Entry is a running entry.
+type Entry struct {
+	*entry.Entry
+	// Callers is where it answers.
+	Callers netip.AddrPort
+	peers   net.Listener
+}
+
+// Start starts a fleet whose operator has published a configuration.
+func Start(log *slog.Logger, configuration string) (*Fleet, error) {
+	f := &Fleet{log: log}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	f.Store.Put("op", port.Record{Key: "config", Value: []byte(configuration)})
+	store, err := f.serve(fake.NewStore(&f.Store))
+	if err != nil {
+		return nil, err
+	}
+	var seeds proc.Seeds
+	for i := range entries {
+		if seeds, err = f.startEntry(i, store, seeds); err != nil {
+			f.Close()
+			return nil, err
+		}
+	}
+	for i := range vms {
+		if err := f.startVM(i, store, seeds); err != nil {
+			f.Close()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// serve serves a handler at a free address.
+func (f *Fleet) serve(h http.Handler) (netip.AddrPort, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug)}
+	f.servers = append(f.servers, s)
+	go func() {
+		if err := s.Serve(ln); err != nil {
+			f.log.Debug("no longer serves", "addr", ln.Addr().String(), "err", err)
+		}
+	}()
+	return addrOf(ln), nil
+}
+
+func addrOf(ln net.Listener) netip.AddrPort { return netip.MustParseAddrPort(ln.Addr().String()) }
+
+// startEntry starts an entry. All entries listen at one port, each at an IP address of
+// its own, as on VMs.
+func (f *Fleet) startEntry(i int, store netip.AddrPort, seeds proc.Seeds) (proc.Seeds, error) {
+	peerPort := 0
+	if len(seeds) > 0 {
+		peerPort = int(seeds[0].Port())
+	}
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.%d:%d", i+1, peerPort))
+	if err != nil {
+		return nil, err
+	}
+	cfg := proc.JobEntry{Name: fmt.Sprintf("entry-%d", i+1), Zone: "mx-a", Peers: addrOf(ln), Store: store, Seeds: seeds}
+	log := f.log.With("node", cfg.Name)
+	e := &Entry{Entry: entry.New(cfg, platform.NewStore(store, log), log), peers: ln}
+	if e.Callers, err = f.serve(platform.NewIngress(e, e.Config, log)); err != nil {
+		return nil, err
+	}
+	f.Entries = append(f.Entries, e)
+	go func() {
+		if err := e.Serve(ln); err != nil {
+			log.Debug("no longer listens for other processes", "err", err)
+		}
+	}()
+	go e.Run()
+	return append(seeds, cfg.Peers), nil
+}
+
+// startVM starts a worker and the agent beside it.
+func (f *Fleet) startVM(i int, store netip.AddrPort, seeds proc.Seeds) error {
+	id := fmt.Sprintf("vm-%d", i+1)
+	plan := func(string, uint32) tasks.Plan {
+		return tasks.Plan{Size: place.Amount{CPU: 1000, Memory: 1000}, Work: taskTime}
+	}
+	worker := fake.NewWorker(tasks.New(time.Now(), id, capacity, plan, &f.Witness))
+	f.workers = append(f.workers, worker)
+	addr, err := f.serve(worker)
+	if err != nil {
+		return err
+	}
+	cfg := proc.JobAgent{Name: "node-" + id, Zone: "mx-a", Worker: addr, PeerPort: seeds[0].Port(), Seeds: seeds, Store: store}
+	log := f.log.With("node", cfg.Name)
+	a := agent.New(cfg, platform.NewWorker(addr), platform.NewStore(store, log), log)
+	f.agents = append(f.agents, a)
+	registry, err := f.serve(platform.NewRegistry(a, log))
+	if err != nil {
+		return err
+	}
+	go a.Run()
+	go f.heartbeats(worker, id, registry)
+	return nil
+}
+
+// heartbeats announces a worker until the fleet ends.
+func (f *Fleet) heartbeats(worker *fake.Worker, id string, registry netip.AddrPort) {
+	for f.ctx.Err() == nil {
+		var h port.Heartbeat
+		worker.Do(func(w *tasks.Worker) { h = w.Heartbeat(time.Now()) })
+		if err := announce(f.ctx, registry, id, h); err != nil {
+			f.log.Debug("heartbeat not taken", "vm", id, "err", err)
+		}
+		select {
+		case <-f.ctx.Done():
+		case <-time.After(heartbeatEvery):
+		}
+	}
+}
+
+func announce(ctx context.Context, registry netip.AddrPort, id string, h port.Heartbeat) error {
+	data, err := json.Marshal(fake.Heartbeat(h))
+	if err != nil {
+		return err
+	}
+	return fake.Announce(ctx, registry, id, data)
+}
+
+// Faults returns what the workers have seen that must never be.
+func (f *Fleet) Faults() []string {
+	for _, w := range f.workers {
+		w.Do(func(*tasks.Worker) {}) // calls under way have ended
+	}
+	return f.Witness.Faults()
+}
+
+// Close ends all processes.
+func (f *Fleet) Close() {
+	f.cancel()
+	for _, e := range f.Entries {
+		e.Kill()
+	}
+	for _, a := range f.agents {
+		a.Close()
+	}
+	for _, s := range f.servers {
+		if err := s.Close(); err != nil {
+			f.log.Debug("server not closed", "err", err)
+		}
+	}
+}
+
+// Kill ends an entry at once.
+func (e *Entry) Kill() {
+	e.Close()
+	if err := e.peers.Close(); err != nil {
+		return // it was closed before
+	}
+}
+
+// Call sends a caller's request and returns status and body.
+func Call(ctx context.Context, method string, addr netip.AddrPort, host, path, body string) (int, string, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr.String()+path, bytes.NewBufferString(body))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Host = host
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), err
+}
--- /dev/null
+++ b/internal/tool/demo/try.go
@@ -0,0 +1,101 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	host = "presses.example"
+	// tryFor bounds the whole trial.
+	tryFor = 60 * time.Second
+	// askEvery spaces the questions for a job's state.
+	askEvery = 50 * time.Millisecond
+	jobCount = 12
+	// jobTasks is the number of tasks of each job: two steps of four.
+	jobTasks = 8
+)
+
+// Configuration has one queue of jobs.
+const Configuration = `{"version":1,"routes":[{"name":"assign","host":"` + host + `","path_prefix":"/assign/","service":"registry","priority":1,"max_attempts":4,"stretch":2,"target_latency_ms":1000,"timeout_ms":3000}],"services":[{"name":"registry"}],"limits":{"max_body_bytes":262144}}`
+
+const work = `{"spec":"assign numbers","steps":[{"count":4,"cpu":1000,"mem_mb":1000,"estimate_ms":150},{"count":4,"cpu":1000,"mem_mb":1000,"estimate_ms":150,"after":[0]}]}`
+
+// Try starts a fleet, hands in jobs, kills the entry that leads while they run, and
+// checks that every task ran as it must.
+func Try(ctx context.Context, out io.Writer, log *slog.Logger) error {
+	ctx, cancel := context.WithTimeout(ctx, tryFor)
+	defer cancel()
+	f, err := Start(log, Configuration)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	fmt.Fprintf(out, "%d entries, %d VMs and a store run on loopback\n", entries, vms)
+	for i := range jobCount {
+		if err := f.submit(ctx, i); err != nil {
+			return err
+		}
+		if i == jobCount/2 {
+			fmt.Fprintln(out, "half of the jobs are accepted; the first entry is killed")
+			f.Entries[0].Kill()
+		}
+	}
+	fmt.Fprintf(out, "%d jobs are accepted\n", jobCount)
+	for i := range jobCount {
+		if err := f.await(ctx, i); err != nil {
+			return err
+		}
+	}
+	if faults := f.Faults(); len(faults) > 0 {
+		return fmt.Errorf("the workers saw what must not be:\n%s", strings.Join(faults, "\n"))
+	}
+	fmt.Fprintf(out, "all jobs are completed: %d tasks, each done once, no VM over its capacity\n", jobCount*jobTasks)
+	return nil
+}
+
+func path(i int) string { return fmt.Sprintf("/assign/%016x", i+1) }
+
+// ask sends a request to one entry after the other until one answers with success.
+func (f *Fleet) ask(ctx context.Context, method, path, body string) (string, error) {
+	for n := 0; ; n++ {
+		e := f.Entries[n%len(f.Entries)]
+		status, text, err := Call(ctx, method, e.Callers, host, path, body)
+		if err == nil && status == http.StatusOK {
+			return text, nil
+		}
+		select {
+		case <-ctx.Done():
+			return "", fmt.Errorf("%s %s: last answer %d %s: %w", method, path, status, text, ctx.Err())
+		case <-time.After(askEvery):
+		}
+	}
+}
+
+func (f *Fleet) submit(ctx context.Context, i int) error {
+	_, err := f.ask(ctx, http.MethodPost, path(i), work)
+	return err
+}
+
+// await waits until a job is completed.
+func (f *Fleet) await(ctx context.Context, i int) error {
+	for {
+		state, err := f.ask(ctx, http.MethodGet, path(i), "")
+		if err != nil {
+			return err
+		}
+		if strings.Contains(state, "completed") {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("job %d is still %s: %w", i, state, ctx.Err())
+		case <-time.After(askEvery):
+		}
+	}
+}
