--- /dev/null
+++ b/internal/jobs/elect/elect_test.go
@@ -0,0 +1,79 @@
+package elect_test
+
+import (
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ebonyarch/ebonyarch/internal/jobs/elect"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+)
+
+var a, b, c = netip.MustParseAddrPort("10.0.0.1:7"), netip.MustParseAddrPort("10.0.0.2:7"), netip.MustParseAddrPort("10.0.0.3:7")
+
+var _ = Describe("A survey", func() {
+	never := msgs.Welcome{Heard: -1}
+
+	It("finds the leader of the highest epoch", func() {
+		s := elect.Survey{Answers: map[netip.AddrPort]msgs.Welcome{a: {Epoch: 3, Leader: c}, b: {Epoch: 4, Leading: true}}}
+		addr, epoch, claimed := s.Leader()
+		Expect(addr).To(Equal(b))
+		Expect(epoch).To(Equal(uint64(4)))
+		Expect(claimed).To(BeTrue())
+	})
+
+	It("lets entries claim one after the other", func() {
+		for self, want := range map[netip.AddrPort]time.Duration{a: 0, b: elect.Stagger} {
+			others := map[netip.AddrPort]msgs.Welcome{c: never}
+			if self == b {
+				others[a] = never
+			}
+			wait, ok := (&elect.Survey{Self: self, Known: 2, Answers: others}).Wait(1)
+			Expect(ok).To(BeTrue())
+			Expect(wait).To(Equal(want))
+		}
+	})
+
+	DescribeTable("keeps an entry from claiming", func(s elect.Survey) {
+		_, ok := s.Wait(2)
+		Expect(ok).To(BeFalse())
+	},
+		Entry("while another hears the leader", elect.Survey{Self: b, Known: 2, Answers: map[netip.AddrPort]msgs.Welcome{a: {Epoch: 2, Heard: 100 * time.Millisecond}}}),
+		Entry("while it may be cut off from all", elect.Survey{Self: b, Known: 2}),
+	)
+
+	It("lets an entry claim that only agents reach, or that knows of no other", func() {
+		for _, s := range []elect.Survey{{Self: b, Known: 2, Agents: 1}, {Self: b}} {
+			_, ok := s.Wait(2)
+			Expect(ok).To(BeTrue())
+		}
+	})
+})
+
+var _ = Describe("A leader that is heard", func() {
+	DescribeTable("is suspected", func(p msgs.Ping, complaints int, followed time.Duration, want bool) {
+		_, suspect := elect.Suspect(&p, complaints, followed)
+		Expect(suspect).To(Equal(want))
+	},
+		Entry("not when all is well", msgs.Ping{Agents: 11}, 0, time.Minute, false),
+		Entry("when it leaves", msgs.Ping{Leaving: true}, 0, time.Minute, true),
+		Entry("when the store does not answer it", msgs.Ping{Agents: 11, Waiting: time.Second}, 0, time.Minute, true),
+		Entry("when most agents miss it", msgs.Ping{Agents: 4}, 7, time.Minute, true),
+		Entry("not while agents still look for it", msgs.Ping{Agents: 4}, 7, time.Second, false),
+	)
+
+	It("is complained of for a while only", func() {
+		var x elect.Complaints
+		now := time.Unix(5, 0)
+		x.Add(now, "n1")
+		x.Add(now, "n1")
+		Expect(x.Count(now)).To(Equal(1))
+		Expect(x.Count(now.Add(2 * time.Second))).To(BeZero())
+	})
+
+	It("is one of a sorted list without the entry itself", func() {
+		Expect(elect.Merge(nil, b, c, b, a, c, netip.AddrPort{})).To(Equal([]netip.AddrPort{a, c}))
+	})
+})
--- /dev/null
+++ b/internal/jobs/plan/plan_test.go
@@ -0,0 +1,148 @@
+package plan_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/plan"
+	"github.com/ebonyarch/ebonyarch/internal/sched/place"
+)
+
+func vm(id string) *plan.VM {
+	return &plan.VM{ID: id, Service: "registry", Labels: []string{"a", "rack-1"}, Capacity: place.Amount{CPU: 64000, Memory: 256000}}
+}
+
+func key(n int) plan.StageKey { return plan.StageKey{Job: model.ID(fmt.Sprintf("%016x", n))} }
+
+var _ = Describe("Choose", func() {
+	task := func(s model.Step) *plan.Task { return &plan.Task{Key: key(1), Step: &s, Service: "registry"} }
+	small := model.Step{Tasks: 1, Size: place.Amount{CPU: 1000, Memory: 1000}}
+
+	DescribeTable("leaves out VMs that must not run the task", func(change func(*plan.VM, *plan.Task)) {
+		v, t := vm("a"), task(small)
+		Expect(plan.Choose(t, []*plan.VM{v})).To(BeZero())
+		change(v, t)
+		Expect(plan.Choose(t, []*plan.VM{v})).To(Equal(-1))
+	},
+		Entry("another service", func(v *plan.VM, _ *plan.Task) { v.Service = "other" }),
+		Entry("a label", func(_ *plan.VM, t *plan.Task) { t.Step.Requires = "gpu" }),
+		Entry("no memory", func(v *plan.VM, _ *plan.Task) { v.Used.Memory = 255500 }),
+		Entry("no processors", func(v *plan.VM, _ *plan.Task) { v.Used.CPU = 63500 }),
+		Entry("a probe that is taken", func(v *plan.VM, _ *plan.Task) { v.Probe, v.Runs = true, 1 }),
+		Entry("as many of the step as allowed", func(v *plan.VM, t *plan.Task) {
+			t.Step.MaxPerVM = 1
+			v.Add(t.Key, t.Step)
+		}),
+	)
+
+	It("takes back what it accounted for", func() {
+		v := vm("a")
+		s := model.Step{Size: place.Amount{CPU: 5000, Memory: 10}, Filler: true}
+		v.Add(key(1), &s)
+		Expect(v.Used.CPU).To(BeZero(), "fillers take no processors of the others")
+		Expect(v.Filling).To(Equal(int64(5000)))
+		v.Remove(key(1), &s)
+		Expect(v.Used).To(BeZero())
+		Expect(v.Stages).To(BeEmpty())
+	})
+
+	It("packs lasting tasks, and keeps fillers off the VMs that these fill", func() {
+		vms := []*plan.VM{vm("a"), vm("b"), vm("c")}
+		lasting := model.Step{Tasks: 1, Lasting: true, Size: place.Amount{CPU: 13000, Memory: 26000}}
+		for n := range 4 {
+			i := plan.Choose(&plan.Task{Key: key(n), Step: &lasting, Service: "registry", Pressing: true}, vms)
+			vms[i].Add(key(n), &lasting)
+		}
+		packed := slices.IndexFunc(vms, func(v *plan.VM) bool { return v.Lasting > 0 })
+		Expect(vms[packed].Lasting).To(Equal(4))
+		vms[packed].Harm = func(*model.Step) float64 { return 5 }
+		filler := small
+		filler.Filler = true
+		Expect(plan.Choose(task(filler), vms)).NotTo(Equal(packed))
+	})
+
+	It("prefers the rack of the data, and VMs without failures", func() {
+		near, far := vm("a"), vm("b")
+		far.Labels = []string{"a", "rack-2"}
+		near.Used.CPU = 30000
+		t := task(small)
+		t.Step.Rack = "rack-1"
+		Expect(plan.Choose(t, []*plan.VM{far, near})).To(Equal(1))
+		t.Avoid = []string{"a"}
+		Expect(plan.Choose(t, []*plan.VM{far, near})).To(BeZero())
+		doubted := vm("c")
+		doubted.Doubt = 1
+		Expect(plan.Choose(task(small), []*plan.VM{doubted, far})).To(Equal(1))
+	})
+
+	It("says what fits on no VM even when it is empty", func() {
+		full := vm("a")
+		full.Used = full.Capacity
+		huge := model.Step{Size: place.Amount{CPU: 65000}}
+		Expect(plan.Possible(task(small), []*plan.VM{full})).To(BeTrue())
+		Expect(plan.Possible(task(huge), []*plan.VM{full})).To(BeFalse())
+	})
+})
+
+// flood replays a burst: every 100 ms a job of one core-second comes, 2.5 times what
+// the cores can do for a while, each with an objective. It returns how many were done
+// within it.
+func flood(order func(now time.Time, work []plan.Work)) int {
+	const cores, jobs = 4, 120
+	begin := time.Unix(0, 0)
+	var waiting []plan.Work
+	free := make([]time.Time, cores)
+	onTime, next := 0, 0
+	for now := begin; now.Before(begin.Add(time.Minute)); now = now.Add(50 * time.Millisecond) {
+		for ; next < jobs && !begin.Add(time.Duration(next)*100*time.Millisecond).After(now); next++ {
+			aim := time.Duration(2+next%7) * time.Second
+			waiting = append(waiting, plan.Work{
+				Key: key(next), Left: time.Second, Accepted: now, Objective: now.Add(aim), Late: now.Add(3 * aim),
+			})
+		}
+		order(now, waiting)
+		for i := range free {
+			if len(waiting) == 0 || free[i].After(now) {
+				continue
+			}
+			done := now.Add(time.Second)
+			free[i] = done
+			if !done.After(waiting[0].Objective) {
+				onTime++
+			}
+			waiting = waiting[1:]
+		}
+	}
+	return onTime
+}
+
+var _ = Describe("Order", func() {
+	It("keeps more jobs of a flood within their objectives than first in, first out", func() {
+		fifo := flood(func(time.Time, []plan.Work) {})
+		ordered := flood(plan.Order)
+		Expect(ordered).To(BeNumerically(">=", 2*fifo), "%d against %d of 120", ordered, fifo)
+	})
+
+	It("puts lasting work first, then by priority, then what can be on time", func() {
+		now := time.Unix(100, 0)
+		work := []plan.Work{
+			{Key: key(1), Priority: 2, Left: time.Second, Objective: now.Add(-time.Second), Late: now.Add(-time.Second)},
+			{Key: key(2), Priority: 2, Left: time.Second, Objective: now, Late: now.Add(time.Minute)},
+			{Key: key(3), Priority: 2, Left: time.Second, Objective: now.Add(9 * time.Second), Late: now.Add(time.Minute)},
+			{Key: key(4), Priority: 2, Left: 3 * time.Second, Objective: now.Add(5 * time.Second), Late: now.Add(time.Minute)},
+			{Key: key(5), Priority: 0, Left: time.Second},
+			{Key: key(6), Priority: 2, Lasting: true},
+		}
+		plan.Order(now, work)
+		var got []plan.StageKey
+		for _, w := range work {
+			got = append(got, w.Key)
+		}
+		Expect(got).To(Equal([]plan.StageKey{key(6), key(5), key(4), key(3), key(2), key(1)}))
+	})
+})
