--- a/internal/jobs/exec/lease.go
+++ b/internal/jobs/exec/lease.go
@@ -55,6 +55,9 @@
 		return
 	}
 	delete(a.beats, l.Seq)
+	if l.Resync {
+		a.synced = false
+	}
 	if until := sent.Add(l.For); until.After(a.permitted) {
 		a.permitted = until
 	}
--- /dev/null
+++ b/internal/jobs/lead/lead_test.go
@@ -0,0 +1,357 @@
+package lead_test
+
+import (
+	"fmt"
+	"log/slog"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ebonyarch/ebonyarch/internal/base/codes"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/book"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/lead"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+	"github.com/ebonyarch/ebonyarch/internal/plat/port"
+	"github.com/ebonyarch/ebonyarch/internal/sched/place"
+)
+
+const (
+	epoch = 4
+	// conns of agents begin here, callers have conn 0.
+	firstConn = 10
+)
+
+// bench is a leader with a store and VMs that the spec plays.
+type bench struct {
+	leader  *lead.Leader
+	now     time.Time
+	records []port.Record
+	seq     uint64
+	out     []lead.Effect
+}
+
+func newBench(records ...port.Record) *bench {
+	b := &bench{now: time.Unix(1000, 0)}
+	state, faults := book.Load(records)
+	Expect(faults).To(BeEmpty())
+	b.leader = lead.New(b.now, epoch, state, model.Config{}, slog.New(slog.DiscardHandler))
+	return b
+}
+
+// join lets a VM's agent say what runs.
+func (b *bench) join(n int, rows ...msgs.Row) { b.beat(n, true, rows...) }
+
+func (b *bench) beat(n int, synced bool, rows ...msgs.Row) {
+	b.seq++
+	b.leader.Handle(b.now, uint64(firstConn+n), &msgs.Message{Beat: &msgs.Beat{
+		Seq: b.seq, Synced: synced, HasRows: true, Rows: rows, VM: msgs.VM{
+			ID: fmt.Sprintf("vm-%d", n), Node: fmt.Sprintf("node-%d", n), Life: 5, Service: "registry",
+			Capacity: place.Amount{CPU: 16000, Memory: 64000},
+		},
+	}})
+}
+
+func (b *bench) ask(verb msgs.Verb, work *model.Job, id model.ID) {
+	b.seq++
+	b.leader.Handle(b.now, 0, &msgs.Message{Ask: &msgs.Ask{Seq: b.seq, Verb: verb, Queue: "q", Job: id, Work: work}})
+}
+
+// pass lets time pass, and the store take what there is.
+func (b *bench) pass(d time.Duration) {
+	for end := b.now.Add(d); b.now.Before(end); b.now = b.now.Add(20 * time.Millisecond) {
+		if b.take() {
+			b.stored()
+		}
+	}
+}
+
+// take lets the leader hand a batch to the store.
+func (b *bench) take() bool {
+	b.leader.Tick(b.now)
+	batch, err := b.leader.Take(b.now)
+	Expect(err).NotTo(HaveOccurred())
+	b.out = append(b.out, b.leader.Effects()...)
+	if batch == nil {
+		return false
+	}
+	b.records = append(b.records, batch.Records...)
+	return true
+}
+
+func (b *bench) stored() {
+	b.leader.Stored(b.now)
+	b.out = append(b.out, b.leader.Effects()...)
+}
+
+// answers, starts, stops, paces and leases return what was said since the last call.
+func (b *bench) answers() []msgs.Answer {
+	return collect(b, func(m *msgs.Message) []msgs.Answer {
+		if m.Answer == nil {
+			return nil
+		}
+		return []msgs.Answer{*m.Answer}
+	})
+}
+
+func (b *bench) starts() []msgs.Start {
+	return collect(b, func(m *msgs.Message) []msgs.Start {
+		if m.Orders == nil {
+			return nil
+		}
+		return m.Orders.Starts
+	})
+}
+
+func (b *bench) orders() []msgs.Orders {
+	return collect(b, func(m *msgs.Message) []msgs.Orders {
+		if m.Orders == nil {
+			return nil
+		}
+		return []msgs.Orders{*m.Orders}
+	})
+}
+
+func (b *bench) leases() []msgs.Lease {
+	return collect(b, func(m *msgs.Message) []msgs.Lease {
+		if m.Lease == nil {
+			return nil
+		}
+		return []msgs.Lease{*m.Lease}
+	})
+}
+
+func collect[T any](b *bench, of func(*msgs.Message) []T) []T {
+	var list []T
+	for _, f := range b.out {
+		list = append(list, of(f.Message)...)
+	}
+	b.out = nil
+	return list
+}
+
+func job(n int, steps ...model.Step) *model.Job {
+	return &model.Job{
+		ID: model.ID(fmt.Sprintf("%016x", n)), Payload: "work", Steps: steps,
+		Queue: model.Queue{Name: "q", Service: "registry", Priority: 1, MaxAttempts: 3, Stretch: 2, TargetLatency: time.Second},
+	}
+}
+
+var small = model.Step{Tasks: 1, Size: place.Amount{CPU: 2000, Memory: 1000}, Estimate: time.Second}
+
+var _ = Describe("A leader", func() {
+	var b *bench
+	BeforeEach(func() { b = newBench() })
+
+	submit := func(j *model.Job) { b.ask(msgs.Submit, j, j.ID) }
+
+	It("accepts and orders only once the store has it", func() {
+		b.join(0)
+		submit(job(1, small))
+		b.now = b.now.Add(20 * time.Millisecond)
+		Expect(b.take()).To(BeTrue())
+		Expect(b.answers()).To(BeEmpty())
+		b.stored()
+		out := b.out
+		Expect(b.answers()).To(ConsistOf(HaveField("Code", codes.OK)))
+		b.out = out
+		Expect(b.starts()).To(ConsistOf(HaveField("Run", uint32(1))))
+	})
+
+	It("refuses new work at once while the store is silent, and it never runs", func() {
+		b.join(0)
+		submit(job(1, small))
+		b.now = b.now.Add(20 * time.Millisecond)
+		Expect(b.take()).To(BeTrue())
+		submit(job(2, small))
+		b.now = b.now.Add(time.Second)
+		b.take()
+		Expect(b.answers()).To(ConsistOf(And(HaveField("Code", codes.LogDown), HaveField("RetryAfter", Not(BeZero())))))
+		submit(job(3, small))
+		b.take()
+		Expect(b.answers()).To(ConsistOf(HaveField("Code", codes.LogDown)))
+		b.stored()
+		b.pass(time.Second)
+		Expect(b.starts()).To(HaveLen(1))
+	})
+
+	It("answers for a job that is handed in again, and knows no other", func() {
+		submit(job(1, small))
+		b.pass(100 * time.Millisecond)
+		submit(job(1, small))
+		b.ask(msgs.State, nil, "00000000000000ff")
+		b.ask(msgs.Pending, nil, "")
+		b.pass(50 * time.Millisecond)
+		Expect(b.answers()).To(HaveExactElements(HaveField("Code", codes.OK), HaveField("Code", codes.OK),
+			HaveField("Code", codes.JobNotFound), HaveField("Pending", 1)))
+	})
+
+	It("gives no VM more than it has", func() {
+		b.join(0)
+		wide := small
+		wide.Tasks = 20
+		submit(job(1, wide))
+		b.pass(time.Second)
+		Expect(b.starts()).To(HaveLen(8))
+	})
+
+	It("stops what was cancelled, and acknowledges once that lasts", func() {
+		b.join(0)
+		submit(job(1, small))
+		b.pass(100 * time.Millisecond)
+		b.out = nil
+		b.ask(msgs.Cancel, nil, job(1).ID)
+		b.now = b.now.Add(20 * time.Millisecond)
+		Expect(b.take()).To(BeTrue())
+		Expect(b.out).To(BeEmpty())
+		b.stored()
+		out := b.out
+		Expect(b.answers()).To(ConsistOf(HaveField("Code", codes.OK)))
+		b.out = out
+		Expect(b.orders()).To(ConsistOf(HaveField("Stops", HaveLen(1))))
+	})
+
+	It("acknowledges an end only once it is stored, also when it comes twice", func() {
+		b.join(0)
+		submit(job(1, small))
+		b.pass(100 * time.Millisecond)
+		b.out = nil
+		end := &msgs.Message{Report: &msgs.Report{VM: "vm-0", Life: 5, Ends: []msgs.End{{Number: 1, Task: "0000000000000001.0.0.0", Run: 1, Outcome: msgs.Done}}}}
+		for range 2 {
+			b.leader.Handle(b.now, firstConn, end)
+			Expect(b.leader.Effects()).To(BeEmpty())
+		}
+		b.pass(100 * time.Millisecond)
+		acked := collect(b, func(m *msgs.Message) []int64 {
+			if m.Acked == nil {
+				return nil
+			}
+			return []int64{m.Acked.Number}
+		})
+		Expect(acked).To(HaveEach(int64(1)))
+		b.ask(msgs.State, nil, job(1).ID)
+		b.pass(20 * time.Millisecond)
+		Expect(b.answers()).To(ConsistOf(HaveField("State", "completed")))
+	})
+
+	It("waits for the lease of a VM that it does not hear before it starts its tasks elsewhere", func() {
+		b.join(0)
+		submit(job(1, small))
+		b.pass(100 * time.Millisecond)
+		later := newBench(b.records...)
+		hear := func(d time.Duration) {
+			for range d / time.Second {
+				later.join(1)
+				later.pass(time.Second)
+			}
+		}
+		hear(lead.StoreSilence + lead.LeaseFor)
+		Expect(later.starts()).To(BeEmpty())
+		hear(2 * time.Second)
+		Expect(later.starts()).To(And(Not(BeEmpty()), HaveEach(HaveField("Run", uint32(2)))))
+	})
+
+	It("starts tasks elsewhere at once whose worker was replaced beside its agent", func() {
+		b.join(0)
+		submit(job(1, small))
+		b.pass(100 * time.Millisecond)
+		later := newBench(b.records...)
+		later.leader.Handle(later.now, firstConn, &msgs.Message{Beat: &msgs.Beat{Seq: 1, Synced: true, HasRows: true, VM: msgs.VM{
+			ID: "vm-9", Node: "node-0", Life: 6, Service: "registry", Capacity: place.Amount{CPU: 16000, Memory: 64000},
+		}}})
+		later.pass(200 * time.Millisecond)
+		Expect(later.starts()).To(ConsistOf(HaveField("Run", uint32(2))))
+	})
+
+	It("asks for runs anew that a VM does not have, and stops those that nobody wants", func() {
+		b.join(0)
+		submit(job(1, small))
+		b.pass(100 * time.Millisecond)
+		later := newBench(b.records...)
+		later.join(0, msgs.Row{Task: "00000000000000ff.0.0.0", Run: 3})
+		later.pass(100 * time.Millisecond)
+		Expect(later.orders()).To(ConsistOf(And(
+			HaveField("Starts", ConsistOf(HaveField("Run", uint32(1)))),
+			HaveField("Stops", ConsistOf(HaveField("Run", uint32(3)))),
+		)))
+	})
+
+	It("asks an agent anew whose VM it has given up", func() {
+		b.join(0)
+		b.pass(2 * lead.LeaseFor)
+		b.leases()
+		b.beat(0, false)
+		Expect(b.take()).To(BeFalse())
+		Expect(b.leases()).To(ConsistOf(HaveField("Resync", true)))
+	})
+
+	It("renews no lease once the store has been silent for long", func() {
+		b.join(0)
+		Expect(b.take()).To(BeFalse())
+		Expect(b.leases()).To(HaveLen(1))
+		b.now = b.now.Add(2 * time.Second)
+		b.take()
+		b.now = b.now.Add(lead.StoreSilence)
+		b.beat(0, false)
+		b.take()
+		Expect(b.leases()).To(BeEmpty())
+	})
+
+	It("moves a task away from a VM on which it stands still", func() {
+		b.join(0)
+		submit(job(1, small))
+		b.pass(100 * time.Millisecond)
+		b.join(1)
+		b.out = nil
+		for range 8 {
+			b.beat(0, false, msgs.Row{Task: "0000000000000001.0.0.0", Run: 1, Percent: 10})
+			b.beat(1, false)
+			b.pass(400 * time.Millisecond)
+		}
+		var stops []msgs.Stop
+		for _, o := range b.orders() {
+			stops = append(stops, o.Stops...)
+		}
+		Expect(stops).NotTo(BeEmpty())
+	})
+})
+
+var _ = Describe("Fillers beside a lasting task", func() {
+	const target = 150 * time.Millisecond
+	lasting := model.Step{Tasks: 1, Lasting: true, Image: "s", Target: target, Size: place.Amount{CPU: 4000, Memory: 1000}}
+	filler := model.Step{Tasks: 2, Filler: true, Image: "f", Size: place.Amount{CPU: 3000, Memory: 1000}, Estimate: time.Minute}
+
+	// measure lets the VM report a tail latency for a time and returns the fillers'
+	// paces then.
+	measure := func(b *bench, tail int, d time.Duration) map[string]int {
+		paces := map[string]int{}
+		for end := b.now.Add(d); b.now.Before(end); {
+			rows := []msgs.Row{{Task: "0000000000000001.0.0.0", Run: 1, Percent: 100, Measure: tail}}
+			for i := range 2 {
+				rows = append(rows, msgs.Row{Task: fmt.Sprintf("0000000000000002.0.0.%d", i), Run: 1, Percent: 5, Measure: 3000})
+			}
+			b.beat(0, false, rows...)
+			b.pass(400 * time.Millisecond)
+			for _, o := range b.orders() {
+				for _, p := range o.Paces {
+					paces[p.Task] = p.Percent
+				}
+			}
+		}
+		return paces
+	}
+
+	It("stand still before it has been over its target for 4 s, and go on afterwards", func() {
+		b := newBench()
+		b.join(0)
+		for n, s := range []model.Step{lasting, filler} {
+			j := job(n+1, s)
+			b.ask(msgs.Submit, j, j.ID)
+		}
+		b.pass(3 * time.Second)
+		measure(b, 40, 2*time.Second)
+		Expect(measure(b, 400, 3200*time.Millisecond)).To(And(HaveLen(2), HaveEach(BeZero())))
+		Expect(measure(b, 30, 3*time.Second)).To(HaveEach(Equal(100)))
+	})
+})
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -13,7 +13,7 @@
 	v := l.vms[b.VM.ID]
 	switch {
 	case b.VM.ID == "":
-		l.lease(now, conn, nil, b.Seq)
+		l.lease(now, conn, nil, b)
 		return
 	case v != nil && b.VM.Life < v.info.Life:
 		l.log.Info("ignored an earlier life of a VM", "vm", b.VM.ID, "life", b.VM.Life, "latest", v.info.Life)
@@ -39,7 +39,7 @@
 	if b.HasRows {
 		l.rows(now, v, b)
 	}
-	l.lease(now, conn, v, b.Seq)
+	l.lease(now, conn, v, b)
 }
 
 func (l *Leader) describe(v *vm, info msgs.VM) {
@@ -61,14 +61,15 @@
 }
 
 // lease answers a beat while the store confirms that this entry leads.
-func (l *Leader) lease(now time.Time, conn uint64, v *vm, seq uint64) {
+func (l *Leader) lease(now time.Time, conn uint64, v *vm, b *msgs.Beat) {
 	if l.StoreAge(now) > StoreSilence {
 		return
 	}
 	if v != nil {
 		v.until = now.Add(leaseEnd(LeaseFor))
 	}
-	l.send(conn, &msgs.Message{Lease: &msgs.Lease{Seq: seq, For: LeaseFor}})
+	resync := v != nil && !v.synced && b.HasRows
+	l.send(conn, &msgs.Message{Lease: &msgs.Lease{Seq: b.Seq, For: LeaseFor, Resync: resync}})
 }
 
 // rows compares what runs with what should run.
--- a/internal/jobs/msgs/agent.go
+++ b/internal/jobs/msgs/agent.go
@@ -59,6 +59,8 @@
 	_   struct{} `cbor:",toarray"`
 	Seq uint64
 	For time.Duration
+	// Resync asks the agent to say anew what runs: the leader does not know the VM.
+	Resync bool
 }
 
 // Outcome is how a run ended.
