--- a/internal/jobs/book/state.go
+++ b/internal/jobs/book/state.go
@@ -22,6 +22,9 @@
 	return names[s]
 }
 
+// MarshalText writes the state's name, for logs.
+func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
 // Ended reports whether the state is final.
 func (s State) Ended() bool { return s >= Completed }
 
--- a/internal/jobs/lead/callers.go
+++ b/internal/jobs/lead/callers.go
@@ -48,7 +48,7 @@
 	}
 	if e == nil {
 		if l.slow(now) {
-			l.refuse(conn, a, codes.LogDown, storeRetry)
+			l.refuse(now, conn, a, codes.LogDown, storeRetry)
 			return
 		}
 		job := *a.Work
@@ -59,9 +59,10 @@
 	l.answers[a.Job] = append(l.answers[a.Job], waiter{conn, a.Seq})
 }
 
-func (l *Leader) refuse(conn uint64, a *msgs.Ask, code codes.Code, after time.Duration) {
+func (l *Leader) refuse(now time.Time, conn uint64, a *msgs.Ask, code codes.Code, after time.Duration) {
 	l.stats.Refused++
-	l.log.Info("job refused", "req", a.Job, "queue", a.Queue, "code", int(code), "reason", code, "retryAfter", after)
+	l.log.Info("job refused", "req", a.Job, "queue", a.Queue, "code", int(code), "reason", code.String(),
+		"retryAfter", after, "storeWaits", l.Waiting(now), "epoch", l.epoch)
 	l.reply(conn, msgs.Answer{Seq: a.Seq, Code: code, RetryAfter: after})
 }
 
@@ -86,7 +87,7 @@
 		delete(l.answers, id)
 		l.book.Drop(id)
 		for _, w := range waiters {
-			l.refuse(w.conn, &msgs.Ask{Seq: w.seq, Job: id, Queue: e.Job.Queue.Name}, codes.LogDown, storeRetry)
+			l.refuse(now, w.conn, &msgs.Ask{Seq: w.seq, Job: id, Queue: e.Job.Queue.Name}, codes.LogDown, storeRetry)
 		}
 		l.log.Info("job dropped before it was stored", "req", id, "storeAge", now.Sub(l.storeAt))
 	}
--- a/internal/jobs/lead/move.go
+++ b/internal/jobs/lead/move.go
@@ -110,6 +110,7 @@
 	for _, c := range list[:min(len(list), maxMoves)] {
 		if to := p.better(c); to != nil {
 			c.v.health.slowed(p.now, c.it)
+			p.l.stats.Moved++
 			p.l.stopRun(p.now, c.v.info.ID, c.key, "would be done sooner on "+to.info.ID)
 		}
 	}
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -86,7 +86,7 @@
 // stage places the waiting tasks of a stage until one finds no room.
 func (p *pass) stage(w *plan.Work) {
 	e := p.l.book.Get(w.Key.Job)
-	st := &e.Stages[w.Key.Occurrence*len(e.Job.Steps)+w.Key.Step]
+	st := stageOf(e, w.Key)
 	step := e.StepOf(st)
 	task := &plan.Task{
 		Key: w.Key, Step: step, Service: p.serviceOf(e), Pressing: w.Lasting || w.Priority == 0,
@@ -187,7 +187,8 @@
 	p.starts++
 	p.l.stats.Started++
 	p.l.log.Info("task placed", "req", ref.Job, "task", ref.String(), "run", r.Number, "vm", v.info.ID,
-		"waited", p.now.Sub(e.Job.Accepted), "freeCPU", v.room.Free().CPU, "doubt", v.room.Doubt)
+		"sinceAccepted", p.now.Sub(e.Job.Accepted), "freeCPU", v.room.Free().CPU, "doubt", v.room.Doubt, "pace", it.percent,
+		"heard", p.now.Sub(v.heardAt), "epoch", p.l.epoch)
 }
 
 func startOf(it *run) msgs.Start {
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -146,8 +146,12 @@
 	l.changed = true
 	l.countEnd(outcome)
 	e := l.book.Get(ref.Job)
+	took := time.Duration(0)
+	if it != nil {
+		took = now.Sub(it.since)
+	}
 	l.log.Info("run ended", "req", ref.Job, "task", key.task, "run", key.number, "vm", v.info.ID, "outcome", outcome,
-		"reason", reason, "job", e.State)
+		"took", took, "reason", reason, "state", e.State, "epoch", l.epoch)
 	if it != nil {
 		v.health.ended(now, it, outcome, l.learn.expect(it.entry, it.ref.Step))
 		switch outcome {
--- a/internal/jobs/msgs/agent.go
+++ b/internal/jobs/msgs/agent.go
@@ -86,6 +86,9 @@
 	return names[o]
 }
 
+// MarshalText writes the outcome's name, for logs.
+func (o Outcome) MarshalText() ([]byte, error) { return []byte(o.String()), nil }
+
 // End is the end of a run. Number is the worker's count of ends, 0 for Lost.
 type End struct {
 	_          struct{} `cbor:",toarray"`
--- a/internal/run/agent/agent.go
+++ b/internal/run/agent/agent.go
@@ -23,9 +23,11 @@
 	worker port.Executor
 	store  port.Store
 	log    *slog.Logger
-	ctx    context.Context
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	// metrics may be used by all goroutines.
+	metrics *metrics
+	ctx     context.Context
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
 	// stored is signalled when the leader has stored ends, kicked when a look should
 	// be made at once.
 	stored, kicked chan struct{}
@@ -44,7 +46,7 @@
 func New(cfg proc.JobAgent, worker port.Executor, store port.Store, log *slog.Logger) *Agent {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Agent{
-		cfg: cfg, worker: worker, store: store, log: log, ctx: ctx, cancel: cancel,
+		cfg: cfg, worker: worker, store: store, log: log, metrics: newMetrics(), ctx: ctx, cancel: cancel,
 		stored: make(chan struct{}, 1), kicked: make(chan struct{}, 1), core: exec.New(cfg.Name, log),
 		entries: elect.Merge(nil, netip.AddrPort{}, cfg.Seeds.At(cfg.PeerPort)...),
 	}
--- a/internal/run/agent/worker.go
+++ b/internal/run/agent/worker.go
@@ -28,15 +28,20 @@
 	}
 	ctx, cancel := context.WithTimeout(a.ctx, callTimeout)
 	defer cancel()
+	began := time.Now()
 	switch {
 	case c.Start != nil:
 		err := a.worker.Start(ctx, *c.Start)
+		a.metrics.called("start", began, err)
 		a.with(func(now time.Time) { a.core.Started(now, c, err) })
 	case c.Stop != nil:
 		err := a.worker.Stop(ctx, *c.Stop)
+		a.metrics.called("stop", began, err)
 		a.with(func(now time.Time) { a.core.Stopped(now, c, err) })
 	case c.Pace != nil:
-		if err := a.worker.Pace(ctx, *c.Pace, c.Percent); err != nil {
+		err := a.worker.Pace(ctx, *c.Pace, c.Percent)
+		a.metrics.called("pace", began, err)
+		if err != nil {
 			a.log.Warn("cannot pace a run", "task", c.Pace.Task, "run", c.Pace.Run, "percent", c.Percent, "err", err)
 		}
 	}
--- a/internal/run/entry/callers.go
+++ b/internal/run/entry/callers.go
@@ -76,6 +76,11 @@
 func (e *Entry) answered(a *msgs.Answer) {
 	if r := e.asks[a.Seq]; r != nil {
 		delete(e.asks, a.Seq)
+		e.metrics.asked(r, a)
+		if a.Code != codes.OK {
+			e.log.Info("request answered", "req", r.ask.Job, "verb", r.ask.Verb.String(), "code", int(a.Code), "reason", a.Code.String(),
+				"waited", time.Since(r.at), "epoch", e.epoch, "leader", e.leaderAddr.String(), "config", r.ask.Config)
+		}
 		r.done <- *a
 	}
 }
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -42,6 +42,8 @@
 	log    *slog.Logger
 	events chan func()
 	config atomic.Pointer[model.Config]
+	// metrics may be used by all goroutines.
+	metrics *metrics
 	// stopping is set once the entry is to end.
 	stopping atomic.Bool
 	cancel   context.CancelFunc
@@ -89,7 +91,7 @@
 func New(cfg proc.JobEntry, store Platform, log *slog.Logger) *Entry {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Entry{
-		cfg: cfg, store: store, log: log, events: make(chan func(), eventQueue), ctx: ctx, cancel: cancel,
+		cfg: cfg, store: store, log: log, metrics: newMetrics(), events: make(chan func(), eventQueue), ctx: ctx, cancel: cancel,
 		conns: map[uint64]*client{}, asks: map[uint64]*request{},
 		entries: elect.Merge(nil, cfg.Peers, cfg.Seeds.At(cfg.Peers.Port())...),
 	}
@@ -193,7 +195,9 @@
 		e.append(batch)
 	}
 	e.deliver()
-	e.ping(now)
+	if e.ping(now) {
+		e.metrics.count(e.leader.Stats())
+	}
 	return e.leader.Next(now)
 }
 
--- a/internal/run/entry/follow.go
+++ b/internal/run/entry/follow.go
@@ -249,6 +249,7 @@
 	}
 	e.log.Info("claims the leadership", "epoch", epoch+1, "reason", reason)
 	c, err := e.claim(epoch)
+	e.metrics.claims.WithLabelValues(outcomeOf(err)).Inc()
 	if err == nil {
 		e.sync(func() { e.begin(c) })
 		return true
--- a/internal/run/entry/leading.go
+++ b/internal/run/entry/leading.go
@@ -135,6 +135,7 @@
 	e.leader = lead.New(now, c.epoch, c.book, cfg, e.log)
 	e.seq, e.epoch, e.leaderAddr, e.heardAt = c.seq, c.epoch, e.cfg.Peers, now
 	e.pingAt = time.Time{}
+	e.metrics.leading.Set(1)
 	e.log.Info("leads", "epoch", c.epoch, "jobs", c.book.Len(), "active", len(c.book.Active()))
 	e.passAll()
 	entries, h := slices.Clone(e.entries), e.greeting()
@@ -148,6 +149,7 @@
 	}
 	e.log.Warn("no longer leads", "epoch", e.epoch, "reason", reason, "storeAge", e.leader.StoreAge(time.Now()))
 	e.leader = nil
+	e.metrics.leading.Set(0)
 	e.leaderAddr, e.heardAt = netip.AddrPort{}, time.Time{}
 	for _, c := range e.conns {
 		c.conn.Close()
@@ -169,7 +171,9 @@
 	e.seq++
 	l := e.leader
 	e.done.Go(func() {
+		began := time.Now()
 		err := e.appendUntil(e.ctx, w)
+		e.metrics.appends.WithLabelValues(outcomeOf(err)).Observe(time.Since(began).Seconds())
 		e.post(func() { e.appended(l, err) })
 	})
 }
@@ -199,10 +203,10 @@
 	}
 }
 
-// ping tells the other entries that this one leads.
-func (e *Entry) ping(now time.Time) {
+// ping tells the other entries that this one leads, and reports whether it was due.
+func (e *Entry) ping(now time.Time) bool {
 	if now.Sub(e.pingAt) < pingEvery {
-		return
+		return false
 	}
 	e.pingAt = now
 	cfg := e.config.Load()
@@ -217,6 +221,7 @@
 		}
 		c.conn.Send(&msgs.Message{Ping: p})
 	}
+	return true
 }
 
 // agents returns the number of agents that are connected.
--- a/internal/run/entry/serve.go
+++ b/internal/run/entry/serve.go
@@ -84,7 +84,7 @@
 	}
 	if w.Leading {
 		e.conns[conn.ID] = &client{conn: conn, node: h.Node, entry: h.Entry}
-		e.log.Info("peer joins", "node", h.Node, "entry", h.Entry, "epoch", e.epoch)
+		e.log.Info("peer joins", "peer", h.Node, "entry", h.Entry, "epoch", e.epoch)
 		e.pingAt = time.Time{}
 	}
 	conn.Send(&msgs.Message{Welcome: w})
@@ -98,7 +98,7 @@
 		return
 	}
 	delete(e.conns, conn.ID)
-	e.log.Info("peer lost", "node", c.node, "entry", c.entry, "err", err)
+	e.log.Info("peer lost", "peer", c.node, "entry", c.entry, "err", err)
 	if e.leader != nil {
 		e.leader.Gone(time.Now(), conn.ID)
 	}
--- a/internal/tool/cmds/placed.go
+++ b/internal/tool/cmds/placed.go
@@ -18,6 +18,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/base/logs"
 	"github.com/ebonyarch/ebonyarch/internal/conf/jsonc"
 	"github.com/ebonyarch/ebonyarch/internal/conf/proc"
+	"github.com/ebonyarch/ebonyarch/internal/node/admin"
 	"github.com/ebonyarch/ebonyarch/internal/run/agent"
 	"github.com/ebonyarch/ebonyarch/internal/run/entry"
 	"github.com/ebonyarch/ebonyarch/internal/tool/demo"
@@ -96,6 +97,11 @@
 	if _, err := serveHTTP(cfg.Health, platform.NewReady(e), log); err != nil {
 		return err
 	}
+	registry := admin.NewRegistry()
+	e.Register(registry)
+	if _, err := serveHTTP(cfg.Admin, admin.Handler(e.View(), registry), log); err != nil {
+		return err
+	}
 	go func() {
 		if err := e.Serve(peers); err != nil {
 			log.Error("no longer listens for other processes", "err", err)
@@ -143,6 +149,11 @@
 	if _, err := serveHTTP(cfg.Registry, platform.NewRegistry(a, log), log); err != nil {
 		return err
 	}
+	registry := admin.NewRegistry()
+	a.Register(registry)
+	if _, err := serveHTTP(cfg.Admin, admin.Handler(a, registry), log); err != nil {
+		return err
+	}
 	log.Info("agent starts", "version", Version, "worker", cfg.Worker.String(), "registry", cfg.Registry.String())
 	ctx, stop := signalContext(ctx)
 	defer stop()
