--- a/internal/jobs/book/runs.go
+++ b/internal/jobs/book/runs.go
@@ -82,6 +82,9 @@
 			continue
 		}
 		t.Done = true
+		if len(members) > 1 {
+			t.Runs = nil // the one end stands for all members
+		}
 		st.Open--
 		st.Waiting = slices.DeleteFunc(st.Waiting, func(w int) bool { return w == i })
 	}
--- a/internal/jobs/lead/lead_test.go
+++ b/internal/jobs/lead/lead_test.go
@@ -298,6 +298,36 @@
 		Expect(b.leases()).To(BeEmpty())
 	})
 
+	It("starts a gang as one, frees all its room at its one end, and resumes it from one value", func() {
+		b.join(0)
+		b.join(1)
+		gang := model.Step{Tasks: 4, Gang: true, Checkpoints: true, Size: place.Amount{CPU: 7000, Memory: 100}, Estimate: time.Minute}
+		submit(job(1, gang))
+		submit(job(2, gang))
+		b.pass(100 * time.Millisecond)
+		Expect(b.starts()).To(And(HaveLen(4), HaveEach(HaveField("Run", uint32(1)))), "the other gang has no room")
+		var rows []msgs.Row
+		b.beat(0, false, append(rows, msgs.Row{Task: "0000000000000001.0.0.1", Run: 1, Checkpoint: "0abc"})...)
+		var ends []msgs.End
+		for i := range 4 {
+			ends = append(ends, msgs.End{Task: fmt.Sprintf("0000000000000001.0.0.%d", i), Run: 1, Outcome: msgs.Lost})
+		}
+		for n := range 2 {
+			b.leader.Handle(b.now, uint64(firstConn+n), &msgs.Message{Report: &msgs.Report{VM: fmt.Sprintf("vm-%d", n), Life: 5, Ends: ends}})
+		}
+		b.pass(100 * time.Millisecond)
+		again := b.starts()
+		Expect(again).To(HaveLen(4))
+		Expect(again).To(HaveEach(HaveField("Run", again[0].Run)))
+		Expect(again).To(HaveEach(HaveField("Checkpoint", again[0].Checkpoint)))
+		done := msgs.End{Number: 9, Task: again[0].Task, Run: again[0].Run, Outcome: msgs.Done}
+		for n := range 2 {
+			b.leader.Handle(b.now, uint64(firstConn+n), &msgs.Message{Report: &msgs.Report{VM: fmt.Sprintf("vm-%d", n), Life: 5, Ends: []msgs.End{done}}})
+		}
+		b.pass(100 * time.Millisecond)
+		Expect(b.starts()).To(HaveLen(4), "the other gang")
+	})
+
 	It("moves a task away from a VM on which it stands still", func() {
 		b.join(0)
 		submit(job(1, small))
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -141,35 +141,6 @@
 	return e.Job.Queue.Service
 }
 
-// gang places all tasks of a stage or none.
-func (p *pass) gang(e *book.Entry, st *book.Stage, task *plan.Task) {
-	if len(st.Waiting) < st.Open {
-		return // members of an earlier run are still ending
-	}
-	number := uint32(0)
-	for i := range e.StepOf(st).Tasks {
-		number = max(number, e.Tasks[st.First+i].Last+1)
-	}
-	var chosen []int
-	for range st.Waiting {
-		i := p.choose(task)
-		if i < 0 {
-			break
-		}
-		chosen = append(chosen, i)
-		p.room[i].Add(task.Key, task.Step)
-	}
-	for _, i := range chosen {
-		p.room[i].Remove(task.Key, task.Step)
-	}
-	if len(chosen) < len(st.Waiting) {
-		return
-	}
-	for _, i := range chosen {
-		p.start(e, st, st.Waiting[0], p.vms[i], number)
-	}
-}
-
 // start gives a task to a VM.
 func (p *pass) start(e *book.Entry, st *book.Stage, index int, v *vm, number uint32) {
 	ref := e.Ref(st, index)
@@ -194,9 +165,24 @@
 func startOf(it *run) msgs.Start {
 	t := it.entry.Task(it.ref)
 	return msgs.Start{
-		Task: it.ref.String(), Run: it.number, Payload: it.entry.Job.Payload, Checkpoint: t.Checkpoint,
-		Percent: it.percent,
+		Task: it.ref.String(), Run: it.number, Payload: it.entry.Job.Payload, Percent: it.percent,
+		Checkpoint: checkpointOf(it, t),
+	}
+}
+
+// checkpointOf returns the progress that a run resumes from. The members of a gang
+// resume from one value, which any of them may have saved.
+func checkpointOf(it *run, t *book.Task) string {
+	if !it.step.Gang {
+		return t.Checkpoint
+	}
+	st := it.entry.Stage(it.ref)
+	for i := range it.step.Tasks {
+		if c := it.entry.Tasks[st.First+i].Checkpoint; c != "" {
+			return c
+		}
 	}
+	return ""
 }
 
 // failedOn returns the VMs on which a task failed.
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -152,6 +152,9 @@
 	}
 	l.log.Info("run ended", "req", ref.Job, "task", key.task, "run", key.number, "vm", v.info.ID, "outcome", outcome,
 		"took", took, "reason", reason, "state", e.State, "epoch", l.epoch)
+	if it != nil && it.step.Gang && outcome == msgs.Done {
+		l.releaseGang(it)
+	}
 	if it != nil {
 		v.health.ended(now, it, outcome, l.learn.expect(it.entry, it.ref.Step))
 		switch outcome {
@@ -230,3 +233,14 @@
 		}
 	}
 }
+
+// releaseGang frees the room of a gang's members, of which only one lists its end.
+func (l *Leader) releaseGang(done *run) {
+	for _, v := range l.vms {
+		for key, it := range v.runs {
+			if stageKey(it.ref) == stageKey(done.ref) && it.number == done.number {
+				v.remove(key)
+			}
+		}
+	}
+}
