--- a/internal/jobs/lead/lead_test.go
+++ b/internal/jobs/lead/lead_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"maps"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -384,4 +385,23 @@
 		Expect(measure(b, 400, 3200*time.Millisecond)).To(And(HaveLen(2), HaveEach(BeZero())))
 		Expect(measure(b, 30, 3*time.Second)).To(HaveEach(Equal(100)))
 	})
+
+	It("stand still as well when one rough measurement seems to be just below the target", func() {
+		b := newBench()
+		b.join(0)
+		for n, s := range []model.Step{lasting, filler} {
+			j := job(n+1, s)
+			b.ask(msgs.Submit, j, j.ID)
+		}
+		b.pass(3 * time.Second)
+		measure(b, 40, 2*time.Second)
+		paces := measure(b, 400, 1600*time.Millisecond)
+		maps.Copy(paces, measure(b, 130, 400*time.Millisecond))
+		maps.Copy(paces, measure(b, 400, 1200*time.Millisecond))
+		Expect(paces).To(And(HaveLen(2), HaveEach(BeZero())))
+		more := job(3, filler)
+		b.ask(msgs.Submit, more, more.ID)
+		b.pass(200 * time.Millisecond)
+		Expect(b.starts()).To(BeEmpty(), "no further filler comes")
+	})
 })
--- a/internal/jobs/lead/pace.go
+++ b/internal/jobs/lead/pace.go
@@ -20,9 +20,9 @@
 	overFor = 1800 * time.Millisecond
 	// haltFor is how long it may be over before they stand still.
 	haltFor = 2600 * time.Millisecond
-	// nearTarget is the part of the target from which a task counts as over: what is
-	// measured is rough.
-	nearTarget = 0.9
+	// nearTarget is the part of the target from which a task counts as over, wellBelow
+	// that below which it no longer does: what is measured is rough.
+	nearTarget, wellBelow = 0.9, 0.7
 	// leastPace is the pace below which a filler stands still, in percent.
 	leastPace = 4
 	// paceChange is the least change that is worth a call, in percent.
@@ -84,12 +84,24 @@
 	return l.paceOrders(v, aims)
 }
 
+// strained reports whether a lasting task has been over its target for so long that no
+// further filler may come.
+func (v *vm) strained(now time.Time) bool {
+	for _, it := range v.runs {
+		if !it.overSince.IsZero() && now.Sub(it.overSince) > overFor {
+			return true
+		}
+	}
+	return false
+}
+
 // demand returns what a lasting task with a tail latency, in milliseconds, needs.
 func (h *harm) demand(now time.Time, v *vm, it *run, tail float64, cores map[runKey]float64) demand {
 	target := float64(it.step.Target.Milliseconds())
-	if tail < nearTarget*target {
+	switch {
+	case tail < wellBelow*target:
 		it.overSince = time.Time{}
-	} else if it.overSince.IsZero() {
+	case tail >= nearTarget*target && it.overSince.IsZero():
 		it.overSince = now
 	}
 	d := demand{presses: h.presses(v, it, cores)}
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -39,6 +39,7 @@
 			continue
 		}
 		v.room.Doubt, v.room.Probe = v.health.doubt(now), v.health.probe(now)
+		v.room.Strained = v.strained(now)
 		v.room.Harm = func(filler *model.Step) float64 { return l.harm.cost(v, filler) }
 		p.vms = append(p.vms, v)
 		p.room = append(p.room, &v.room)
--- a/internal/jobs/plan/plan_test.go
+++ b/internal/jobs/plan/plan_test.go
@@ -34,6 +34,7 @@
 		Entry("no memory", func(v *plan.VM, _ *plan.Task) { v.Used.Memory = 255500 }),
 		Entry("no processors", func(v *plan.VM, _ *plan.Task) { v.Used.CPU = 63500 }),
 		Entry("a probe that is taken", func(v *plan.VM, _ *plan.Task) { v.Probe, v.Runs = true, 1 }),
+		Entry("a lasting task over its target, for fillers", func(v *plan.VM, t *plan.Task) { v.Strained, t.Step.Filler = true, true }),
 		Entry("as many of the step as allowed", func(v *plan.VM, t *plan.Task) {
 			t.Step.MaxPerVM = 1
 			v.Add(t.Key, t.Step)
--- a/internal/jobs/plan/vm.go
+++ b/internal/jobs/plan/vm.go
@@ -43,6 +43,8 @@
 	Probe bool
 	// Runs is the number of runs that may be present.
 	Runs int
+	// Strained VMs get no further fillers.
+	Strained bool
 	// Harm returns what a filler costs the lasting tasks on the VM; nil is nothing.
 	Harm func(filler *model.Step) float64
 }
@@ -112,7 +114,7 @@
 
 // fits reports whether the task has room on the VM now.
 func (v *VM) fits(t *Task) bool {
-	if v.Probe && v.Runs > 0 {
+	if (v.Probe && v.Runs > 0) || (v.Strained && t.Step.Filler) {
 		return false
 	}
 	if !v.Free().Covers(t.Step.Room()) {
