--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -54,6 +54,8 @@
 	// beats holds when each beat was sent that has no answer.
 	beats map[uint64]time.Time
 	seq   uint64
+	// beatAt is when the latest was sent.
+	beatAt time.Time
 	// absentSince is since when no process listens at the worker's address.
 	absentSince time.Time
 	// lookAt is when the look under way began.
@@ -134,6 +136,7 @@
 		return false
 	}
 	a.epoch, a.joined, a.synced = epoch, true, false
+	a.beatAt = time.Time{}
 	a.beats = map[uint64]time.Time{}
 	return true
 }
--- a/internal/jobs/exec/exec_test.go
+++ b/internal/jobs/exec/exec_test.go
@@ -46,6 +46,7 @@
 
 // grant lets the leader answer a beat.
 func (b *bench) grant() {
+	b.now = b.now.Add(time.Second)
 	b.agent.Beat(b.now)
 	for _, m := range b.agent.Messages() {
 		if m.Beat != nil {
--- a/internal/jobs/exec/lease.go
+++ b/internal/jobs/exec/lease.go
@@ -6,13 +6,19 @@
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 )
 
-// maxBeats bounds the beats whose answers are awaited.
-const maxBeats = 64
+const (
+	// maxBeats bounds the beats whose answers are awaited.
+	maxBeats = 64
+	// beatAfter spaces beats that follow a look, whose measurements are fresh, beatLate
+	// those that follow none.
+	beatAfter = 330 * time.Millisecond
+	beatLate  = 600 * time.Millisecond
+)
 
 // Beat announces the VM to the leader, or only the agent while no worker is known. It
 // does nothing while no leader is connected.
 func (a *Agent) Beat(now time.Time) {
-	if a.joined {
+	if a.joined && now.Sub(a.beatAt) >= beatLate {
 		a.beat(now, false)
 	}
 }
@@ -42,6 +48,7 @@
 	if len(a.beats) >= maxBeats {
 		a.beats = map[uint64]time.Time{}
 	}
+	a.beatAt = now
 	a.seq++
 	b.Seq = a.seq
 	a.beats[b.Seq] = now
--- a/internal/jobs/exec/look.go
+++ b/internal/jobs/exec/look.go
@@ -69,6 +69,9 @@
 	if fresh {
 		a.report()
 	}
+	if a.synced && now.Sub(a.beatAt) >= beatAfter {
+		a.beat(now, false)
+	}
 }
 
 // sync tells a new leader all that runs and has ended.
--- a/internal/jobs/lead/pace.go
+++ b/internal/jobs/lead/pace.go
@@ -17,12 +17,12 @@
 	coresPerService = 8.0
 	// overFor is how long a lasting task may be over its target on end before its
 	// fillers yield whatever they weigh.
-	overFor = 1800 * time.Millisecond
+	overFor = 1400 * time.Millisecond
 	// haltFor is how long it may be over before they stand still.
-	haltFor = 2600 * time.Millisecond
+	haltFor = 2 * time.Second
 	// nearTarget is the part of the target from which a task counts as over, wellBelow
 	// that below which it no longer does: what is measured is rough.
-	nearTarget, wellBelow = 0.9, 0.7
+	nearTarget, wellBelow = 0.8, 0.65
 	// leastPace is the pace below which a filler stands still, in percent.
 	leastPace = 4
 	// paceChange is the least change that is worth a call, in percent.
--- a/internal/run/agent/worker.go
+++ b/internal/run/agent/worker.go
@@ -17,8 +17,8 @@
 	// storeWait is how long new ends may take to be stored before the worker is asked
 	// again.
 	storeWait = 60 * time.Millisecond
-	// beatEvery spaces the announcements to the leader.
-	beatEvery = 400 * time.Millisecond
+	// beatEvery spaces the looks whether an announcement to the leader is due.
+	beatEvery = 300 * time.Millisecond
 )
 
 // call makes one call to the worker.
