--- a/internal/run/entry/follow.go
+++ b/internal/run/entry/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -99,6 +100,9 @@
 	err = e.listen(conn)
 	e.sync(func() {
 		e.upstream = nil
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			e.forgetLeader(addr) // it is silent; to dial it again would take as long
+		}
 		e.log.Warn("lost the leader", "leader", addr.String(), "epoch", e.epoch, "err", err)
 	})
 	return true
@@ -242,48 +246,6 @@
 	}
 }
 
-// tryClaim claims the leadership after epoch, and learns who has it if that fails.
-func (e *Entry) tryClaim(epoch uint64, reason string) bool {
-	if e.Config() == nil {
-		return false
-	}
-	e.log.Info("claims the leadership", "epoch", epoch+1, "reason", reason)
-	c, err := e.claim(epoch)
-	e.metrics.claims.WithLabelValues(outcomeOf(err)).Inc()
-	if err == nil {
-		e.sync(func() { e.begin(c) })
-		return true
-	}
-	e.log.Warn("claim failed", "epoch", epoch+1, "err", err)
-	if errors.Is(err, port.ErrStoreFenced) || errors.Is(err, port.ErrStoreSequence) {
-		e.learn()
-	}
-	return false
-}
-
-// learn reads from the store who leads.
-func (e *Entry) learn() {
-	ctx, cancel := context.WithTimeout(e.ctx, storeTimeout)
-	defer cancel()
-	records, _, err := e.store.Newest(ctx, jobsTopic)
-	if err != nil {
-		e.log.Warn("cannot read who leads", "err", err)
-		return
-	}
-	c, err := findClaim(records)
-	if err != nil {
-		e.log.Error("cannot read who leads", "err", err)
-		return
-	}
-	e.sync(func() {
-		e.epoch = max(e.epoch, c.Epoch)
-		if c.Addr.IsValid() && c.Addr != e.cfg.Peers && e.leader == nil {
-			e.leaderAddr = c.Addr
-		}
-		e.log.Info("learned who led last", "epoch", c.Epoch, "leader", c.Addr.String())
-	})
-}
-
 // survey asks all entries for the leader.
 func (e *Entry) survey() *elect.Survey {
 	s := &elect.Survey{Self: e.cfg.Peers}
--- a/internal/run/entry/leading.go
+++ b/internal/run/entry/leading.go
@@ -3,14 +3,10 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/ebonyarch/ebonyarch/internal/jobs/book"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/lead"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
@@ -20,91 +16,15 @@
 )
 
 const (
-	// jobsTopic holds the leader's claim and all jobs.
-	jobsTopic = "jobs"
-	// claimKey is the key of the latest claim.
-	claimKey = "leader"
-	// writer is the name under which leaders append.
-	writer = "leader"
 	// appendTimeout bounds one try of an append; an append that was not answered is
 	// tried again and done once.
 	appendTimeout = 700 * time.Millisecond
 	// appendRetry spaces the tries.
 	appendRetry = 40 * time.Millisecond
-	// claimTimeout bounds the calls of a claim.
-	claimTimeout = 1500 * time.Millisecond
 	// pingEvery is how often a leader tells the entries that it lives.
 	pingEvery = 200 * time.Millisecond
 )
 
-// claim is the record of who leads.
-type claim struct {
-	_     struct{} `cbor:",toarray"`
-	Epoch uint64
-	Addr  netip.AddrPort
-	Node  string
-}
-
-// record returns the claim as a record of the store.
-func (c claim) record() (port.Record, error) {
-	data, err := cbor.Marshal(c)
-	return port.Record{Key: claimKey, Value: data}, err
-}
-
-// findClaim returns the latest claim among records.
-func findClaim(records []port.Record) (claim, error) {
-	var c claim
-	for _, r := range records {
-		if r.Key != claimKey {
-			continue
-		}
-		if err := cbor.Unmarshal(r.Value, &c); err != nil {
-			return c, fmt.Errorf("record of the leader: %w", err)
-		}
-	}
-	return c, nil
-}
-
-// claimed is a leadership that was won.
-type claimed struct {
-	epoch uint64
-	seq   uint64
-	book  *book.Book
-}
-
-// claim claims the leadership after epoch and loads the state. The random first
-// sequence number tells two entries apart that claim the same epoch.
-func (e *Entry) claim(epoch uint64) (claimed, error) {
-	ctx, cancel := context.WithTimeout(e.ctx, claimTimeout)
-	defer cancel()
-	c := claim{Epoch: epoch + 1, Addr: e.cfg.Peers, Node: e.cfg.Name}
-	rec, err := c.record()
-	if err != nil {
-		return claimed{}, err
-	}
-	seq := uint64(rand.Uint32N(1<<30)) + 1
-	w := port.Write{Topic: jobsTopic, Writer: writer, Epoch: c.Epoch, Seq: seq, At: -1, Records: []port.Record{rec}}
-	if err := e.appendUntil(ctx, w); err != nil {
-		return claimed{}, err
-	}
-	records, _, err := e.store.Newest(ctx, jobsTopic)
-	if err != nil {
-		return claimed{}, err
-	}
-	latest, err := findClaim(records)
-	if err != nil {
-		return claimed{}, err
-	}
-	if latest.Epoch != c.Epoch || latest.Node != c.Node {
-		return claimed{}, fmt.Errorf("%w: %s claimed epoch %d", port.ErrStoreFenced, latest.Node, latest.Epoch)
-	}
-	b, faults := book.Load(records)
-	for _, fault := range faults {
-		e.log.Error("left out a record of the store", "err", fault)
-	}
-	return claimed{c.Epoch, seq + 1, b}, nil
-}
-
 // appendUntil tries an append until its fate is known or ctx is done.
 func (e *Entry) appendUntil(ctx context.Context, w port.Write) error {
 	for try := 1; ; try++ {
--- a/internal/run/peer/greet.go
+++ b/internal/run/peer/greet.go
@@ -11,7 +11,7 @@
 )
 
 // greetTimeout bounds the wait for an entry's Welcome.
-const greetTimeout = 300 * time.Millisecond
+const greetTimeout = 250 * time.Millisecond
 
 // ErrNoWelcome says that a process answered with something other than Welcome.
 var ErrNoWelcome = errors.New("the process does not answer as an entry")
--- a/internal/run/peer/peer.go
+++ b/internal/run/peer/peer.go
@@ -26,7 +26,7 @@
 	// writeTimeout bounds the writing of one message.
 	writeTimeout = 2 * time.Second
 	// dialTimeout bounds the opening of a connection.
-	dialTimeout = 300 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	// bufferSize is the size of a connection's buffers, in bytes.
 	bufferSize = 4 << 10
 )
