--- a/internal/run/entry/leading.go
+++ b/internal/run/entry/leading.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/ebonyarch/ebonyarch/internal/jobs/book"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/lead"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
