lead: no job is left with nothing running for want of idle processors; advice

After a second without any run one filler of a job starts. Also: tickets of the advice service, and pauses after starts that workers refuse.

--- a/internal/conf/proc/placed.go
+++ b/internal/conf/proc/placed.go
@@ -31,6 +31,8 @@
 	// Store is the address of the platform's store.
 	Store netip.AddrPort `json:"store"`
 	Seeds Seeds          `json:"seeds"`
+	// Advisor is the address of the advice service; without it advised queues wait.
+	Advisor netip.AddrPort `json:"advisor"`
 }
 
 // ParseJobEntry reads and checks the settings of an entry on the users' platform.
--- a/internal/jobs/book/entry.go
+++ b/internal/jobs/book/entry.go
@@ -17,6 +17,8 @@
 	// Known is set once the store holds the job at all.
 	Stored State
 	Known  bool
+	// Present is the number of runs that may be present at workers.
+	Present int
 	// dirty is set while no record carries the latest change, fresh while no
 	// record carries the job itself.
 	dirty, fresh bool
@@ -54,6 +56,7 @@
 	n := e.Job.Steps[st.Step].Tasks
 	for i := n - 1; i >= 0; i-- {
 		t := &e.Tasks[st.First+i]
+		e.Present += len(t.Runs)
 		if t.Done {
 			continue
 		}
--- a/internal/jobs/book/runs.go
+++ b/internal/jobs/book/runs.go
@@ -17,6 +17,7 @@
 	t.Last = max(t.Last+1, at.Number)
 	at.Number = t.Last
 	t.Runs = append(t.Runs, at)
+	e.Present++
 	if i := slices.Index(st.Waiting, ref.Index); i >= 0 {
 		st.Waiting = slices.Delete(st.Waiting, i, i+1)
 	}
@@ -44,6 +45,7 @@
 	}
 	run := t.Runs[i]
 	t.Runs = slices.Delete(t.Runs, i, i+1)
+	e.Present--
 	if checkpoint != "" {
 		t.Checkpoint = checkpoint
 	}
@@ -83,6 +85,7 @@
 		}
 		t.Done = true
 		if len(members) > 1 {
+			e.Present -= len(t.Runs)
 			t.Runs = nil // the one end stands for all members
 		}
 		st.Open--
--- a/internal/jobs/lead/gang.go
+++ b/internal/jobs/lead/gang.go
@@ -24,6 +24,9 @@
 	if chosen == nil {
 		chosen = p.together(task, len(st.Waiting), "")
 	}
+	if chosen == nil && task.Advised {
+		p.ask(task)
+	}
 	number := uint32(0)
 	for i := range task.Step.Tasks {
 		number = max(number, e.Tasks[st.First+i].Last+1)
--- a/internal/jobs/lead/lead_test.go
+++ b/internal/jobs/lead/lead_test.go
@@ -310,6 +310,40 @@
 		Expect(b.leases()).To(BeEmpty())
 	})
 
+	It("asks for advice, and starts only where a ticket is valid, with it", func() {
+		b.join(0)
+		b.join(1)
+		j := job(1, small)
+		j.Queue.Advised = true
+		submit(j)
+		b.pass(100 * time.Millisecond)
+		Expect(b.starts()).To(BeEmpty())
+		q := b.leader.Question()
+		Expect(q.VMs).To(ConsistOf("vm-0", "vm-1"))
+		Expect(q.Step).To(Equal("0000000000000001.0.0"))
+		Expect(b.leader.Question()).To(BeNil(), "one at a time")
+		b.leader.Advised(b.now, q, port.Advice{Tickets: map[string]string{"vm-1": "t-1"}, For: 3 * time.Second}, nil)
+		b.pass(100 * time.Millisecond)
+		Expect(b.orders()).To(ConsistOf(And(HaveField("VM", "vm-1"), HaveField("Starts", ConsistOf(HaveField("Ticket", "t-1"))))))
+	})
+
+	It("spaces the starts of a task that workers refuse", func() {
+		b.join(0)
+		submit(job(1, small))
+		starts := 0
+		for range 100 {
+			b.pass(40 * time.Millisecond)
+			b.beat(0, false)
+			for _, s := range b.starts() {
+				starts++
+				b.leader.Handle(b.now, firstConn, &msgs.Message{Report: &msgs.Report{VM: "vm-0", Life: 5, Ends: []msgs.End{
+					{Task: s.Task, Run: s.Run, Outcome: msgs.Lost, Reason: port.ErrRunBusy.Error()},
+				}}})
+			}
+		}
+		Expect(starts).To(BeNumerically("<", 10))
+	})
+
 	It("starts a gang as one, frees all its room at its one end, and resumes it from one value", func() {
 		b.join(0)
 		b.join(1)
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -9,11 +9,13 @@
 
 import (
 	"log/slog"
+	"maps"
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/book"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/plan"
 )
 
 const (
@@ -49,6 +51,13 @@
 	agents map[uint64]string
 	learn  durations
 	harm   harm
+	waits  waits
+	// idle is since when nothing runs of jobs that have work to do.
+	idle map[model.ID]time.Time
+	// advice holds what the advisor said of steps, question what it is asked now.
+	advice   map[plan.StageKey]*advised
+	question *Question
+	asking   bool
 	// out holds effects that may leave now, held those that wait for the next batch.
 	out, held []Effect
 	// flight is the batch on its way to the store.
@@ -71,6 +80,7 @@
 	l := &Leader{
 		epoch: epoch, book: b, cfg: cfg, storeAt: now, flushedAt: now, forgotAt: now, changed: true, log: log,
 		vms: map[string]*vm{}, agents: map[uint64]string{}, answers: map[model.ID][]waiter{},
+		advice: map[plan.StageKey]*advised{}, idle: map[model.ID]time.Time{},
 	}
 	l.adopt(now)
 	return l
@@ -140,6 +150,8 @@
 	if now.Sub(l.forgotAt) > time.Second {
 		l.forgotAt = now
 		l.book.Forget(now.Add(-keepEnded))
+		maps.DeleteFunc(l.idle, func(id model.ID, _ time.Time) bool { e := l.book.Get(id); return e == nil || e.State.Ended() })
+		maps.DeleteFunc(l.advice, func(k plan.StageKey, _ *advised) bool { e := l.book.Get(k.Job); return e == nil || e.State.Ended() })
 		l.changed = true
 	}
 	if now.Sub(l.movedAt) > moveEvery {
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -58,17 +58,40 @@
 func (l *Leader) waiting(now time.Time) []plan.Work {
 	var work []plan.Work
 	for _, e := range l.book.Active() {
+		l.noteIdle(now, e)
 		for i := range e.Stages {
 			st := &e.Stages[i]
 			if len(st.Waiting) == 0 || !e.Ready(now, st) {
 				continue
 			}
-			work = append(work, l.workOf(e, st))
+			w := l.workOf(e, st)
+			if l.waits.over(now, w.Key) {
+				work = append(work, w)
+			}
 		}
 	}
 	return work
 }
 
+// idleFor is how long a job may have nothing running before one of its fillers starts
+// without processors to spare.
+const idleFor = time.Second
+
+// noteIdle notes since when nothing of a job runs.
+func (l *Leader) noteIdle(now time.Time, e *book.Entry) {
+	if _, idle := l.idle[e.Job.ID]; e.Present > 0 {
+		delete(l.idle, e.Job.ID)
+	} else if !idle {
+		l.idle[e.Job.ID] = now
+	}
+}
+
+// idleLong reports whether a job has had nothing running for long.
+func (l *Leader) idleLong(now time.Time, e *book.Entry) bool {
+	since, idle := l.idle[e.Job.ID]
+	return idle && e.Present == 0 && now.Sub(since) > idleFor
+}
+
 func (l *Leader) workOf(e *book.Entry, st *book.Stage) plan.Work {
 	q := &e.Job.Queue
 	whole, left := l.learn.chain(e, st.Occurrence)
@@ -92,6 +115,9 @@
 	task := &plan.Task{
 		Key: w.Key, Step: step, Service: p.serviceOf(e), Pressing: w.Lasting || w.Priority == 0,
 	}
+	if p.l.advisedQueue(e) {
+		task.Advised, task.Tickets = true, p.l.tickets(p.now, w.Key)
+	}
 	if step.Gang {
 		p.gang(e, st, task)
 		return
@@ -99,7 +125,14 @@
 	for len(st.Waiting) > 0 && p.starts < maxStarts {
 		index := st.Waiting[0]
 		task.Avoid = p.l.failedOn(e, st, index)
+		if step.Filler {
+			task.Pressing = p.l.idleLong(p.now, e)
+		}
 		i := p.choose(task)
+		if i < 0 && task.Advised {
+			p.ask(task)
+			return
+		}
 		if i < 0 {
 			if w.Lasting {
 				p.makeRoom(task)
@@ -135,6 +168,14 @@
 	return now.Before(v.keptUntil) && v.kept != key
 }
 
+// advisedQueue reports whether a job's queue needs advice.
+func (l *Leader) advisedQueue(e *book.Entry) bool {
+	if q := l.cfg.Queue(e.Job.Queue.Name); q != nil {
+		return q.Advised
+	}
+	return e.Job.Queue.Advised
+}
+
 func (p *pass) serviceOf(e *book.Entry) string {
 	if q := p.l.cfg.Queue(e.Job.Queue.Name); q != nil {
 		return q.Service
@@ -155,6 +196,7 @@
 		o = &msgs.Orders{Epoch: p.l.epoch, VM: v.info.ID, Life: v.info.Life}
 		p.orders[v.info.ID] = o
 	}
+	it.ticket = p.l.tickets(p.now, stageKey(ref))[v.info.ID]
 	o.Starts = append(o.Starts, startOf(it))
 	p.starts++
 	p.l.stats.Started++
@@ -167,7 +209,7 @@
 	t := it.entry.Task(it.ref)
 	return msgs.Start{
 		Task: it.ref.String(), Run: it.number, Payload: it.entry.Job.Payload, Percent: it.percent,
-		Checkpoint: checkpointOf(it, t),
+		Checkpoint: checkpointOf(it, t), Ticket: it.ticket,
 	}
 }
 
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -6,6 +6,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/jobs/book"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 )
 
 // beat takes an agent's announcement and answers it with a lease.
@@ -122,6 +123,7 @@
 	}
 	var last int64
 	for _, e := range r.Ends {
+		l.noteRefusal(now, v, e)
 		l.end(now, v, runKey{e.Task, e.Run}, e.Outcome, e.Checkpoint, e.Reason)
 		last = max(last, e.Number)
 	}
@@ -130,6 +132,23 @@
 	}
 }
 
+// noteRefusal spaces the starts of a step that a worker refuses, and remembers what is
+// refused by whom.
+func (l *Leader) noteRefusal(now time.Time, v *vm, e msgs.End) {
+	it := v.runs[runKey{e.Task, e.Run}]
+	switch {
+	case it == nil:
+	case e.Outcome == msgs.Lost:
+		l.waits.refused(now, stageKey(it.ref))
+		delete(l.advice, stageKey(it.ref))
+		if e.Reason == port.ErrRunBusy.Error() {
+			v.health.ended(now, it, msgs.Failed, 0)
+		}
+	default:
+		l.waits.started(stageKey(it.ref))
+	}
+}
+
 // end takes the end of one run.
 func (l *Leader) end(now time.Time, v *vm, key runKey, outcome msgs.Outcome, checkpoint, reason string) {
 	it := v.runs[key]
--- a/internal/jobs/lead/vm.go
+++ b/internal/jobs/lead/vm.go
@@ -45,6 +45,8 @@
 	stopped bool
 	// percent is the pace that the run was given last.
 	percent int
+	// ticket is the advisor's consent, if the queue needs one.
+	ticket string
 	// last is what was measured last of a lasting run, nil before.
 	last *sample
 	// overSince is since when a lasting run has been over its target.
--- a/internal/jobs/plan/vm.go
+++ b/internal/jobs/plan/vm.go
@@ -97,6 +97,9 @@
 	Avoid []string
 	// Wait is how long the task has been ready.
 	Wait time.Duration
+	// Advised tasks run only on VMs for which Tickets holds a ticket.
+	Advised bool
+	Tickets map[string]string
 	// Pressing tasks take room that fillers count on.
 	Pressing bool
 }
@@ -106,6 +109,9 @@
 	if v.Service != t.Service {
 		return false
 	}
+	if _, ok := t.Tickets[v.ID]; t.Advised && !ok {
+		return false
+	}
 	if t.Step.Requires != "" && !slices.Contains(v.Labels, t.Step.Requires) {
 		return false
 	}
@@ -114,7 +120,7 @@
 
 // fits reports whether the task has room on the VM now.
 func (v *VM) fits(t *Task) bool {
-	if (v.Probe && v.Runs > 0) || (v.Strained && t.Step.Filler) {
+	if (v.Probe && v.Runs > 0) || (v.Strained && t.Step.Filler && !t.Pressing) {
 		return false
 	}
 	if !v.Free().Covers(t.Step.Room()) {
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -37,11 +37,13 @@
 
 // Entry is a running entry. Make it with Start.
 type Entry struct {
-	cfg    proc.JobEntry
-	store  Platform
-	log    *slog.Logger
-	events chan func()
-	config atomic.Pointer[model.Config]
+	cfg   proc.JobEntry
+	store Platform
+	// advisor may be nil if no queue needs advice.
+	advisor port.Advisor
+	log     *slog.Logger
+	events  chan func()
+	config  atomic.Pointer[model.Config]
 	// metrics may be used by all goroutines.
 	metrics *metrics
 	// stopping is set once the entry is to end.
@@ -87,11 +89,11 @@
 	config int64
 }
 
-// New returns an entry that is not running yet.
-func New(cfg proc.JobEntry, store Platform, log *slog.Logger) *Entry {
+// New returns an entry that is not running yet. advisor may be nil.
+func New(cfg proc.JobEntry, store Platform, advisor port.Advisor, log *slog.Logger) *Entry {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Entry{
-		cfg: cfg, store: store, log: log, metrics: newMetrics(), events: make(chan func(), eventQueue), ctx: ctx, cancel: cancel,
+		cfg: cfg, store: store, advisor: advisor, log: log, metrics: newMetrics(), events: make(chan func(), eventQueue), ctx: ctx, cancel: cancel,
 		conns: map[uint64]*client{}, asks: map[uint64]*request{},
 		entries: elect.Merge(nil, cfg.Peers, cfg.Seeds.At(cfg.Peers.Port())...),
 	}
@@ -194,6 +196,7 @@
 	if batch != nil {
 		e.append(batch)
 	}
+	e.askAdvice()
 	e.deliver()
 	if e.ping(now) {
 		e.metrics.count(e.leader.Stats())
--- a/internal/run/entry/leading.go
+++ b/internal/run/entry/leading.go
@@ -153,3 +153,24 @@
 	}
 	return n
 }
+
+// adviceTimeout bounds a question to the advisor.
+const adviceTimeout = 5 * time.Second
+
+// askAdvice asks the advisor what the leader wants to know.
+func (e *Entry) askAdvice() {
+	if e.advisor == nil {
+		return
+	}
+	l := e.leader
+	q := l.Question()
+	if q == nil {
+		return
+	}
+	e.done.Go(func() {
+		ctx, cancel := context.WithTimeout(e.ctx, adviceTimeout)
+		defer cancel()
+		advice, err := e.advisor.Advise(ctx, q.Step, q.VMs)
+		e.post(func() { l.Advised(time.Now(), q, advice, err) })
+	})
+}
--- a/internal/tool/cmds/placed.go
+++ b/internal/tool/cmds/placed.go
@@ -19,6 +19,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/conf/jsonc"
 	"github.com/ebonyarch/ebonyarch/internal/conf/proc"
 	"github.com/ebonyarch/ebonyarch/internal/node/admin"
+	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 	"github.com/ebonyarch/ebonyarch/internal/run/agent"
 	"github.com/ebonyarch/ebonyarch/internal/run/entry"
 	"github.com/ebonyarch/ebonyarch/internal/tool/demo"
@@ -85,7 +86,7 @@
 	}
 	defer flush()
 	log = log.With("node", cfg.Name)
-	e := entry.New(cfg, platform.NewStore(cfg.Store, log), log)
+	e := entry.New(cfg, platform.NewStore(cfg.Store, log), advisorAt(cfg.Advisor), log)
 	peers, err := listen(cfg.Peers)
 	if err != nil {
 		return err
@@ -241,3 +242,11 @@
 		log.Info("settings reloaded")
 	}
 }
+
+// advisorAt returns a client of the advice service, nil if there is none.
+func advisorAt(addr netip.AddrPort) port.Advisor {
+	if !addr.IsValid() {
+		return nil
+	}
+	return platform.NewAdvisor(addr)
+}
--- a/internal/tool/demo/demo.go
+++ b/internal/tool/demo/demo.go
@@ -113,7 +113,7 @@
 	}
 	cfg := proc.JobEntry{Name: fmt.Sprintf("entry-%d", i+1), Zone: "mx-a", Peers: addrOf(ln), Store: store, Seeds: seeds}
 	log := f.log.With("node", cfg.Name)
-	e := &Entry{Entry: entry.New(cfg, platform.NewStore(store, log), log), peers: ln}
+	e := &Entry{Entry: entry.New(cfg, platform.NewStore(store, log), nil, log), peers: ln}
 	if e.Callers, err = f.serve(platform.NewIngress(e, e.Config, log)); err != nil {
 		return nil, err
 	}
