--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -14,6 +14,8 @@
 const (
 	// maxStarts bounds the runs that one pass orders.
 	maxStarts = 400
+	// roomyBelow is the part of the processors held below which VMs have much room.
+	roomyBelow = 0.5
 	// lateBy is how many times its objective a job may take and still be worth
 	// something.
 	lateBy = 3
@@ -28,6 +30,8 @@
 	// orders holds what each VM is told, by its id.
 	orders map[string]*msgs.Orders
 	starts int
+	// roomy is set if less than half of the VMs' processors are held.
+	roomy bool
 }
 
 // place gives waiting work to VMs.
@@ -44,6 +48,7 @@
 		p.vms = append(p.vms, v)
 		p.room = append(p.room, &v.room)
 	}
+	p.roomy = p.held() < roomyBelow
 	plan.Order(now, work)
 	for i := range work {
 		p.stage(&work[i])
@@ -54,6 +59,16 @@
 	}
 }
 
+// held returns the part of the VMs' processors that is held.
+func (p *pass) held() float64 {
+	var used, capacity int64
+	for _, v := range p.room {
+		used += v.Used.CPU
+		capacity += v.Capacity.CPU
+	}
+	return float64(used) / float64(max(1, capacity))
+}
+
 // waiting returns the stages with tasks that may start now.
 func (l *Leader) waiting(now time.Time) []plan.Work {
 	var work []plan.Work
@@ -73,9 +88,10 @@
 	return work
 }
 
-// idleFor is how long a job may have nothing running before one of its fillers starts
-// without processors to spare.
-const idleFor = time.Second
+// idleFor is how long a job may have nothing running, while less than half of
+// the VMs' processors are held, before one of its fillers starts without processors to
+// spare.
+const idleFor = 1500 * time.Millisecond
 
 // noteIdle notes since when nothing of a job runs.
 func (l *Leader) noteIdle(now time.Time, e *book.Entry) {
@@ -126,7 +142,7 @@
 		index := st.Waiting[0]
 		task.Avoid = p.l.failedOn(e, st, index)
 		if step.Filler {
-			task.Pressing = p.l.idleLong(p.now, e)
+			task.Pressing = p.roomy && p.l.idleLong(p.now, e)
 		}
 		i := p.choose(task)
 		if i < 0 && task.Advised {
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -132,13 +132,19 @@
 	}
 }
 
+// refusals are the reasons of lost runs that are a worker's refusal of the run itself.
+var refusals = map[string]bool{
+	port.ErrRunBusy.Error(): true, port.ErrRunRoom.Error(): true,
+	port.ErrRunTicket.Error(): true, port.ErrRunInvalid.Error(): true,
+}
+
 // noteRefusal spaces the starts of a step that a worker refuses, and remembers what is
 // refused by whom.
 func (l *Leader) noteRefusal(now time.Time, v *vm, e msgs.End) {
 	it := v.runs[runKey{e.Task, e.Run}]
 	switch {
 	case it == nil:
-	case e.Outcome == msgs.Lost:
+	case e.Outcome == msgs.Lost && refusals[e.Reason]:
 		l.waits.refused(now, stageKey(it.ref))
 		delete(l.advice, stageKey(it.ref))
 		if e.Reason == port.ErrRunBusy.Error() {
