--- a/internal/jobs/lead/lead_test.go
+++ b/internal/jobs/lead/lead_test.go
@@ -222,6 +222,9 @@
 			b.leader.Handle(b.now, firstConn, end)
 			Expect(b.leader.Effects()).To(BeEmpty())
 		}
+		b.ask(msgs.State, nil, job(1).ID)
+		b.out = b.leader.Effects()
+		Expect(b.answers()).To(ConsistOf(HaveField("State", "running")), "what the store holds")
 		b.pass(100 * time.Millisecond)
 		acked := collect(b, func(m *msgs.Message) []int64 {
 			if m.Acked == nil {
--- a/internal/jobs/lead/pace_test.go
+++ b/internal/jobs/lead/pace_test.go
@@ -18,14 +18,14 @@
 	lasting := model.Step{Tasks: 1, Lasting: true, Image: "s", Target: target, Size: place.Amount{CPU: 4000, Memory: 1000}}
 	filler := model.Step{Tasks: 2, Filler: true, Image: "f", Size: place.Amount{CPU: 3000, Memory: 1000}, Estimate: time.Minute}
 
-	// measure lets the VM report a tail latency for a time and returns the fillers'
-	// paces then.
-	measure := func(b *bench, tail int, d time.Duration) map[string]int {
+	// measure lets the VM report a tail latency, and processors that each filler uses,
+	// for a time and returns the fillers' paces then.
+	measure := func(b *bench, tail, cpu int, d time.Duration) map[string]int {
 		paces := map[string]int{}
 		for end := b.now.Add(d); b.now.Before(end); {
 			rows := []msgs.Row{{Task: "0000000000000001.0.0.0", Run: 1, Percent: 100, Measure: tail}}
 			for i := range 2 {
-				rows = append(rows, msgs.Row{Task: fmt.Sprintf("0000000000000002.0.0.%d", i), Run: 1, Percent: 5, Measure: 3000})
+				rows = append(rows, msgs.Row{Task: fmt.Sprintf("0000000000000002.0.0.%d", i), Run: 1, Percent: 5, Measure: cpu})
 			}
 			b.beat(0, false, rows...)
 			b.pass(400 * time.Millisecond)
@@ -46,9 +46,9 @@
 			b.ask(msgs.Submit, j, j.ID)
 		}
 		b.pass(3 * time.Second)
-		measure(b, 40, 2*time.Second)
-		Expect(measure(b, 400, 3200*time.Millisecond)).To(And(HaveLen(2), HaveEach(BeZero())))
-		Expect(measure(b, 30, 3*time.Second)).To(HaveEach(Equal(100)))
+		measure(b, 40, 0, 2*time.Second)
+		Expect(measure(b, 400, 3000, 3200*time.Millisecond)).To(And(HaveLen(2), HaveEach(BeZero())))
+		Expect(measure(b, 30, 0, 3*time.Second)).To(HaveEach(Equal(100)))
 	})
 
 	It("stand still as well when one rough measurement seems to be just below the target", func() {
@@ -59,10 +59,10 @@
 			b.ask(msgs.Submit, j, j.ID)
 		}
 		b.pass(3 * time.Second)
-		measure(b, 40, 2*time.Second)
-		paces := measure(b, 400, 1600*time.Millisecond)
-		maps.Copy(paces, measure(b, 130, 400*time.Millisecond))
-		maps.Copy(paces, measure(b, 400, 1200*time.Millisecond))
+		measure(b, 40, 0, 2*time.Second)
+		paces := measure(b, 400, 3000, 1600*time.Millisecond)
+		maps.Copy(paces, measure(b, 130, 3000, 400*time.Millisecond))
+		maps.Copy(paces, measure(b, 400, 3000, 1200*time.Millisecond))
 		Expect(paces).To(And(HaveLen(2), HaveEach(BeZero())))
 		more := job(3, filler)
 		b.ask(msgs.Submit, more, more.ID)
