--- a/internal/jobs/elect/elect.go
+++ b/internal/jobs/elect/elect.go
@@ -16,6 +16,8 @@
 const (
 	// Stagger spaces the claims of entries that miss the same leader.
 	Stagger = 200 * time.Millisecond
+	// maxWait bounds the wait before a claim.
+	maxWait = 2 * time.Second
 	// Silence is how long a leader may be silent before entries look for another.
 	Silence = 800 * time.Millisecond
 	// storeTrouble is how long a leader may wait for an answer of the store before an
@@ -34,7 +36,7 @@
 type Survey struct {
 	Self netip.AddrPort
 	// Known is the number of other entries known, Answers holds what those said that
-	// answered.
+	// were asked and answered: all of a few, some of many.
 	Known   int
 	Answers map[netip.AddrPort]msgs.Welcome
 	// Agents is the number of agents that looked for a leader lately.
@@ -74,7 +76,7 @@
 	if s.Known > 0 && len(s.Answers) == 0 && s.Agents == 0 {
 		return 0, false
 	}
-	return time.Duration(s.rank()) * Stagger, true
+	return min(time.Duration(s.rank()*s.Known/max(1, len(s.Answers)))*Stagger, maxWait), true
 }
 
 // rank returns the number of entries that should claim before this one.
--- a/internal/run/entry/claim.go
+++ b/internal/run/entry/claim.go
@@ -23,6 +23,8 @@
 	writer = "leader"
 	// claimTimeout bounds the calls of a claim.
 	claimTimeout = 1500 * time.Millisecond
+	// announceWait is how long a new leader may take to tell the other entries.
+	announceWait = 60 * time.Millisecond
 )
 
 // claim is the record of who leads.
@@ -106,7 +108,14 @@
 		return true
 	}
 	e.log.Warn("claim failed", "epoch", epoch+1, "err", err)
-	if errors.Is(err, port.ErrStoreFenced) || errors.Is(err, port.ErrStoreSequence) {
+	if !errors.Is(err, port.ErrStoreFenced) && !errors.Is(err, port.ErrStoreSequence) {
+		return false
+	}
+	// Another entry has claimed. It tells all entries; the store is asked if it does not.
+	e.pause(announceWait)
+	latest := epoch
+	e.sync(func() { latest = e.epoch })
+	if latest <= epoch {
 		e.learn()
 	}
 	return false
--- a/internal/run/entry/leading.go
+++ b/internal/run/entry/leading.go
@@ -58,7 +58,7 @@
 	e.log.Info("leads", "epoch", c.epoch, "jobs", c.book.Len(), "active", len(c.book.Active()))
 	e.passAll()
 	entries, h := slices.Clone(e.entries), e.greeting()
-	e.done.Go(func() { peer.Survey(e.ctx, entries, h) })
+	e.done.Go(func() { peer.Announce(e.ctx, entries, h) })
 }
 
 // end stops leading. Agents and entries look for the next leader.
--- a/internal/run/peer/greet.go
+++ b/internal/run/peer/greet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -10,8 +11,13 @@
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 )
 
-// greetTimeout bounds the wait for an entry's Welcome.
-const greetTimeout = 250 * time.Millisecond
+const (
+	// greetTimeout bounds the wait for an entry's Welcome.
+	greetTimeout = 250 * time.Millisecond
+	// maxSurvey bounds the entries that one survey asks: any of them knows the leader,
+	// and all processes ask at the same time when it is lost.
+	maxSurvey = 6
+)
 
 // ErrNoWelcome says that a process answered with something other than Welcome.
 var ErrNoWelcome = errors.New("the process does not answer as an entry")
@@ -34,13 +40,14 @@
 	return conn, m.Welcome, nil
 }
 
-// Survey asks entries for the leader, all at once, and returns what those said that
-// answered.
+// Survey asks entries for the leader, some of them if there are many, and returns what
+// those said that answered.
 func Survey(ctx context.Context, addrs []netip.AddrPort, h msgs.Hello) map[netip.AddrPort]msgs.Welcome {
 	answers := map[netip.AddrPort]msgs.Welcome{}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	for _, addr := range addrs {
+	for _, i := range rand.Perm(len(addrs))[:min(len(addrs), maxSurvey)] {
+		addr := addrs[i]
 		wg.Go(func() {
 			conn, w, err := Greet(ctx, addr, h)
 			if err != nil {
@@ -55,3 +62,12 @@
 	wg.Wait()
 	return answers
 }
+
+// Announce says hello to all entries, a few at a time.
+func Announce(ctx context.Context, addrs []netip.AddrPort, h msgs.Hello) {
+	for len(addrs) > 0 && ctx.Err() == nil {
+		n := min(len(addrs), maxSurvey)
+		Survey(ctx, addrs[:n], h)
+		addrs = addrs[n:]
+	}
+}
