--- /dev/null
+++ b/internal/base/codec/codec.go
@@ -0,0 +1,35 @@
+// Package codec is how the system's own processes and records are encoded: CBOR, whose
+// arrays may get further fields at their ends.
+package codec
+
+import (
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+var encoding = func() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
+// Marshal encodes a value.
+func Marshal(v any) ([]byte, error) { return encoding.Marshal(v) }
+
+// Unmarshal decodes one value.
+func Unmarshal(data []byte, v any) error { return cbor.Unmarshal(data, v) }
+
+// Encoder writes values one after the other.
+type Encoder = cbor.Encoder
+
+// Decoder reads values one after the other.
+type Decoder = cbor.Decoder
+
+// NewEncoder returns an encoder that writes to w.
+func NewEncoder(w io.Writer) *Encoder { return encoding.NewEncoder(w) }
+
+// NewDecoder returns a decoder that reads from r.
+func NewDecoder(r io.Reader) *Decoder { return cbor.NewDecoder(r) }
--- a/internal/jobs/book/record.go
+++ b/internal/jobs/book/record.go
@@ -4,8 +4,7 @@
 	"fmt"
 	"strings"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"github.com/ebonyarch/ebonyarch/internal/base/codec"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 )
@@ -16,14 +15,6 @@
 	progressPrefix = "progress/"
 )
 
-var encoding = func() cbor.EncMode {
-	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
-	if err != nil {
-		panic(err) // the options are constant
-	}
-	return mode
-}()
-
 // Batch is the records of all changes since the last one.
 type Batch struct {
 	Records []port.Record
@@ -88,13 +79,13 @@
 func (e *Entry) records() ([]port.Record, error) {
 	var list []port.Record
 	if e.fresh {
-		data, err := encoding.Marshal(&e.Job)
+		data, err := codec.Marshal(&e.Job)
 		if err != nil {
 			return nil, fmt.Errorf("job %s: %w", e.Job.ID, err)
 		}
 		list = append(list, port.Record{Key: jobPrefix + string(e.Job.ID), Value: data})
 	}
-	data, err := encoding.Marshal(&e.Progress)
+	data, err := codec.Marshal(&e.Progress)
 	if err != nil {
 		return nil, fmt.Errorf("progress of job %s: %w", e.Job.ID, err)
 	}
@@ -113,7 +104,7 @@
 			continue
 		}
 		var p Progress
-		if err := cbor.Unmarshal(r.Value, &p); err != nil {
+		if err := codec.Unmarshal(r.Value, &p); err != nil {
 			faults = append(faults, fmt.Errorf("record %q: %w", r.Key, err))
 			continue
 		}
@@ -125,7 +116,7 @@
 			continue
 		}
 		var job model.Job
-		err := cbor.Unmarshal(r.Value, &job)
+		err := codec.Unmarshal(r.Value, &job)
 		if err == nil && job.ID != model.ID(id) {
 			err = fmt.Errorf("holds job %q", job.ID)
 		}
--- a/internal/run/agent/leader.go
+++ b/internal/run/agent/leader.go
@@ -5,8 +5,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"github.com/ebonyarch/ebonyarch/internal/base/codec"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/elect"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 	"github.com/ebonyarch/ebonyarch/internal/run/peer"
@@ -137,7 +136,7 @@
 	}
 	for _, r := range records {
 		var addr netip.AddrPort
-		if err := cbor.Unmarshal(r.Value, &addr); err != nil {
+		if err := codec.Unmarshal(r.Value, &addr); err != nil {
 			a.log.Warn("ignored the address of an entry", "node", r.Key, "err", err)
 			continue
 		}
--- a/internal/run/entry/claim.go
+++ b/internal/run/entry/claim.go
@@ -8,8 +8,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"github.com/ebonyarch/ebonyarch/internal/base/codec"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/book"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 )
@@ -37,7 +36,7 @@
 
 // record returns the claim as a record of the store.
 func (c claim) record() (port.Record, error) {
-	data, err := cbor.Marshal(c)
+	data, err := codec.Marshal(c)
 	return port.Record{Key: claimKey, Value: data}, err
 }
 
@@ -48,7 +47,7 @@
 		if r.Key != claimKey {
 			continue
 		}
-		if err := cbor.Unmarshal(r.Value, &c); err != nil {
+		if err := codec.Unmarshal(r.Value, &c); err != nil {
 			return c, fmt.Errorf("record of the leader: %w", err)
 		}
 	}
--- a/internal/run/entry/follow.go
+++ b/internal/run/entry/follow.go
@@ -7,8 +7,7 @@
 	"os"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"github.com/ebonyarch/ebonyarch/internal/base/codec"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/elect"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
@@ -27,7 +26,7 @@
 // register makes this entry's address known through the store and learns those of
 // the others.
 func (e *Entry) register() {
-	addr, err := cbor.Marshal(e.cfg.Peers)
+	addr, err := codec.Marshal(e.cfg.Peers)
 	if err != nil {
 		e.log.Error("cannot encode the address", "err", err)
 		return
@@ -46,7 +45,7 @@
 	e.sync(func() {
 		for _, r := range records {
 			var addr netip.AddrPort
-			if err := cbor.Unmarshal(r.Value, &addr); err != nil {
+			if err := codec.Unmarshal(r.Value, &addr); err != nil {
 				e.log.Warn("ignored the address of an entry", "node", r.Key, "err", err)
 				continue
 			}
--- a/internal/run/peer/peer.go
+++ b/internal/run/peer/peer.go
@@ -14,8 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"github.com/ebonyarch/ebonyarch/internal/base/codec"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 )
 
@@ -31,14 +30,6 @@
 	bufferSize = 4 << 10
 )
 
-var encoding = func() cbor.EncMode {
-	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
-	if err != nil {
-		panic(err) // the options are constant
-	}
-	return mode
-}()
-
 // lastID numbers the connections of this process.
 var lastID atomic.Uint64
 
@@ -46,7 +37,7 @@
 type Conn struct {
 	ID    uint64
 	conn  net.Conn
-	dec   *cbor.Decoder
+	dec   *codec.Decoder
 	queue chan *msgs.Message
 	done  chan struct{}
 	once  sync.Once
@@ -55,7 +46,7 @@
 // New returns a connection over conn and begins to write what is sent.
 func New(conn net.Conn) *Conn {
 	c := &Conn{
-		ID: lastID.Add(1), conn: conn, dec: cbor.NewDecoder(bufio.NewReaderSize(conn, bufferSize)),
+		ID: lastID.Add(1), conn: conn, dec: codec.NewDecoder(bufio.NewReaderSize(conn, bufferSize)),
 		queue: make(chan *msgs.Message, queueLength), done: make(chan struct{}),
 	}
 	go c.write()
@@ -107,7 +98,7 @@
 func (c *Conn) write() {
 	defer c.Close()
 	w := bufio.NewWriterSize(c.conn, bufferSize)
-	enc := encoding.NewEncoder(w)
+	enc := codec.NewEncoder(w)
 	for {
 		var m *msgs.Message
 		select {
--- a/internal/tool/cmds/placed.go
+++ b/internal/tool/cmds/placed.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/spf13/cobra"
 
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
@@ -76,7 +77,7 @@
 }
 
 func (r *root) runJobEntry(ctx context.Context, file string) error {
-	cfg, err := loadJobEntry(file)
+	cfg, err := load(file, proc.ParseJobEntry)
 	if err != nil {
 		return err
 	}
@@ -98,9 +99,7 @@
 	if _, err := serveHTTP(cfg.Health, platform.NewReady(e), log); err != nil {
 		return err
 	}
-	registry := admin.NewRegistry()
-	e.Register(registry)
-	if _, err := serveHTTP(cfg.Admin, admin.Handler(e.View(), registry), log); err != nil {
+	if err := serveAdmin(cfg.Admin, e.View(), e.Register, log); err != nil {
 		return err
 	}
 	go func() {
@@ -112,7 +111,7 @@
 	ctx, stop := signalContext(ctx)
 	defer stop()
 	go reloadOnSignal(ctx, log, func() error {
-		next, err := loadJobEntry(file)
+		next, err := load(file, proc.ParseJobEntry)
 		if err == nil {
 			e.Reseed(next.Seeds)
 		}
@@ -136,7 +135,7 @@
 }
 
 func (r *root) runJobAgent(ctx context.Context, file string) error {
-	cfg, err := loadJobAgent(file)
+	cfg, err := load(file, proc.ParseJobAgent)
 	if err != nil {
 		return err
 	}
@@ -150,16 +149,14 @@
 	if _, err := serveHTTP(cfg.Registry, platform.NewRegistry(a, log), log); err != nil {
 		return err
 	}
-	registry := admin.NewRegistry()
-	a.Register(registry)
-	if _, err := serveHTTP(cfg.Admin, admin.Handler(a, registry), log); err != nil {
+	if err := serveAdmin(cfg.Admin, a, a.Register, log); err != nil {
 		return err
 	}
 	log.Info("agent starts", "version", Version, "worker", cfg.Worker.String(), "registry", cfg.Registry.String())
 	ctx, stop := signalContext(ctx)
 	defer stop()
 	go reloadOnSignal(ctx, log, func() error {
-		next, err := loadJobAgent(file)
+		next, err := load(file, proc.ParseJobAgent)
 		if err == nil {
 			a.Reseed(next.Seeds)
 		}
@@ -198,22 +195,23 @@
 	return s, nil
 }
 
-func loadJobEntry(file string) (proc.JobEntry, error) {
+// load reads and checks the settings of a process.
+func load[T any](file string, parse func(string, []byte) (T, jsonc.Faults)) (T, error) {
 	data, err := readSettings(file)
 	if err != nil {
-		return proc.JobEntry{}, err
+		var none T
+		return none, err
 	}
-	cfg, faults := proc.ParseJobEntry(file, data)
+	cfg, faults := parse(file, data)
 	return cfg, settingsError(faults)
 }
 
-func loadJobAgent(file string) (proc.JobAgent, error) {
-	data, err := readSettings(file)
-	if err != nil {
-		return proc.JobAgent{}, err
-	}
-	cfg, faults := proc.ParseJobAgent(file, data)
-	return cfg, settingsError(faults)
+// serveAdmin serves the administrative address of a process.
+func serveAdmin(addr netip.AddrPort, p admin.Process, register func(*prometheus.Registry), log *slog.Logger) error {
+	registry := admin.NewRegistry()
+	register(registry)
+	_, err := serveHTTP(addr, admin.Handler(p, registry), log)
+	return err
 }
 
 func settingsError(faults jsonc.Faults) error {
