--- a/internal/jobs/book/entry.go
+++ b/internal/jobs/book/entry.go
@@ -105,9 +105,6 @@
 	return true
 }
 
-// Begun reports whether any task was ever given a run.
-func (e *Entry) Begun() bool { return e.State != Queued }
-
 // Placed names a run and the VM that has it.
 type Placed struct {
 	Ref model.TaskRef
--- a/internal/jobs/model/config.go
+++ b/internal/jobs/model/config.go
@@ -11,8 +11,6 @@
 	Queues  []Queue
 	// MaxBody bounds a request's body, in bytes; 0 is no bound.
 	MaxBody int64
-	// Guarded holds the services whose workers refuse what does not fit.
-	Guarded []string
 }
 
 // Route returns the queue with the longest prefix of path, or nil.
--- a/internal/jobs/msgs/member.go
+++ b/internal/jobs/msgs/member.go
@@ -44,8 +44,6 @@
 	Epoch uint64
 	// Agents is how many agents the leader hears.
 	Agents int
-	// StoreAge is how long ago the store last answered the leader.
-	StoreAge time.Duration
 	// Waiting is how long the leader waits for the store's answer, 0 if it does not.
 	Waiting time.Duration
 	Entries []netip.AddrPort
--- a/internal/run/entry/leading.go
+++ b/internal/run/entry/leading.go
@@ -134,7 +134,7 @@
 		if !c.entry {
 			continue
 		}
-		p := &msgs.Ping{Epoch: e.epoch, Agents: agents, StoreAge: e.leader.StoreAge(now), Waiting: e.leader.Waiting(now), Entries: e.entries}
+		p := &msgs.Ping{Epoch: e.epoch, Agents: agents, Waiting: e.leader.Waiting(now), Entries: e.entries}
 		if cfg != nil && cfg.Version > c.config {
 			p.Config, c.config = cfg, cfg.Version
 		}
