--- a/internal/proof/fleet/agent.go
+++ b/internal/proof/fleet/agent.go
@@ -33,6 +33,9 @@
 	conn  uint64
 	entry *Entry
 	lives int
+	// kills and crashes count the ends of the agent and of the worker: only the latest is
+	// followed by a start.
+	kills, crashes int
 }
 
 func newAgent(w *World, i int) *Agent {
@@ -58,13 +61,25 @@
 func (a *Agent) Kill(back time.Duration) {
 	a.Dead = true
 	a.hangUp()
-	a.world.After(back, a.start)
+	a.kills++
+	kills := a.kills
+	a.world.After(back, func() {
+		if kills == a.kills {
+			a.start()
+		}
+	})
 }
 
 // Crash ends the worker's life and starts another after a time.
 func (a *Agent) Crash(back time.Duration) {
 	a.Worker.Kill(a.world.Now)
-	a.world.After(back, func() { a.Worker.Restart(a.world.Now) })
+	a.crashes++
+	crashes := a.crashes
+	a.world.After(back, func() {
+		if crashes == a.crashes {
+			a.Worker.Restart(a.world.Now)
+		}
+	})
 }
 
 func (a *Agent) hangUp() {
--- a/internal/proof/fleet/entry.go
+++ b/internal/proof/fleet/entry.go
@@ -34,6 +34,7 @@
 	agents            map[uint64]*Agent
 	// asked is since when the store has not answered, the zero time if it has.
 	asked time.Time
+	kills int
 }
 
 // able reports whether the entry may lead.
@@ -45,7 +46,9 @@
 func (e *Entry) Kill(back time.Duration) {
 	e.Dead = true
 	e.stop()
-	e.world.After(back, func() { e.Dead = false })
+	e.kills++
+	kills := e.kills
+	e.world.After(back, func() { e.Dead = kills != e.kills })
 }
 
 // Freeze lets the entry stand still for a time. It wakes with all that it had.
