lead: fillers halt sooner when a task is far over its target

Ruled out: pace calls that are lost (the rows show 0). It is now 0.8 s beyond twice the target, and no pace on a strained VM. The test failed before.

--- a/internal/jobs/lead/move.go
+++ b/internal/jobs/lead/move.go
@@ -147,7 +147,7 @@
 		return nil
 	}
 	to := p.vms[i]
-	if c.it.step.Filler && p.l.harm.pace(to, c.it.step) < minMovePace {
+	if c.it.step.Filler && p.l.harm.pace(p.now, to, c.it.step) < minMovePace {
 		return nil
 	}
 	return to
--- a/internal/jobs/lead/pace.go
+++ b/internal/jobs/lead/pace.go
@@ -20,6 +20,11 @@
 	overFor = 1400 * time.Millisecond
 	// haltFor is how long it may be over before they stand still.
 	haltFor = 2 * time.Second
+	// deepOver is how many times its target a task may be over for haltFor; beyond it
+	// fillers stand still after haltSoon, since what has queued up takes a second to
+	// drain.
+	deepOver = 2.0
+	haltSoon = 800 * time.Millisecond
 	// nearTarget is the part of the target from which a task counts as over, wellBelow
 	// that below which it no longer does: what is measured is rough.
 	nearTarget, wellBelow = 0.8, 0.65
@@ -77,7 +82,7 @@
 		if d.halt {
 			d.budget = 0
 		}
-		if d.must || (d.over && yield) {
+		if d.must || d.halt || (d.over && yield) {
 			share(d.presses, d.budget, aims)
 		}
 	}
@@ -113,8 +118,9 @@
 	d.budget = h.aim(it.step) - max(0, own)
 	d.over = full > d.budget
 	if !it.overSince.IsZero() {
-		d.must = now.Sub(it.overSince) > overFor
-		d.halt = now.Sub(it.overSince) > haltFor
+		over := now.Sub(it.overSince)
+		d.must = over > overFor
+		d.halt = over > haltFor || (over > haltSoon && tail > deepOver*target)
 	}
 	return d
 }
@@ -205,7 +211,10 @@
 
 // firstPace returns the pace at which a filler that a VM has been given begins, by
 // what is expected of it.
-func (h *harm) firstPace(v *vm, filler *run) int {
+func (h *harm) firstPace(now time.Time, v *vm, filler *run) int {
+	if v.strained(now) {
+		return 0
+	}
 	aims := map[*run]int{}
 	over := 0
 	for _, it := range v.runs {
@@ -232,10 +241,10 @@
 }
 
 // pace returns the pace that a further filler would have on a VM.
-func (h *harm) pace(v *vm, filler *model.Step) int {
+func (h *harm) pace(now time.Time, v *vm, filler *model.Step) int {
 	further := &run{step: filler, percent: fullPace}
 	key := runKey{}
 	v.runs[key] = further
 	defer delete(v.runs, key)
-	return h.firstPace(v, further)
+	return h.firstPace(now, v, further)
 }
--- a/internal/jobs/lead/pace_test.go
+++ b/internal/jobs/lead/pace_test.go
@@ -51,6 +51,18 @@
 		Expect(measure(b, 30, 0, 3*time.Second)).To(HaveEach(Equal(100)))
 	})
 
+	It("stand still sooner when it is far over its target, since its queue takes long to drain", func() {
+		b := newBench()
+		b.join(0)
+		for n, s := range []model.Step{lasting, filler} {
+			j := job(n+1, s)
+			b.ask(msgs.Submit, j, j.ID)
+		}
+		b.pass(3 * time.Second)
+		measure(b, 40, 0, 2*time.Second)
+		Expect(measure(b, 1500, 3000, 1600*time.Millisecond)).To(And(HaveLen(2), HaveEach(BeZero())))
+	})
+
 	It("stand still as well when one rough measurement seems to be just below the target", func() {
 		b := newBench()
 		b.join(0)
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -205,7 +205,7 @@
 	r := p.l.book.Assign(e, ref, book.Run{Number: number, VM: v.info.ID, Life: v.info.Life, Node: v.info.Node})
 	it := v.add(e, ref, r, p.now)
 	if it.step.Filler {
-		it.percent = p.l.harm.firstPace(v, it)
+		it.percent = p.l.harm.firstPace(p.now, v, it)
 	}
 	o := p.orders[v.info.ID]
 	if o == nil {
--- a/internal/jobs/plan/choose.go
+++ b/internal/jobs/plan/choose.go
@@ -13,6 +13,8 @@
 	// besideBonus draws tasks that disturb nobody to VMs with lasting tasks, so that
 	// other VMs stay free for fillers.
 	besideBonus = 1
+	// strainedCost makes strained VMs the last resort of fillers.
+	strainedCost = 50
 	// avoidCost makes VMs on which the task failed the last resort.
 	avoidCost = 100
 	// doubtCost weighs a VM's failures and slowness.
@@ -48,6 +50,9 @@
 		if v.Harm != nil {
 			cost += v.Harm(t.Step)
 		}
+		if v.Strained {
+			cost += strainedCost
+		}
 	default:
 		cost -= left
 		if v.Lasting > 0 {
