--- a/internal/jobs/lead/pace.go
+++ b/internal/jobs/lead/pace.go
@@ -17,14 +17,14 @@
 	coresPerService = 2.0
 	// overFor is how long a lasting task may be over its target on end before its
 	// fillers yield whatever they weigh.
-	overFor = 1400 * time.Millisecond
+	overFor = time.Second
 	// haltFor is how long it may be over before they stand still.
-	haltFor = 2 * time.Second
+	haltFor = 1300 * time.Millisecond
 	// deepOver is how many times its target a task may be over for haltFor; beyond it
 	// fillers stand still after haltSoon, since what has queued up takes a second to
 	// drain.
 	deepOver = 2.0
-	haltSoon = 800 * time.Millisecond
+	haltSoon = 500 * time.Millisecond
 	// nearTarget is the part of the target from which a task counts as over, wellBelow
 	// that below which it no longer does: what is measured is rough.
 	nearTarget, wellBelow = 0.8, 0.65
