lead: give up the objectives of jobs that cannot all be on time

Ruled out: room (fillers asked for 440 of 500 free cores), acceptance (37 ms). Now the jobs that can be on time are chosen by worth per core-second (Moore and Hodgson).

--- a/internal/jobs/lead/callers.go
+++ b/internal/jobs/lead/callers.go
@@ -54,6 +54,7 @@
 		job := *a.Work
 		job.Accepted = now
 		e = l.book.Add(job)
+		l.timely.accepted(e, l.jobWork(e))
 		l.changed = true
 	}
 	l.answers[a.Job] = append(l.answers[a.Job], waiter{conn, a.Seq})
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -52,6 +52,7 @@
 	learn  durations
 	harm   harm
 	waits  waits
+	timely timely
 	// idle is since when nothing runs of jobs that have work to do.
 	idle map[model.ID]time.Time
 	// advice holds what the advisor said of steps, question what it is asked now.
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -36,7 +36,6 @@
 
 // place gives waiting work to VMs.
 func (l *Leader) place(now time.Time) {
-	work := l.waiting(now)
 	p := &pass{l: l, now: now, orders: map[string]*msgs.Orders{}}
 	for _, v := range l.sortedVMs() {
 		if !v.usable(now) {
@@ -49,6 +48,8 @@
 		p.room = append(p.room, &v.room)
 	}
 	p.roomy = p.held() < roomyBelow
+	p.plan()
+	work := l.waiting(now)
 	plan.Order(now, work)
 	for i := range work {
 		p.stage(&work[i])
@@ -120,6 +121,7 @@
 		Key:     plan.StageKey{Job: e.Job.ID, Occurrence: st.Occurrence, Step: st.Step},
 		Lasting: e.StepOf(st).Lasting, Priority: q.Priority, Left: left, Accepted: begin,
 		Objective: begin.Add(aim), Late: begin.Add(lateBy * aim),
+		Untimely: l.timely.untimelyOf(e.Job.ID, st.Occurrence),
 	}
 }
 
--- /dev/null
+++ b/internal/jobs/lead/timely.go
@@ -0,0 +1,166 @@
+package lead
+
+import (
+	"time"
+
+	"github.com/ebonyarch/ebonyarch/internal/jobs/book"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/plan"
+)
+
+const (
+	// planEvery is how long a plan of which jobs can be on time holds.
+	planEvery = 100 * time.Millisecond
+	// planShare is the part of the processors that a plan counts on.
+	planShare = 0.9
+	// fixedWorth is the part of a job's worth that does not grow with its work,
+	// mostWorth bounds the worth, as multiples of the mean of the job's queue.
+	fixedWorth, mostWorth = 0.3, 4.0
+)
+
+// timely is the plan of which jobs are to meet their objectives. Its zero value plans
+// nothing.
+type timely struct {
+	at time.Time
+	// untimely holds the jobs that are late whatever is done, or whose processors gain
+	// more elsewhere; keys have step 0.
+	untimely map[plan.StageKey]bool
+	// works holds the mean work of each queue's jobs, in core-seconds.
+	works map[string]*mean
+}
+
+// contest names jobs that compete for the same processors.
+type contest struct {
+	service  string
+	priority int
+	filler   bool
+}
+
+// accepted notes the work of a new job.
+func (t *timely) accepted(e *book.Entry, work float64) {
+	if t.works == nil {
+		t.works = map[string]*mean{}
+	}
+	m := t.works[e.Job.Queue.Name]
+	if m == nil {
+		m = &mean{}
+		t.works[e.Job.Queue.Name] = m
+	}
+	m.add(work)
+	t.at = time.Time{}
+}
+
+// worth returns what a job of so much work gains its caller.
+func (t *timely) worth(queue string, work float64) float64 {
+	m := t.works[queue]
+	if m == nil || m.value <= 0 {
+		return 1
+	}
+	return min(fixedWorth+(1-fixedWorth)*work/m.value, mostWorth)
+}
+
+// plan decides which jobs can be on time.
+func (p *pass) plan() {
+	t := &p.l.timely
+	if !t.at.IsZero() && p.now.Sub(t.at) < planEvery {
+		return
+	}
+	t.at = p.now
+	done := p.l.partsDone()
+	demands := map[contest][]plan.Demand{}
+	for _, e := range p.l.book.Active() {
+		if e.Job.Lasting() {
+			continue
+		}
+		for k := range e.Job.Occurrences() {
+			if c, d, ok := p.demand(e, k, done); ok {
+				demands[c] = append(demands[c], d)
+			}
+		}
+	}
+	t.untimely = map[plan.StageKey]bool{}
+	for c, list := range demands {
+		for key := range plan.Untimely(p.now, planShare*p.coresFor(c), list) {
+			t.untimely[key] = true
+		}
+	}
+}
+
+// demand returns what is left of an occurrence of a job, false if it is not due.
+func (p *pass) demand(e *book.Entry, occurrence int, done map[plan.StageKey]float64) (contest, plan.Demand, bool) {
+	n := len(e.Job.Steps)
+	first := &e.Stages[occurrence*n]
+	if p.now.Before(e.Job.Due(occurrence)) {
+		return contest{}, plan.Demand{}, false
+	}
+	w := p.l.workOf(e, first)
+	d := plan.Demand{Key: w.Key, Objective: w.Objective, Left: w.Left}
+	whole := 0.0
+	for i := range n {
+		st := &e.Stages[occurrence*n+i]
+		perTask := p.l.taskWork(e, i)
+		whole += perTask * float64(e.Job.Steps[i].Tasks)
+		left := float64(st.Open) - done[plan.StageKey{Job: e.Job.ID, Occurrence: occurrence, Step: i}]
+		d.Work += perTask * max(0, left)
+	}
+	d.Worth = p.l.timely.worth(e.Job.Queue.Name, whole)
+	c := contest{service: p.serviceOf(e), priority: e.Job.Queue.Priority, filler: e.Job.Steps[0].Filler}
+	return c, d, d.Work > 0
+}
+
+// taskWork returns the processor time of a step's task, in core-seconds.
+func (l *Leader) taskWork(e *book.Entry, step int) float64 {
+	return l.learn.expect(e, step).Seconds() * float64(e.Job.Steps[step].Size.CPU) / 1000
+}
+
+// jobWork returns the processor time of a job, in core-seconds.
+func (l *Leader) jobWork(e *book.Entry) float64 {
+	work := 0.0
+	for i := range e.Job.Steps {
+		work += l.taskWork(e, i) * float64(e.Job.Steps[i].Tasks)
+	}
+	return work
+}
+
+// partsDone returns how much of the tasks under way is done, summed by stage.
+func (l *Leader) partsDone() map[plan.StageKey]float64 {
+	done := map[plan.StageKey]float64{}
+	for _, v := range l.vms {
+		for _, it := range v.runs {
+			done[stageKey(it.ref)] += float64(it.progress.last) / 100
+		}
+	}
+	return done
+}
+
+// coresFor returns the processors that jobs of a contest may use.
+func (p *pass) coresFor(c contest) float64 {
+	var sum int64
+	for _, v := range p.vms {
+		if v.room.Service != c.service {
+			continue
+		}
+		if c.filler {
+			sum += max(0, v.room.Free().CPU+v.room.Unused)
+		} else {
+			sum += v.room.Capacity.CPU - v.lastingCPU()
+		}
+	}
+	return float64(sum) / 1000
+}
+
+// lastingCPU returns the processors that lasting tasks hold, in thousandths.
+func (v *vm) lastingCPU() int64 {
+	var sum int64
+	for _, it := range v.runs {
+		if it.step.Lasting {
+			sum += it.step.Size.CPU
+		}
+	}
+	return sum
+}
+
+// untimelyOf reports whether the plan gives up an occurrence's objective.
+func (t *timely) untimelyOf(id model.ID, occurrence int) bool {
+	return t.untimely[plan.StageKey{Job: id, Occurrence: occurrence}]
+}
--- a/internal/jobs/plan/order.go
+++ b/internal/jobs/plan/order.go
@@ -17,6 +17,8 @@
 	// Left is the run time of what is left of the job's critical path.
 	Left     time.Duration
 	Accepted time.Time
+	// Untimely work is not planned to meet its objective.
+	Untimely bool
 }
 
 // hope says what a job can still reach.
@@ -31,7 +33,7 @@
 func (w *Work) hope(now time.Time) hope {
 	done := now.Add(w.Left)
 	switch {
-	case !done.After(w.Objective):
+	case !w.Untimely && !done.After(w.Objective):
 		return onTime
 	case !done.After(w.Late):
 		return late
