lead: estimate disturbance and own load together

What a pair adds was learned from differences of single tasks, per core whatever the VM's size, and bounded below its true value on small VMs; every part of a wrong belief was paid twice. Tasks of one step share their load, so one estimate per step and one per pair of images are corrected together. Fillers do not start where they would overload a task. Ruled out: pacing orders that come late (2 beats).

--- a/internal/jobs/lead/harm.go
+++ b/internal/jobs/lead/harm.go
@@ -1,26 +1,31 @@
 package lead
 
 import (
-	"math"
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/plan"
 )
 
 const (
-	// firstPress is what a core's work of a filler is assumed to add to the utilization
-	// of a lasting task; mostPress bounds what is learned.
-	firstPress, mostPress = 0.01, 0.08
-	// pressRate is the weight of a new measurement.
-	pressRate = 0.3
-	// leastChange is the change of a VM's fillers, in cores, that is learned from.
-	leastChange = 1.0
+	// firstPress is what a filler that uses all of a VM is assumed to add to the
+	// utilization of a lasting task, firstPressDev the doubt in it; mostPress bounds
+	// what is learned.
+	firstPress, firstPressDev, mostPress = 0.8, 0.8, 5.0
+	// pressDrift is how much doubt a second adds to what was learned, as a deviation.
+	pressDrift = 0.1
+	// firstOwn is the utilization assumed of a lasting task without fillers,
+	// firstOwnDev the doubt in it.
+	firstOwn, firstOwnDev = 0.5, 0.2
+	// ownDrift is how much a lasting task's own load changes in a second, as a deviation.
+	ownDrift = 0.12
+	// tailNoise is the relative deviation of a measured tail latency, leastNoise bounds
+	// that of the utilization from below.
+	tailNoise, leastNoise = 0.12, 0.02
 	// saturated is the utilization from which latency no longer tells how much more
 	// there is.
 	saturated = 0.96
-	// firstOwn is the utilization assumed of a lasting task without fillers.
-	firstOwn = 0.45
 	// idleShare is the tail latency of an idle task as a part of the least that was
 	// measured, idleTarget the most that it is believed to be of the target.
 	idleShare, idleTarget = 0.75, 0.2
@@ -37,15 +42,19 @@
 	harmCost = 12.0
 )
 
-// harm learns how much fillers of each image disturb lasting tasks of each image.
+// harm learns how much fillers of each image disturb lasting tasks of each image, and
+// how much each step of lasting tasks is loaded by itself.
 //
 // Tail latency grows without bound as a task nears what its VM gives it, so what is
-// learned is utilization, to which each neighbour adds its part. A task's own load
-// swings slowly, while fillers come and go at once: the parts are learned from the
-// changes between two measurements. The zero value assumes the same of all.
+// learned is utilization, to which each neighbour adds its part. The tasks of a step
+// share their load, wherever they run, so what differs between them tells what their
+// neighbours add. Both are estimated together, as in a Kalman filter whose
+// covariances are left out. The zero value assumes the same of all.
 type harm struct {
-	// parts holds what a core's work of a filler adds, by images.
-	parts map[imagePair]float64
+	// parts holds what a filler that uses a whole VM adds, by images.
+	parts map[imagePair]*estimate
+	// owns holds the utilization of lasting steps without fillers.
+	owns map[plan.StageKey]*estimate
 	// least is the least tail latency measured of an image, in milliseconds.
 	least map[string]float64
 }
@@ -54,33 +63,47 @@
 	lasting, filler string
 }
 
-// sample is what was measured of a lasting run last.
-type sample struct {
-	// used is the utilization, own the part of it that no filler explains.
-	used, own float64
-	// cores is the work of fillers beside it, by image.
-	cores map[string]float64
+// estimate is a value with its variance at a time.
+type estimate struct {
+	mean, variance float64
+	at             time.Time
+}
+
+// drift adds doubt for the time since the estimate was made, up to a bound.
+func (e *estimate) drift(now time.Time, perSecond, most float64) {
+	if !e.at.IsZero() {
+		e.variance = min(e.variance+perSecond*perSecond*max(0, now.Sub(e.at).Seconds()), most*most)
+	}
+	e.at = now
+}
+
+// correct moves the estimate by its part in an innovation of a variance; share is the
+// factor by which the estimate counts in what was measured.
+func (e *estimate) correct(innovation, variance, share float64) {
+	gain := e.variance * share / variance
+	e.mean += gain * innovation
+	e.variance *= 1 - gain*share
 }
 
 func (h *harm) part(lasting, filler string) float64 {
 	if p, ok := h.parts[imagePair{lasting, filler}]; ok {
-		return p
+		return p.mean
 	}
 	return firstPress
 }
 
 // observe takes the measurements of a VM.
 func (h *harm) observe(now time.Time, v *vm, rows []msgs.Row) {
-	cores := map[string]float64{}
+	shares := map[string]float64{}
 	for _, row := range rows {
 		if it := v.runs[runKey{row.Task, row.Run}]; it != nil && it.step.Filler {
-			cores[it.step.Image] += coresOf(row)
+			shares[it.step.Image] += coresOf(row) / v.cores()
 		}
 	}
 	for _, row := range rows {
 		it := v.runs[runKey{row.Task, row.Run}]
 		if it != nil && it.step.Target > 0 && row.Measure > 0 && now.Sub(it.since) > settled {
-			h.measure(it, float64(row.Measure), cores)
+			h.measure(now, it, float64(row.Measure), shares)
 		}
 	}
 }
@@ -88,48 +111,53 @@
 // coresOf returns the processors that a run uses.
 func coresOf(row msgs.Row) float64 { return float64(row.Measure) / 1000 }
 
-func (h *harm) measure(it *run, tail float64, cores map[string]float64) {
-	if h.least == nil {
-		h.least, h.parts = map[string]float64{}, map[imagePair]float64{}
+// cores returns the VM's processors.
+func (v *vm) cores() float64 { return max(1, float64(v.info.Capacity.CPU)/1000) }
+
+func (h *harm) measure(now time.Time, it *run, tail float64, shares map[string]float64) {
+	if h.least == nil || len(h.owns) > maxKnown {
+		h.least, h.parts, h.owns = map[string]float64{}, map[imagePair]*estimate{}, map[plan.StageKey]*estimate{}
 	}
 	image := it.step.Image
 	if least, ok := h.least[image]; !ok || tail < least {
 		h.least[image] = tail
 	}
-	s := sample{used: h.used(it.step, tail), cores: cores}
-	if last := it.last; last != nil && s.used < saturated && last.used < saturated {
-		h.learn(image, s, *last)
+	own := h.owns[stageKey(it.ref)]
+	if own == nil {
+		own = &estimate{mean: firstOwn, variance: firstOwnDev * firstOwnDev}
+		h.owns[stageKey(it.ref)] = own
 	}
-	s.own = s.used
-	for f, c := range cores {
-		s.own -= c * h.part(image, f)
+	own.drift(now, ownDrift, firstOwnDev)
+	used := h.used(it.step, tail)
+	innovation := used - own.mean
+	noise := max(leastNoise, tailNoise*(1-used))
+	variance := own.variance + noise*noise
+	parts := map[string]*estimate{}
+	for filler, share := range shares {
+		p := h.estimateOf(imagePair{image, filler})
+		p.drift(now, pressDrift, firstPressDev)
+		parts[filler] = p
+		innovation -= p.mean * share
+		variance += p.variance * share * share
 	}
-	s.own = max(0, s.own)
-	it.last = &s
-}
-
-// learn corrects the parts by the change between two samples, by normalized least
-// mean squares.
-func (h *harm) learn(image string, s, last sample) {
-	changes := map[string]float64{}
-	for f, c := range s.cores {
-		changes[f] = c
-	}
-	for f, c := range last.cores {
-		changes[f] -= c
-	}
-	missing, norm := s.used-last.used, 0.0
-	for f, c := range changes {
-		missing -= c * h.part(image, f)
-		norm += c * c
+	if used >= saturated && innovation < 0 {
+		return // the task may be loaded more than its latency tells
 	}
-	if math.Sqrt(norm) < leastChange {
-		return
+	own.correct(innovation, variance, 1)
+	own.mean = min(max(0, own.mean), 1)
+	for filler, p := range parts {
+		p.correct(innovation, variance, shares[filler])
+		p.mean = min(max(0, p.mean), mostPress)
 	}
-	for f, c := range changes {
-		p := h.part(image, f) + pressRate*missing*c/norm
-		h.parts[imagePair{image, f}] = min(max(0, p), mostPress)
+}
+
+func (h *harm) estimateOf(pair imagePair) *estimate {
+	p := h.parts[pair]
+	if p == nil {
+		p = &estimate{mean: firstPress, variance: firstPressDev * firstPressDev}
+		h.parts[pair] = p
 	}
+	return p
 }
 
 // idle returns the tail latency in milliseconds of a step's task without load.
@@ -152,17 +180,17 @@
 }
 
 // own returns the utilization of a lasting run without fillers.
-func (it *run) own() float64 {
-	if it.last == nil {
-		return firstOwn
+func (h *harm) own(it *run) float64 {
+	if e := h.owns[stageKey(it.ref)]; e != nil {
+		return e.mean
 	}
-	return it.last.own
+	return firstOwn
 }
 
 // press returns how much a filler of a step adds to the utilization of a lasting
-// task at full pace.
-func (h *harm) press(lasting, filler *model.Step) float64 {
-	return h.part(lasting.Image, filler.Image) * float64(filler.Size.CPU) / 1000
+// task of a VM at full pace.
+func (h *harm) press(v *vm, lasting, filler *model.Step) float64 {
+	return h.part(lasting.Image, filler.Image) * float64(filler.Size.CPU) / 1000 / v.cores()
 }
 
 // cost returns what a filler costs the lasting tasks on a VM.
@@ -172,15 +200,41 @@
 		if !it.step.Lasting || it.step.Target <= 0 {
 			continue
 		}
-		used := it.own()
-		for _, other := range v.runs {
-			if other.step.Filler {
-				used += h.press(it.step, other.step)
-			}
-		}
+		used := h.pressed(v, it)
 		limit := h.aim(it.step) - tolerated
-		adds := h.press(it.step, filler)
+		adds := h.press(v, it.step, filler)
 		cost += adds + overCost*(max(0, used+adds-limit)-max(0, used-limit))
 	}
 	return harmCost * cost
 }
+
+// pressed returns the utilization of a lasting run with the fillers beside it at the
+// paces that they have.
+func (h *harm) pressed(v *vm, it *run) float64 {
+	used := h.own(it)
+	for _, other := range v.runs {
+		if other.step.Filler && !other.stopped {
+			used += h.press(v, it.step, other.step)
+		}
+	}
+	return used
+}
+
+// overloads reports whether a further filler would take a lasting task on a VM over
+// its aim.
+func (h *harm) overloads(v *vm, filler *model.Step) bool {
+	for _, it := range v.runs {
+		if !it.step.Lasting || it.step.Target <= 0 {
+			continue
+		}
+		adds := h.press(v, it.step, filler)
+		if adds > negligible && h.pressed(v, it)+adds > h.aim(it.step) {
+			return true
+		}
+	}
+	return false
+}
+
+// negligible is the part of a lasting task's utilization that a filler may add to a
+// task that is over its target anyway.
+const negligible = 0.03
--- a/internal/jobs/lead/pace.go
+++ b/internal/jobs/lead/pace.go
@@ -178,7 +178,7 @@
 		if !it.step.Filler || it.stopped {
 			continue
 		}
-		weight := h.part(lasting.step.Image, it.step.Image)
+		weight := h.part(lasting.step.Image, it.step.Image) / v.cores()
 		list = append(list, press{it, weight * cores[key], weight * it.fullCores(cores[key])})
 	}
 	slices.SortFunc(list, func(a, b press) int {
@@ -225,7 +225,7 @@
 		for _, p := range presses {
 			full += p.full
 		}
-		budget := h.aim(it.step) - it.own()
+		budget := h.aim(it.step) - h.own(it)
 		if full > budget {
 			over++
 			share(presses, budget, aims)
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -44,6 +44,7 @@
 		v.room.Doubt, v.room.Probe = v.health.doubt(now), v.health.probe(now)
 		v.room.Strained = v.strained(now)
 		v.room.Harm = func(filler *model.Step) float64 { return l.harm.cost(v, filler) }
+		v.room.Overloads = func(filler *model.Step) bool { return l.harm.overloads(v, filler) }
 		p.vms = append(p.vms, v)
 		p.room = append(p.room, &v.room)
 	}
--- a/internal/jobs/lead/vm.go
+++ b/internal/jobs/lead/vm.go
@@ -47,8 +47,6 @@
 	percent int
 	// ticket is the advisor's consent, if the queue needs one.
 	ticket string
-	// last is what was measured last of a lasting run, nil before.
-	last *sample
 	// overSince is since when a lasting run has been over its target.
 	overSince time.Time
 	// progress is how far the run is.
--- a/internal/jobs/plan/vm.go
+++ b/internal/jobs/plan/vm.go
@@ -47,6 +47,9 @@
 	Strained bool
 	// Harm returns what a filler costs the lasting tasks on the VM; nil is nothing.
 	Harm func(filler *model.Step) float64
+	// Overloads reports whether a filler would take a lasting task on the VM over its
+	// target; nil is no.
+	Overloads func(filler *model.Step) bool
 }
 
 // Add accounts for a run of a step, Remove takes it back.
@@ -129,5 +132,8 @@
 	if t.Pressing {
 		return true
 	}
+	if t.Step.Filler && v.Overloads != nil && v.Overloads(t.Step) {
+		return false
+	}
 	return v.spare()+v.Unused >= t.Step.Size.CPU
 }
