lead: learn nothing from the latency of tasks that work off a backlog

Cause: a task that was over its target keeps a high latency for a second or two while its backlog drains; with its fillers halted that was learned as its own load (fit of the rows: own load of 0.2 rms off in such jobs, 0.05 elsewhere).

--- a/internal/jobs/lead/harm.go
+++ b/internal/jobs/lead/harm.go
@@ -122,6 +122,12 @@
 	if least, ok := h.least[image]; !ok || tail < least {
 		h.least[image] = tail
 	}
+	target := float64(it.step.Target.Milliseconds())
+	drains := it.drains
+	it.drains = tail >= target || (it.drains && tail >= wellBelow*target)
+	if drains {
+		return // the latency tells of what queued up before
+	}
 	own := h.owns[stageKey(it.ref)]
 	if own == nil {
 		own = &estimate{mean: firstOwn, variance: firstOwnDev * firstOwnDev}
--- a/internal/jobs/lead/vm.go
+++ b/internal/jobs/lead/vm.go
@@ -47,6 +47,9 @@
 	percent int
 	// ticket is the advisor's consent, if the queue needs one.
 	ticket string
+	// drains is set while a lasting run works off what queued up while it was over its
+	// target.
+	drains bool
 	// overSince is since when a lasting run has been over its target.
 	overSince time.Time
 	// progress is how far the run is.
