--- a/internal/jobs/lead/pace.go
+++ b/internal/jobs/lead/pace.go
@@ -25,6 +25,9 @@
 	// drain.
 	deepOver = 2.0
 	haltSoon = 500 * time.Millisecond
+	// haltAll is how long it may be over before fillers that hardly disturb it stand
+	// still as well.
+	haltAll = 2200 * time.Millisecond
 	// nearTarget is the part of the target from which a task counts as over, wellBelow
 	// that below which it no longer does: what is measured is rough.
 	nearTarget, wellBelow = 0.8, 0.65
@@ -49,8 +52,9 @@
 	// budget is what the fillers may add to its utilization.
 	budget float64
 	// over is set if full pace would take the task over its target, must if it has been
-	// over for long, halt if for too long.
-	over, must, halt bool
+	// over for long, halt if for too long, all if even fillers that hardly disturb it
+	// have to stand still.
+	over, must, halt, all bool
 }
 
 // paces sets the pace of a VM's fillers by what was measured, and returns the orders
@@ -83,7 +87,7 @@
 			d.budget = 0
 		}
 		if d.must || d.halt || (d.over && yield) {
-			share(d.presses, d.budget, aims)
+			share(d, aims)
 		}
 	}
 	return l.paceOrders(v, aims)
@@ -121,6 +125,7 @@
 		over := now.Sub(it.overSince)
 		d.must = over > overFor
 		d.halt = over > haltFor || (over > haltSoon && tail > deepOver*target)
+		d.all = over > haltAll
 	}
 	return d
 }
@@ -190,11 +195,17 @@
 	return list
 }
 
-// share divides a budget among fillers, least pressing first, and lowers their aims
-// accordingly.
-func share(presses []press, budget float64, aims map[*run]int) {
-	for i, p := range presses {
-		part := max(0, budget) / float64(len(presses)-i)
+// share divides a demand's budget among its fillers, least pressing first, and lowers
+// their aims accordingly. Fillers that hardly press are left alone as long as that may
+// help.
+func share(d demand, aims map[*run]int) {
+	budget := d.budget
+	for i, p := range d.presses {
+		if p.full < negligible && !d.all {
+			budget -= p.full
+			continue
+		}
+		part := max(0, budget) / float64(len(d.presses)-i)
 		aim := fullPace
 		if p.full > part {
 			aim = int(fullPace * part / p.full)
@@ -228,7 +239,7 @@
 		budget := h.aim(it.step) - h.own(it)
 		if full > budget {
 			over++
-			share(presses, budget, aims)
+			share(demand{presses: presses, budget: budget}, aims)
 		}
 	}
 	if v.fillerCores(nil) > coresPerService*float64(over) {
