lead: a lasting task over its target weighs as much as 12 cores of batch work

Its caller loses four times its share for the time over its target, about what 18 cores of batch work earn.

--- a/internal/jobs/lead/pace.go
+++ b/internal/jobs/lead/pace.go
@@ -14,7 +14,7 @@
 	fullPace = 100
 	// coresPerService is how much batch work, in cores, weighs as much as one lasting
 	// task's being within its target.
-	coresPerService = 2.0
+	coresPerService = 12.0
 	// overFor is how long a lasting task may be over its target on end before its
 	// fillers yield whatever they weigh.
 	overFor = time.Second
