--- a/internal/jobs/lead/harm.go
+++ b/internal/jobs/lead/harm.go
@@ -95,9 +95,11 @@
 // observe takes the measurements of a VM.
 func (h *harm) observe(now time.Time, v *vm, rows []msgs.Row) {
 	shares := map[string]float64{}
+	v.fillerUse = 0
 	for _, row := range rows {
 		if it := v.runs[runKey{row.Task, row.Run}]; it != nil && it.step.Filler {
 			shares[it.step.Image] += coresOf(row) / v.cores()
+			v.fillerUse += coresOf(row)
 		}
 	}
 	for _, row := range rows {
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -156,6 +156,9 @@
 			if w.Lasting {
 				p.makeRoom(task)
 			}
+			if step.Filler {
+				p.l.timely.starve(task.Service)
+			}
 			return
 		}
 		p.start(e, st, index, p.vms[i], 0)
--- a/internal/jobs/lead/timely.go
+++ b/internal/jobs/lead/timely.go
@@ -13,6 +13,8 @@
 	planEvery = 100 * time.Millisecond
 	// planShare is the part of the processors that a plan counts on.
 	planShare = 0.9
+	// paceMargin is the part of the fillers' recent use that a plan counts on.
+	paceMargin = 1.1
 	// fixedWorth is the part of a job's worth that does not grow with its work,
 	// mostWorth bounds the worth, as multiples of the mean of the job's queue.
 	fixedWorth, mostWorth = 0.3, 4.0
@@ -25,6 +27,11 @@
 	// untimely holds the jobs that are late whatever is done, or whose processors gain
 	// more elsewhere; keys have step 0.
 	untimely map[plan.StageKey]bool
+	// pace is how many cores of fillers the VMs have carried lately, per service, where
+	// more waited.
+	pace map[string]*mean
+	// starved holds the services whose fillers found no room in the last pass.
+	starved map[string]bool
 	// works holds the mean work of each queue's jobs, in core-seconds.
 	works map[string]*mean
 }
@@ -66,6 +73,7 @@
 		return
 	}
 	t.at = p.now
+	p.notePace()
 	done := p.l.partsDone()
 	demands := map[contest][]plan.Demand{}
 	for _, e := range p.l.book.Active() {
@@ -146,7 +154,35 @@
 			sum += v.room.Capacity.CPU - v.lastingCPU()
 		}
 	}
-	return float64(sum) / 1000
+	cores := float64(sum) / 1000
+	if m := p.l.timely.pace[c.service]; c.filler && m != nil {
+		cores = min(cores, paceMargin*m.value)
+	}
+	return cores
+}
+
+// notePace follows how much fillers get done where more of them wait: what they disturb
+// may leave them less than the processors that are free.
+func (p *pass) notePace() {
+	t := &p.l.timely
+	if t.pace == nil {
+		t.pace = map[string]*mean{}
+	}
+	used := map[string]float64{}
+	for _, v := range p.vms {
+		used[v.room.Service] += v.fillerUse
+	}
+	for service, cores := range used {
+		if !t.starved[service] {
+			delete(t.pace, service)
+			continue
+		}
+		if t.pace[service] == nil {
+			t.pace[service] = &mean{}
+		}
+		t.pace[service].add(cores)
+	}
+	t.starved = map[string]bool{}
 }
 
 // lastingCPU returns the processors that lasting tasks hold, in thousandths.
@@ -164,3 +200,11 @@
 func (t *timely) untimelyOf(id model.ID, occurrence int) bool {
 	return t.untimely[plan.StageKey{Job: id, Occurrence: occurrence}]
 }
+
+// starve notes that a filler of a service found no room.
+func (t *timely) starve(service string) {
+	if t.starved == nil {
+		t.starved = map[string]bool{}
+	}
+	t.starved[service] = true
+}
--- a/internal/jobs/lead/vm.go
+++ b/internal/jobs/lead/vm.go
@@ -23,6 +23,8 @@
 	runs   map[runKey]*run
 	room   plan.VM
 	health health
+	// fillerUse is the processors that fillers used at the last report.
+	fillerUse float64
 	// kept is the stage for which room is being made, until keptUntil.
 	kept      plan.StageKey
 	keptUntil time.Time
