admit: waits after a refusal grow with the outage and are spread

Cause: every refusal said one second, so a caller with four retries had used them up 4 s into an outage, and callers refused together came back together.

--- a/internal/jobs/lead/callers.go
+++ b/internal/jobs/lead/callers.go
@@ -4,14 +4,12 @@
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/admit"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/book"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 )
 
-// storeRetry is when callers may return after a refusal because of the store.
-const storeRetry = time.Second
-
 // waiter is an entry's request that waits for a job to be stored.
 type waiter struct {
 	conn uint64
@@ -48,7 +46,7 @@
 	}
 	if e == nil {
 		if l.slow(now) {
-			l.refuse(now, conn, a, codes.LogDown, storeRetry)
+			l.refuse(now, conn, a, codes.LogDown)
 			return
 		}
 		job := *a.Work
@@ -60,7 +58,8 @@
 	l.answers[a.Job] = append(l.answers[a.Job], waiter{conn, a.Seq})
 }
 
-func (l *Leader) refuse(now time.Time, conn uint64, a *msgs.Ask, code codes.Code, after time.Duration) {
+func (l *Leader) refuse(now time.Time, conn uint64, a *msgs.Ask, code codes.Code) {
+	after := admit.RetryAfter(l.Waiting(now), a.Job)
 	l.stats.Refused++
 	l.log.Info("job refused", "req", a.Job, "queue", a.Queue, "code", int(code), "reason", code.String(),
 		"retryAfter", after, "storeWaits", l.Waiting(now), "epoch", l.epoch)
@@ -88,7 +87,7 @@
 		delete(l.answers, id)
 		l.book.Drop(id)
 		for _, w := range waiters {
-			l.refuse(now, w.conn, &msgs.Ask{Seq: w.seq, Job: id, Queue: e.Job.Queue.Name}, codes.LogDown, storeRetry)
+			l.refuse(now, w.conn, &msgs.Ask{Seq: w.seq, Job: id, Queue: e.Job.Queue.Name}, codes.LogDown)
 		}
 		l.log.Info("job dropped before it was stored", "req", id, "storeAge", now.Sub(l.storeAt))
 	}
--- a/internal/run/entry/callers.go
+++ b/internal/run/entry/callers.go
@@ -5,14 +5,13 @@
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/admit"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 )
 
 const (
 	// unledFor is how long new work waits for a leader before it is refused.
 	unledFor = 1200 * time.Millisecond
-	// unledRetry is when callers may return after that.
-	unledRetry = time.Second
 	// local is the connection id of this entry's own callers.
 	local = 0
 )
@@ -96,7 +95,7 @@
 	}
 	e.log.Warn("request not answered in time", "req", r.ask.Job, "verb", r.ask.Verb.String(), "code", int(code),
 		"waited", time.Since(r.at), "sent", r.sent, "epoch", e.epoch, "leader", e.leaderAddr.String(), "leaderHeard", e.sinceHeard())
-	e.answered(&msgs.Answer{Seq: r.ask.Seq, Code: code, RetryAfter: unledRetry})
+	e.answered(&msgs.Answer{Seq: r.ask.Seq, Code: code, RetryAfter: admit.RetryAfter(e.sinceHeard(), r.ask.Job)})
 }
 
 // refuseUnled refuses new work that no leader has seen, once it has waited.
@@ -107,7 +106,7 @@
 	for _, r := range e.asks {
 		if !r.sent && r.ask.Verb == msgs.Submit && now.Sub(r.at) > unledFor {
 			e.log.Info("job refused", "req", r.ask.Job, "queue", r.ask.Queue, "code", int(codes.NoLeader), "reason", "no entry leads", "waited", now.Sub(r.at))
-			e.answered(&msgs.Answer{Seq: r.ask.Seq, Code: codes.NoLeader, RetryAfter: unledRetry})
+			e.answered(&msgs.Answer{Seq: r.ask.Seq, Code: codes.NoLeader, RetryAfter: admit.RetryAfter(e.sinceHeard(), r.ask.Job)})
 		}
 	}
 }
