--- a/internal/base/logs/logs.go
+++ b/internal/base/logs/logs.go
@@ -59,9 +59,9 @@
 	}
 }
 
-// New returns a logger of JSON lines to w.
+// New returns a logger of JSON lines to w, bounded by message.
 func New(w io.Writer, level slog.Level) *slog.Logger {
-	return slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level, ReplaceAttr: readable}))
+	return slog.New(NewBudget(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level, ReplaceAttr: readable})))
 }
 
 // readable writes durations as people write them.
