--- a/internal/jobs/lead/pace.go
+++ b/internal/jobs/lead/pace.go
@@ -90,7 +90,7 @@
 			share(d, aims)
 		}
 	}
-	return l.paceOrders(v, aims)
+	return l.paceOrders(now, v, aims)
 }
 
 // strained reports whether a lasting task has been over its target for so long that no
@@ -152,7 +152,7 @@
 }
 
 // paceOrders sets the fillers' paces to the aims; those without one go at full pace.
-func (l *Leader) paceOrders(v *vm, aims map[*run]int) *msgs.Message {
+func (l *Leader) paceOrders(now time.Time, v *vm, aims map[*run]int) *msgs.Message {
 	var list []msgs.Pace
 	for key, it := range v.runs {
 		aim, slowed := aims[it]
@@ -173,6 +173,10 @@
 		return nil
 	}
 	slices.SortFunc(list, func(a, b msgs.Pace) int { return cmp.Compare(a.Task, b.Task) })
+	for _, pace := range list {
+		l.log.Info("run paced", "req", model.JobOf(pace.Task), "task", pace.Task, "run", pace.Run, "vm", v.info.ID,
+			"pace", pace.Percent, "heard", now.Sub(v.heardAt), "epoch", l.epoch)
+	}
 	return &msgs.Message{Orders: &msgs.Orders{Epoch: l.epoch, VM: v.info.ID, Life: v.info.Life, Paces: list}}
 }
 
--- a/internal/jobs/lead/timely.go
+++ b/internal/jobs/lead/timely.go
@@ -86,12 +86,18 @@
 			}
 		}
 	}
-	t.untimely = map[plan.StageKey]bool{}
+	untimely := map[plan.StageKey]bool{}
 	for c, list := range demands {
-		for key := range plan.Untimely(p.now, planShare*p.coresFor(c), list) {
-			t.untimely[key] = true
+		cores := planShare * p.coresFor(c)
+		for key := range plan.Untimely(p.now, cores, list) {
+			untimely[key] = true
+			if !t.untimely[key] {
+				p.l.log.Info("job is not planned to be on time", "req", key.Job, "occurrence", key.Occurrence,
+					"priority", c.priority, "cores", int(cores), "jobs", len(list), "epoch", p.l.epoch)
+			}
 		}
 	}
+	t.untimely = untimely
 }
 
 // demand returns what is left of an occurrence of a job, false if it is not due.
--- a/internal/jobs/model/job.go
+++ b/internal/jobs/model/job.go
@@ -94,6 +94,12 @@
 	return fmt.Sprintf("%s.%d.%d.%d", r.Job, r.Occurrence, r.Step, r.Index)
 }
 
+// JobOf returns the id of the job that a task's name begins with.
+func JobOf(task string) ID {
+	id, _, _ := strings.Cut(task, ".")
+	return ID(id)
+}
+
 // ParseTaskRef reads what String wrote.
 func ParseTaskRef(s string) (TaskRef, error) {
 	parts := strings.Split(s, ".")
