soak: real processes under faults from outside, checked by callers and workers

Entries and agents run as processes of their own; store and workers are stand-ins that witness everything. Faults: kills, graceful stops, pauses, reloads, worker crashes, a store that is busy, silent or loses answers, paths that are cut, cut one way, slow, reset or silent for good, changes of the configuration; they overlap.

--- a/internal/fake/relay/relay.go
+++ b/internal/fake/relay/relay.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Relay passes TCP connections on to one address. Make it with Listen.
@@ -17,6 +18,54 @@
 	mu    sync.Mutex
 	to    netip.AddrPort
 	pairs []*pair
+	// impaired is what is done to all connections now.
+	impaired atomic.Pointer[Impairment]
+}
+
+// Impairment is what a relay does to its connections while it lasts. The zero value does
+// nothing.
+type Impairment struct {
+	// Cut holds back all bytes, CutBack those of the answers; what is held back is passed
+	// on later, as after a partition.
+	Cut, CutBack bool
+	// Delay is added to what is passed on.
+	Delay time.Duration
+}
+
+// cutStep spaces the looks for the end of a cut.
+const cutStep = 10 * time.Millisecond
+
+// Impair sets what is done to all connections from now on.
+func (r *Relay) Impair(how Impairment) { r.impaired.Store(&how) }
+
+// hold waits as long as bytes of a direction are held back.
+func (r *Relay) hold(back bool) {
+	for {
+		how := r.impaired.Load()
+		switch {
+		case how == nil:
+			return
+		case how.Cut || (back && how.CutBack):
+			time.Sleep(cutStep)
+		default:
+			time.Sleep(how.Delay)
+			return
+		}
+	}
+}
+
+// Reset resets all connections that are open now.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.pairs {
+		for _, c := range []net.Conn{p.in, p.out} {
+			if tcp, ok := c.(*net.TCPConn); ok {
+				tcp.SetLinger(0)
+			}
+			c.Close()
+		}
+	}
 }
 
 // pair is one connection and its continuation.
@@ -64,17 +113,18 @@
 		r.mu.Lock()
 		r.pairs = append(r.pairs, p)
 		r.mu.Unlock()
-		go p.copy(in, out)
-		go p.copy(out, in)
+		go p.copy(in, out, func() { r.hold(false) })
+		go p.copy(out, in, func() { r.hold(true) })
 	}
 }
 
 // copy passes bytes on until an end closes. Once the pair is silent, it takes
-// bytes and passes nothing on, closing included.
-func (p *pair) copy(from, to net.Conn) {
+// bytes and passes nothing on, closing included. hold waits while bytes are held back.
+func (p *pair) copy(from, to net.Conn, hold func()) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
+		hold()
 		if p.silent.Load() {
 			if err != nil {
 				return
--- a/internal/fake/tasks/witness.go
+++ b/internal/fake/tasks/witness.go
@@ -51,6 +51,20 @@
 	return x.finished[task]
 }
 
+// Running returns the tasks that run somewhere.
+func (x *Witness) Running() []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var list []string
+	for task, where := range x.running {
+		if len(where) > 0 {
+			list = append(list, task)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 func (x *Witness) init() {
 	if x.running == nil {
 		x.running, x.done = map[string]map[string]uint32{}, map[string]bool{}
--- /dev/null
+++ b/internal/proof/soak/config.go
@@ -0,0 +1,30 @@
+package soak
+
+import (
+	"fmt"
+	"strings"
+)
+
+const (
+	// host and prefix are those of the queue that jobs are handed in to.
+	host   = "presses.example"
+	prefix = "/assign/"
+)
+
+// configuration returns a version of the operator's configuration. Each version adds a
+// route to those before, so that a request tells which versions are in force.
+func configuration(version int64) []byte {
+	routes := []string{route("assign", prefix)}
+	for v := int64(1); v <= version; v++ {
+		routes = append(routes, route(fmt.Sprintf("version-%d", v), versionPrefix(v)))
+	}
+	return fmt.Appendf(nil, `{"version":%d,"routes":[%s],"services":[{"name":"registry"}],"limits":{"max_body_bytes":262144}}`,
+		version, strings.Join(routes, ","))
+}
+
+func versionPrefix(v int64) string { return fmt.Sprintf("/version-%d/", v) }
+
+func route(name, prefix string) string {
+	return fmt.Sprintf(`{"name":%q,"host":%q,"path_prefix":%q,"service":"registry","priority":1,"max_attempts":50,`+
+		`"stretch":2,"target_latency_ms":1000,"timeout_ms":3000}`, name, host, prefix)
+}
--- a/internal/tool/cmds/root.go
+++ b/internal/tool/cmds/root.go
@@ -85,7 +85,7 @@
 	cmd.PersistentFlags().StringVar(&r.logFormat, "log-format", "text", "format of log lines: text or json")
 	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Join(errUsage, err) })
 	cmd.AddCommand(r.entryCommand(), r.agentCommand(), r.placedCommand(), r.standinCommand(), r.tryCommand(),
-		r.configCommand(), r.jobCommand(), r.stateCommand(), r.matrixCommand(), r.explainCommand(), r.versionCommand())
+		r.configCommand(), r.jobCommand(), r.stateCommand(), r.matrixCommand(), r.explainCommand(), r.soakCommand(), r.versionCommand())
 	return cmd
 }
 
