lead: keep runs that a worker's new life has begun

The leader gave the run up with the earlier life and placed the task again: it ran twice. Now nothing is given up before the new life has said what it runs and what has ended there, and what it lists goes on. Ruled out: the fence (it grows with the life, but a new life has seen none), the answer to the start (it names no life).

--- a/internal/jobs/exec/look.go
+++ b/internal/jobs/exec/look.go
@@ -74,11 +74,12 @@
 	}
 }
 
-// sync tells a new leader all that runs and has ended.
+// sync tells the leader all that runs and has ended. The ends follow the beat, which
+// tells the worker's life that they are of.
 func (a *Agent) sync(now time.Time) {
-	a.report()
 	a.synced = true
 	a.beat(now, true)
+	a.report()
 }
 
 // takeRows notes what is present. Runs that nobody here has ordered come from before
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -25,7 +25,13 @@
 	case v == nil:
 		v = newVM(b.VM)
 		l.vms[b.VM.ID] = v
+	case b.VM.Life > v.info.Life && !b.HasRows:
+		// What the new life runs is told next; orders to the earlier one may be among it.
+		v.synced = false
+		l.lease(now, conn, v, b)
+		return
 	case b.VM.Life > v.info.Life:
+		v.adopt(b)
 		l.endLife(now, v, b.VM.Life, "the worker was started again")
 	}
 	l.describe(v, b.VM)
@@ -43,6 +49,16 @@
 	l.lease(now, conn, v, b)
 }
 
+// adopt takes over runs that a new life of the worker lists: their orders were on the
+// way to the earlier life.
+func (v *vm) adopt(b *msgs.Beat) {
+	for _, row := range b.Rows {
+		if it := v.runs[runKey{row.Task, row.Run}]; it != nil {
+			it.life = b.VM.Life
+		}
+	}
+}
+
 func (l *Leader) describe(v *vm, info msgs.VM) {
 	if info.Draining != v.info.Draining {
 		l.log.Info("VM changes", "vm", info.ID, "draining", info.Draining, "remaining", info.Remaining)
--- a/internal/proof/soak/fleet.go
+++ b/internal/proof/soak/fleet.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -71,21 +72,18 @@
 	if err != nil {
 		return nil, err
 	}
-	peerPort, err := freePort()
-	if err != nil {
-		return nil, err
-	}
-	var seeds []string
+	net := newNetwork()
+	var seeds []netip.AddrPort
 	for i := range entries {
-		seeds = append(seeds, fmt.Sprintf("127.0.0.%d:%d", i+1, peerPort))
+		seeds = append(seeds, net.entry(i))
 	}
 	for i := range entries {
-		if err := f.addEntry(dir, i, seeds, store); err != nil {
+		if err := f.addEntry(dir, i, net, seeds, store); err != nil {
 			return f, err
 		}
 	}
 	for i := range vms {
-		if err := f.addVM(ctx, dir, i, peerPort, seeds, store, rng.Uint64()); err != nil {
+		if err := f.addVM(ctx, dir, i, net, seeds, store, rng.Uint64()); err != nil {
 			return f, err
 		}
 	}
@@ -110,27 +108,36 @@
 	return list
 }
 
-// freePort returns a port that nothing listens at.
-func freePort() (int, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0, err
-	}
-	defer ln.Close()
-	return ln.Addr().(*net.TCPAddr).Port, nil
+// network hands out loopback addresses that no other soak on the machine uses: it has a
+// part of 127.0.0.0/8 of its own, by the number of the process.
+type network struct {
+	base netip.Addr
+	port uint16
 }
 
-// freeAddrs returns loopback addresses that nothing listens at.
-func freeAddrs(n int) ([]string, error) {
-	var list []string
-	for range n {
-		p, err := freePort()
-		if err != nil {
-			return nil, err
-		}
-		list = append(list, fmt.Sprintf("127.0.0.1:%d", p))
-	}
-	return list, nil
+const (
+	// firstPort is the first port that is handed out, below those of outgoing connections.
+	firstPort = 20000
+	// peerPort is where entries listen for other processes.
+	peerPort = 19000
+)
+
+func newNetwork() *network {
+	pid := os.Getpid()
+	return &network{netip.AddrFrom4([4]byte{127, byte(1 + pid>>8&0x7f), byte(pid), 1}), firstPort}
+}
+
+// entry returns the address of the nth entry, from 0.
+func (n *network) entry(i int) netip.AddrPort {
+	a := n.base.As4()
+	a[3] += byte(i)
+	return netip.AddrPortFrom(netip.AddrFrom4(a), peerPort)
+}
+
+// next returns an address that was not handed out before.
+func (n *network) next() netip.AddrPort {
+	n.port++
+	return netip.AddrPortFrom(n.base, n.port)
 }
 
 func (f *fleet) serve(h http.Handler) (netip.AddrPort, error) {
@@ -148,18 +155,15 @@
 	return netip.MustParseAddrPort(ln.Addr().String()), nil
 }
 
-func (f *fleet) addEntry(dir string, i int, seeds []string, store netip.AddrPort) error {
-	addrs, err := freeAddrs(3)
-	if err != nil {
-		return err
-	}
-	e := &entry{callers: netip.MustParseAddrPort(addrs[0])}
+func (f *fleet) addEntry(dir string, i int, net *network, seeds []netip.AddrPort, store netip.AddrPort) error {
+	e := &entry{callers: net.next()}
+	var err error
 	if e.store, err = relay.Listen(store); err != nil {
 		return err
 	}
 	name := fmt.Sprintf("entry-%d", i+1)
 	settings, err := json.Marshal(map[string]any{
-		"name": name, "zone": "a", "callers": addrs[0], "health": addrs[1], "admin": addrs[2],
+		"name": name, "zone": "a", "callers": e.callers, "health": net.next(), "admin": net.next(),
 		"peers": seeds[i], "store": e.store.Addr(), "seeds": seeds,
 	})
 	if err != nil {
@@ -170,7 +174,7 @@
 	return err
 }
 
-func (f *fleet) addVM(ctx context.Context, dir string, i, peerPort int, seeds []string, store netip.AddrPort, seed uint64) error {
+func (f *fleet) addVM(ctx context.Context, dir string, i int, net *network, seeds []netip.AddrPort, store netip.AddrPort, seed uint64) error {
 	v := &vm{id: fmt.Sprintf("vm-%d", i+1)}
 	plan := func(task string, run uint32) tasks.Plan {
 		rng := rand.New(rand.NewPCG(seed, hash(task)+uint64(run)))
@@ -187,14 +191,10 @@
 	if v.log, err = relay.Listen(store); err != nil {
 		return err
 	}
-	addrs, err := freeAddrs(2)
-	if err != nil {
-		return err
-	}
-	v.registry = netip.MustParseAddrPort(addrs[0])
+	v.registry = net.next()
 	name := fmt.Sprintf("agent-%d", i+1)
 	settings, err := json.Marshal(map[string]any{
-		"name": name, "zone": "a", "registry": addrs[0], "admin": addrs[1], "worker": v.toWorker.Addr(),
+		"name": name, "zone": "a", "registry": v.registry, "admin": net.next(), "worker": v.toWorker.Addr(),
 		"peerPort": peerPort, "store": v.log.Addr(), "seeds": seeds,
 	})
 	if err != nil {
--- a/internal/proof/soak/process.go
+++ b/internal/proof/soak/process.go
@@ -67,13 +67,24 @@
 	p.starts.Add(1)
 	go func() {
 		defer close(done)
-		if err := cmd.Wait(); err != nil {
-			fmt.Fprintf(p.log, "ended: %v\n", err)
-		}
+		err := cmd.Wait()
+		fmt.Fprintf(p.log, "ended: %v\n", err)
 	}()
 	return nil
 }
 
+// gone reports whether the present incarnation has ended.
+func (p *process) gone() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // signal sends a signal to the present incarnation, if it still runs.
 func (p *process) signal(sig syscall.Signal) {
 	p.mu.Lock()
--- a/internal/proof/soak/watch.go
+++ b/internal/proof/soak/watch.go
@@ -64,6 +64,7 @@
 	for _, j := range c.open() {
 		c.fault("job %s, accepted %s ago, is not completed", j.id, time.Since(j.accepted).Round(time.Millisecond))
 	}
+	c.ownEnds()
 	newest := c.fleet.version.Load()
 	for _, e := range c.fleet.entries {
 		if inForce, _ := c.follows(context.WithoutCancel(ctx), e, newest); !inForce {
@@ -73,6 +74,15 @@
 	c.judge()
 }
 
+// ownEnds notes processes that ended though nothing ended them, once the faults are over.
+func (c *callers) ownEnds() {
+	for _, p := range c.fleet.processes() {
+		if p.gone() {
+			c.fault("%s has ended by itself", p.name)
+		}
+	}
+}
+
 // judge checks what must hold at the end, whatever happened.
 func (c *callers) judge() {
 	c.mu.Lock()
