--- a/internal/jobs/lead/move.go
+++ b/internal/jobs/lead/move.go
@@ -87,7 +87,8 @@
 }
 
 // move stops runs that would be done sooner on other VMs: on VMs that turned slow or
-// let tasks stand still, and fillers that lasting tasks slow down.
+// let tasks stand still, and fillers that lasting tasks slow down. Tasks that may run in
+// copies get a copy instead.
 func (p *pass) move() {
 	if p.now.Sub(p.l.movedAt) < moveEvery {
 		return
@@ -108,19 +109,37 @@
 		return cmp.Compare(a.key.task, b.key.task)
 	})
 	for _, c := range list[:min(len(list), maxMoves)] {
-		if to := p.better(c); to != nil {
-			c.v.health.slowed(p.now, c.it)
-			p.l.stats.Moved++
-			p.l.stopRun(p.now, c.v.info.ID, c.key, "would be done sooner on "+to.info.ID)
+		to := p.better(c)
+		if to == nil {
+			continue
 		}
+		c.v.health.slowed(p.now, c.it)
+		if c.it.step.Speculative {
+			p.copyTo(c, to)
+			continue
+		}
+		p.l.stats.Moved++
+		p.l.stopRun(p.now, c.v.info.ID, c.key, "would be done sooner on "+to.info.ID)
 	}
 }
 
+// copyTo starts a second run of a task that may run in copies; the first to finish
+// counts, and the other is stopped.
+func (p *pass) copyTo(c candidate, to *vm) {
+	p.l.stats.Copied++
+	p.l.log.Info("task is copied", "req", c.it.ref.Job, "task", c.key.task, "run", c.key.number, "vm", c.v.info.ID,
+		"to", to.info.ID, "gain", c.gain, "epoch", p.l.epoch)
+	p.start(c.it.entry, c.it.entry.Stage(c.it.ref), c.it.ref.Index, to, 0)
+}
+
 // gain returns how much sooner a run would be done on a VM that does not slow it.
 func (l *Leader) gain(now time.Time, it *run) time.Duration {
 	if it.stopped || it.step.Lasting || it.step.Gang || it.entry.State.Ended() {
 		return 0
 	}
+	if len(it.entry.Task(it.ref).Runs) > 1 {
+		return 0 // it has a copy
+	}
 	left, whole, known := it.progress.left(it.since, now)
 	if !known {
 		return 0
--- a/internal/jobs/lead/stats.go
+++ b/internal/jobs/lead/stats.go
@@ -11,7 +11,8 @@
 // Stats counts a leadership's decisions.
 type Stats struct {
 	Accepted, Refused, Cancelled   uint64
-	Started, Preempted, Moved      uint64
+	Started, Preempted             uint64
+	Moved, Copied                  uint64
 	Done, Failed, Lost, OtherEnds  uint64
 	Batches, Records, BytesWritten uint64
 }
--- a/internal/run/entry/metrics.go
+++ b/internal/run/entry/metrics.go
@@ -64,7 +64,7 @@
 func (m *metrics) count(s lead.Stats) {
 	for kind, n := range map[string]uint64{
 		"accepted": s.Accepted, "refused": s.Refused, "cancelled": s.Cancelled, "started": s.Started,
-		"preempted": s.Preempted, "moved": s.Moved, "done": s.Done, "failed": s.Failed, "lost": s.Lost,
+		"preempted": s.Preempted, "moved": s.Moved, "copied": s.Copied, "done": s.Done, "failed": s.Failed, "lost": s.Lost,
 		"otherEnds": s.OtherEnds, "batches": s.Batches, "records": s.Records, "bytesWritten": s.BytesWritten,
 	} {
 		m.stats.WithLabelValues(kind).Set(float64(n))
