--- a/internal/proof/soak/fleet.go
+++ b/internal/proof/soak/fleet.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"net/netip"
 	"os"
 	"sync/atomic"
@@ -15,6 +13,7 @@
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/fake/relay"
+	"github.com/ebonyarch/ebonyarch/internal/fake/serve"
 	"github.com/ebonyarch/ebonyarch/internal/fake/tasks"
 	"github.com/ebonyarch/ebonyarch/internal/fake/topics"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
@@ -41,7 +40,7 @@
 	witness tasks.Witness
 	entries []*entry
 	vms     []*vm
-	servers []*http.Server
+	servers serve.Servers
 	log     *slog.Logger
 	// version is that of the newest configuration.
 	version atomic.Int64
@@ -68,7 +67,7 @@
 	f := &fleet{log: log}
 	f.witness.Before = before
 	f.publish()
-	store, err := f.serve(fake.NewStore(&f.store))
+	store, err := f.servers.Serve(fake.NewStore(&f.store), log)
 	if err != nil {
 		return nil, err
 	}
@@ -140,21 +139,6 @@
 	return netip.AddrPortFrom(n.base, n.port)
 }
 
-func (f *fleet) serve(h http.Handler) (netip.AddrPort, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, err
-	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug)}
-	f.servers = append(f.servers, s)
-	go func() {
-		if err := s.Serve(ln); err != nil {
-			f.log.Debug("no longer serves", "addr", ln.Addr().String(), "err", err)
-		}
-	}()
-	return netip.MustParseAddrPort(ln.Addr().String()), nil
-}
-
 func (f *fleet) addEntry(dir string, i int, net *network, seeds []netip.AddrPort, store netip.AddrPort) error {
 	e := &entry{callers: net.next()}
 	var err error
@@ -181,7 +165,7 @@
 		return tasks.Plan{Size: taskSize, Work: taskTime + time.Duration(rng.Int64N(int64(taskSpread)))}
 	}
 	v.worker = fake.NewWorker(tasks.New(time.Now(), v.id, capacity, plan, &f.witness))
-	at, err := f.serve(v.worker)
+	at, err := f.servers.Serve(v.worker, f.log)
 	if err != nil {
 		return err
 	}
@@ -259,9 +243,5 @@
 		v.toWorker.Close()
 		v.log.Close()
 	}
-	for _, s := range f.servers {
-		if err := s.Close(); err != nil {
-			f.log.Debug("server not closed", "err", err)
-		}
-	}
+	f.servers.Close(f.log)
 }
--- a/internal/tool/demo/demo.go
+++ b/internal/tool/demo/demo.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/conf/proc"
+	"github.com/ebonyarch/ebonyarch/internal/fake/serve"
 	"github.com/ebonyarch/ebonyarch/internal/fake/tasks"
 	"github.com/ebonyarch/ebonyarch/internal/fake/topics"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
@@ -43,7 +44,7 @@
 	Entries []*Entry
 	workers []*fake.Worker
 	agents  []*agent.Agent
-	servers []*http.Server
+	servers serve.Servers
 	log     *slog.Logger
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -62,7 +63,7 @@
 	f := &Fleet{log: log}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.Store.Put("op", port.Record{Key: "config", Value: []byte(configuration)})
-	store, err := f.serve(fake.NewStore(&f.Store))
+	store, err := f.servers.Serve(fake.NewStore(&f.Store), log)
 	if err != nil {
 		return nil, err
 	}
@@ -82,22 +83,6 @@
 	return f, nil
 }
 
-// serve serves a handler at a free address.
-func (f *Fleet) serve(h http.Handler) (netip.AddrPort, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, err
-	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug)}
-	f.servers = append(f.servers, s)
-	go func() {
-		if err := s.Serve(ln); err != nil {
-			f.log.Debug("no longer serves", "addr", ln.Addr().String(), "err", err)
-		}
-	}()
-	return addrOf(ln), nil
-}
-
 func addrOf(ln net.Listener) netip.AddrPort { return netip.MustParseAddrPort(ln.Addr().String()) }
 
 // startEntry starts an entry. All entries listen at one port, each at an IP address of
@@ -114,7 +99,7 @@
 	cfg := proc.JobEntry{Name: fmt.Sprintf("entry-%d", i+1), Zone: "mx-a", Peers: addrOf(ln), Store: store, Seeds: seeds}
 	log := f.log.With("node", cfg.Name)
 	e := &Entry{Entry: entry.New(cfg, platform.NewStore(store, log), nil, log), peers: ln}
-	if e.Callers, err = f.serve(platform.NewIngress(e, e.Config, log)); err != nil {
+	if e.Callers, err = f.servers.Serve(platform.NewIngress(e, e.Config, log), log); err != nil {
 		return nil, err
 	}
 	f.Entries = append(f.Entries, e)
@@ -135,7 +120,7 @@
 	}
 	worker := fake.NewWorker(tasks.New(time.Now(), id, capacity, plan, &f.Witness))
 	f.workers = append(f.workers, worker)
-	addr, err := f.serve(worker)
+	addr, err := f.servers.Serve(worker, f.log)
 	if err != nil {
 		return err
 	}
@@ -143,7 +128,7 @@
 	log := f.log.With("node", cfg.Name)
 	a := agent.New(cfg, platform.NewWorker(addr), platform.NewStore(store, log), log)
 	f.agents = append(f.agents, a)
-	registry, err := f.serve(platform.NewRegistry(a, log))
+	registry, err := f.servers.Serve(platform.NewRegistry(a, log), log)
 	if err != nil {
 		return err
 	}
@@ -192,11 +177,7 @@
 	for _, a := range f.agents {
 		a.Close()
 	}
-	for _, s := range f.servers {
-		if err := s.Close(); err != nil {
-			f.log.Debug("server not closed", "err", err)
-		}
-	}
+	f.servers.Close(f.log)
 }
 
 // Kill ends an entry at once.
