--- a/internal/jobs/lead/flush.go
+++ b/internal/jobs/lead/flush.go
@@ -46,11 +46,19 @@
 			return nil, nil
 		}
 	}
-	l.flight = &Batch{Records: changes.Records, changes: changes, sentAt: now, effects: l.held}
+	records := changes.Records
+	if !changes.Empty() {
+		extra, err := l.remember(now)
+		if err != nil {
+			l.log.Error("cannot record what was learned", "err", err)
+		}
+		records = append(records, extra...)
+	}
+	l.flight = &Batch{Records: records, changes: changes, sentAt: now, effects: l.held}
 	l.held = nil
 	l.stats.Batches++
-	l.stats.Records += uint64(len(changes.Records))
-	for _, r := range changes.Records {
+	l.stats.Records += uint64(len(records))
+	for _, r := range records {
 		l.stats.BytesWritten += uint64(len(r.Key) + len(r.Value))
 	}
 	return l.flight, nil
--- a/internal/jobs/lead/harm.go
+++ b/internal/jobs/lead/harm.go
@@ -117,8 +117,12 @@
 func (v *vm) cores() float64 { return max(1, float64(v.info.Capacity.CPU)/1000) }
 
 func (h *harm) measure(now time.Time, it *run, tail float64, shares map[string]float64) {
-	if h.least == nil || len(h.owns) > maxKnown {
-		h.least, h.parts, h.owns = map[string]float64{}, map[imagePair]*estimate{}, map[plan.StageKey]*estimate{}
+	h.init()
+	if len(h.owns) > maxKnown {
+		h.owns = map[plan.StageKey]*estimate{}
+	}
+	if len(h.parts) > maxKnown {
+		h.parts = map[imagePair]*estimate{}
 	}
 	image := it.step.Image
 	if least, ok := h.least[image]; !ok || tail < least {
@@ -159,6 +163,13 @@
 	}
 }
 
+// init makes the maps of a harm that has learned nothing.
+func (h *harm) init() {
+	if h.least == nil {
+		h.least, h.parts, h.owns = map[string]float64{}, map[imagePair]*estimate{}, map[plan.StageKey]*estimate{}
+	}
+}
+
 func (h *harm) estimateOf(pair imagePair) *estimate {
 	p := h.parts[pair]
 	if p == nil {
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -70,6 +70,8 @@
 	flushedAt time.Time
 	forgotAt  time.Time
 	movedAt   time.Time
+	// rememberedAt is when what was learned was recorded.
+	rememberedAt time.Time
 	// changed is set when waiting work might find room.
 	changed bool
 	log     *slog.Logger
@@ -79,7 +81,7 @@
 // New returns a leadership that begins at now with what the store holds.
 func New(now time.Time, epoch uint64, b *book.Book, cfg model.Config, log *slog.Logger) *Leader {
 	l := &Leader{
-		epoch: epoch, book: b, cfg: cfg, storeAt: now, flushedAt: now, forgotAt: now, changed: true, log: log,
+		epoch: epoch, book: b, cfg: cfg, storeAt: now, flushedAt: now, forgotAt: now, rememberedAt: now, changed: true, log: log,
 		vms: map[string]*vm{}, agents: map[uint64]string{}, answers: map[model.ID][]waiter{},
 		advice: map[plan.StageKey]*advised{}, idle: map[model.ID]time.Time{},
 	}
--- a/internal/jobs/lead/timely.go
+++ b/internal/jobs/lead/timely.go
@@ -59,6 +59,14 @@
 	t.at = time.Time{}
 }
 
+// recall takes over the mean work of a queue's jobs.
+func (t *timely) recall(queue string, work float64, jobs int) {
+	if t.works == nil {
+		t.works = map[string]*mean{}
+	}
+	t.works[queue] = &mean{value: work, n: jobs}
+}
+
 // worth returns what a job of so much work gains its caller.
 func (t *timely) worth(queue string, work float64) float64 {
 	m := t.works[queue]
--- a/internal/proof/fleet/entry.go
+++ b/internal/proof/fleet/entry.go
@@ -94,6 +94,9 @@
 	e.epoch, e.seq = epoch, seq+1
 	e.agents = map[uint64]*Agent{}
 	e.leader = lead.New(w.Now, epoch, b, model.Config{}, w.log)
+	if err := e.leader.Recall(w.Now, records); err != nil {
+		w.Callers.fault("%s", err)
+	}
 	w.After(stepTime, func() { e.step(e.leader) })
 	w.Callers.retry()
 	return true
--- a/internal/run/entry/claim.go
+++ b/internal/run/entry/claim.go
@@ -59,6 +59,8 @@
 	epoch uint64
 	seq   uint64
 	book  *book.Book
+	// records are all that the store holds of the jobs and of what leaders learned.
+	records []port.Record
 }
 
 // claim claims the leadership after epoch and loads the state. The random first
@@ -91,7 +93,7 @@
 	for _, fault := range faults {
 		e.log.Error("left out a record of the store", "err", fault)
 	}
-	return claimed{c.Epoch, seq + 1, b}, nil
+	return claimed{c.Epoch, seq + 1, b, records}, nil
 }
 
 // tryClaim claims the leadership after epoch, and learns who has it if that fails.
--- a/internal/run/entry/leading.go
+++ b/internal/run/entry/leading.go
@@ -52,6 +52,9 @@
 		cfg = *p
 	}
 	e.leader = lead.New(now, c.epoch, c.book, cfg, e.log)
+	if err := e.leader.Recall(now, c.records); err != nil {
+		e.log.Warn("left out what was learned", "err", err)
+	}
 	e.seq, e.epoch, e.leaderAddr, e.heardAt = c.seq, c.epoch, e.cfg.Peers, now
 	e.pingAt = time.Time{}
 	e.metrics.leading.Set(1)
