--- a/internal/jobs/lead/harm.go
+++ b/internal/jobs/lead/harm.go
@@ -32,6 +32,9 @@
 	// aimedShare is the part of its target up to which fillers may take a task's
 	// latency.
 	aimedShare = 0.8
+	// placedShare is the part up to which further fillers may take it: its own load may
+	// rise while they run.
+	placedShare = 0.55
 	// settled is the age from which a lasting task's latency is believed.
 	settled = 2 * time.Second
 	// tolerated is the distance from the aim at which fillers count little.
@@ -194,8 +197,12 @@
 }
 
 // aim returns the utilization up to which fillers may take a step's tasks.
-func (h *harm) aim(s *model.Step) float64 {
-	return 1 - h.idle(s)/(aimedShare*float64(s.Target.Milliseconds()))
+func (h *harm) aim(s *model.Step) float64 { return h.usedAt(s, aimedShare) }
+
+// usedAt returns the utilization at which the latency of a step's tasks is a part of
+// their target.
+func (h *harm) usedAt(s *model.Step, part float64) float64 {
+	return 1 - h.idle(s)/(part*float64(s.Target.Milliseconds()))
 }
 
 // own returns the utilization of a lasting run without fillers.
@@ -247,7 +254,7 @@
 			continue
 		}
 		adds := h.press(v, it.step, filler)
-		if adds > negligible && h.pressed(v, it)+adds > h.aim(it.step) {
+		if adds > negligible && h.pressed(v, it)+adds > h.usedAt(it.step, placedShare) {
 			return true
 		}
 	}
