--- a/internal/jobs/lead/harm_test.go
+++ b/internal/jobs/lead/harm_test.go
@@ -35,7 +35,9 @@
 const (
 	sharedTarget = 150
 	idleTail     = 25.0
-	// heavyPress is what 3 cores of the heavy image add to a task's utilization.
+	// fillerCPU is what a filler asks for, in thousandths of a processor, heavyPress what
+	// one of the heavy image adds to a task's utilization.
+	fillerCPU  = 2000
 	heavyPress = 0.4
 	// mostHeld is what a lasting task holds where VMs have little room, leastHeld where
 	// they have much, in thousandths of a processor; a VM has 16,000.
@@ -62,7 +64,7 @@
 
 func (s *shared) submit(n int, image string, tasks int) {
 	j := job(n, model.Step{
-		Tasks: tasks, Filler: true, Image: image, Size: place.Amount{CPU: 3000, Memory: 1000}, Estimate: time.Minute,
+		Tasks: tasks, Filler: true, Image: image, Size: place.Amount{CPU: fillerCPU, Memory: 1000}, Estimate: time.Minute,
 	})
 	s.ask(msgs.Submit, j, j.ID)
 }
@@ -88,7 +90,7 @@
 		if f.image == "heavy" {
 			used += heavyPress * float64(f.pace) / 100
 		}
-		rows = append(rows, msgs.Row{Task: task, Run: f.run, Percent: 5, Measure: 30 * f.pace})
+		rows = append(rows, msgs.Row{Task: task, Run: f.run, Percent: 5, Measure: fillerCPU / 100 * f.pace})
 	}
 	tail := idleTail / (1 - min(used, 0.98))
 	if tail > sharedTarget {
--- a/internal/jobs/lead/memory_test.go
+++ b/internal/jobs/lead/memory_test.go
@@ -41,10 +41,9 @@
 		s.submit(5, "light", 1)
 		s.play(0.3, 4*time.Second)
 		s = next(s, recall)
-		s.play(0.4, 3*time.Second)
 		before := s.count("heavy")
 		s.submit(4, "heavy", 4)
-		s.play(0.4, idleFor)
+		s.play(0.3, idleFor)
 		return s.count("heavy") - before
 	}
 
