elect: entries with many processors lead

Entries now say how much processor they have (settings: processors); those with 1.5 times as much claim first, and a leader asks a stronger entry to lead once it has led for 2 s and the store answers. The store still decides who leads. The tests of elect fail without the change.

--- a/internal/conf/proc/placed.go
+++ b/internal/conf/proc/placed.go
@@ -31,6 +31,9 @@
 	// Store is the address of the platform's store.
 	Store netip.AddrPort `json:"store"`
 	Seeds Seeds          `json:"seeds"`
+	// Processors is how much of a processor the entry has; 0 is unknown. Entries with
+	// much more lead before others.
+	Processors float64 `json:"processors"`
 	// Advisor is the address of the advice service; without it advised queues wait.
 	Advisor netip.AddrPort `json:"advisor"`
 }
@@ -46,6 +49,9 @@
 	c.addr("peers", cfg.Peers, true)
 	c.addr("admin", cfg.Admin, true)
 	c.addr("store", cfg.Store, false)
+	if cfg.Processors < 0 {
+		c.Add("processors", "is below 0; want the part of a processor that the entry has")
+	}
 	return cfg, c.Faults()
 }
 
--- a/internal/jobs/elect/elect.go
+++ b/internal/jobs/elect/elect.go
@@ -35,6 +35,8 @@
 // Survey is what the other entries said when they were asked for a leader.
 type Survey struct {
 	Self netip.AddrPort
+	// Processors is how much of a processor this entry has, 0 if it is unknown.
+	Processors float64
 	// Known is the number of other entries known, Answers holds what those said that
 	// were asked and answered: all of a few, some of many.
 	Known   int
@@ -82,14 +84,38 @@
 // rank returns the number of entries that should claim before this one.
 func (s *Survey) rank() int {
 	before := 0
-	for addr := range s.Answers {
-		if addr.Compare(s.Self) < 0 {
+	for addr, w := range s.Answers {
+		switch {
+		case Stronger(w.Processors, s.Processors):
+			before++
+		case Stronger(s.Processors, w.Processors):
+		case addr.Compare(s.Self) < 0:
 			before++
 		}
 	}
 	return before
 }
 
+const (
+	// strongerBy is how many times the processors make an entry the better leader: a
+	// handover costs more than a small difference gains.
+	strongerBy = 1.5
+	// yieldAfter is how long an entry leads before it yields to a stronger one.
+	yieldAfter = 2 * time.Second
+)
+
+// Stronger reports whether one entry's processors make it a better leader than
+// another; 0 is unknown.
+func Stronger(processors, other float64) bool {
+	return other > 0 && processors > strongerBy*other
+}
+
+// Yields reports whether a leader should let an entry with more processors lead, given
+// for how long it has led and for how long it waits for the store.
+func Yields(processors, other float64, led, waiting time.Duration) bool {
+	return Stronger(other, processors) && led > yieldAfter && waiting < StoreTest
+}
+
 // Complaints holds when agents last looked for a leader. Its zero value is empty.
 type Complaints struct {
 	at map[string]time.Time
@@ -123,6 +149,8 @@
 	switch {
 	case p.Leaving:
 		return "the leader is leaving", true
+	case p.Yield:
+		return "the leader has fewer processors", true
 	case p.Waiting > storeTrouble:
 		return "the leader has lost the store", true
 	case followed > settleFor && complaints > p.Agents && complaints > 1:
--- a/internal/jobs/elect/elect_test.go
+++ b/internal/jobs/elect/elect_test.go
@@ -36,6 +36,21 @@
 		}
 	})
 
+	It("lets entries with much more processors claim first", func() {
+		waits := map[netip.AddrPort]time.Duration{}
+		processors := map[netip.AddrPort]float64{a: 0.11, b: 0.8, c: 0.7}
+		for self, own := range processors {
+			s := elect.Survey{Self: self, Processors: own, Known: 2, Answers: map[netip.AddrPort]msgs.Welcome{}}
+			for other, p := range processors {
+				if other != self {
+					s.Answers[other] = msgs.Welcome{Heard: -1, Processors: p}
+				}
+			}
+			waits[self], _ = s.Wait(1)
+		}
+		Expect(waits).To(Equal(map[netip.AddrPort]time.Duration{b: 0, c: elect.Stagger, a: 2 * elect.Stagger}))
+	})
+
 	DescribeTable("keeps an entry from claiming", func(s elect.Survey) {
 		_, ok := s.Wait(2)
 		Expect(ok).To(BeFalse())
@@ -59,6 +74,7 @@
 	},
 		Entry("not when all is well", msgs.Ping{Agents: 11}, 0, time.Minute, false),
 		Entry("when it leaves", msgs.Ping{Leaving: true}, 0, time.Minute, true),
+		Entry("when it yields", msgs.Ping{Yield: true}, 0, time.Minute, true),
 		Entry("when the store does not answer it", msgs.Ping{Agents: 11, Waiting: time.Second}, 0, time.Minute, true),
 		Entry("when most agents miss it", msgs.Ping{Agents: 4}, 7, time.Minute, true),
 		Entry("not while agents still look for it", msgs.Ping{Agents: 4}, 7, time.Second, false),
@@ -77,3 +93,17 @@
 		Expect(elect.Merge(nil, b, c, b, a, c, netip.AddrPort{})).To(Equal([]netip.AddrPort{a, c}))
 	})
 })
+
+var _ = Describe("A leader with few processors", func() {
+	DescribeTable("yields", func(own, other float64, led, waiting time.Duration, want bool) {
+		Expect(elect.Yields(own, other, led, waiting)).To(Equal(want))
+	},
+		Entry("to an entry with many", 0.11, 0.8, time.Minute, time.Duration(0), true),
+		Entry("not to one with as many", 0.8, 0.8, time.Minute, time.Duration(0), false),
+		Entry("not for a little more", 0.16, 0.2, time.Minute, time.Duration(0), false),
+		Entry("not when it has just begun", 0.11, 0.8, time.Second, time.Duration(0), false),
+		Entry("not while the store does not answer", 0.11, 0.8, time.Minute, time.Second, false),
+		Entry("not if its own are unknown", 0.0, 0.8, time.Minute, time.Duration(0), false),
+		Entry("not to one whose are unknown", 0.11, 0.0, time.Minute, time.Duration(0), false),
+	)
+})
--- a/internal/jobs/msgs/member.go
+++ b/internal/jobs/msgs/member.go
@@ -21,6 +21,8 @@
 	Leading bool
 	// Lost is set if the caller looks for a leader because it lost its own.
 	Lost bool
+	// Processors is how much of a processor the caller has, 0 if it is unknown.
+	Processors float64
 }
 
 // Welcome answers Hello.
@@ -36,6 +38,8 @@
 	Entries []netip.AddrPort
 	// Heard is how long ago the entry heard from the leader; negative is never.
 	Heard time.Duration
+	// Processors is how much of a processor the entry has, 0 if it is unknown.
+	Processors float64
 }
 
 // Ping is the leader's sign of life to entries.
@@ -51,4 +55,6 @@
 	Config *model.Config
 	// Leaving is set when the leader is about to stop.
 	Leaving bool
+	// Yield is set if the receiver should lead in its place, having more processors.
+	Yield bool
 }
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -76,6 +76,9 @@
 	asks    map[uint64]*request
 	lastAsk uint64
 	pingAt  time.Time
+	// ledSince is when this entry began to lead, yielded is set if the leader asked it to.
+	ledSince time.Time
+	yielded  bool
 	// claiming is set while a claim is under way.
 	claiming bool
 }
@@ -85,6 +88,8 @@
 	conn  *peer.Conn
 	node  string
 	entry bool
+	// processors is how much of a processor an entry has, 0 if it is unknown.
+	processors float64
 	// config is the version of the configuration that was sent last.
 	config int64
 }
--- a/internal/run/entry/follow.go
+++ b/internal/run/entry/follow.go
@@ -159,6 +159,7 @@
 		cfg := *m.Ping.Config
 		go e.configured(cfg)
 	}
+	e.yielded = m.Ping.Yield
 	reason, suspect := elect.Suspect(m.Ping, e.complaints.Count(now), now.Sub(e.joinedAt))
 	if !suspect || e.stopping.Load() {
 		return ""
@@ -179,6 +180,9 @@
 	rank := 0
 	e.sync(func() {
 		epoch = e.epoch
+		if e.yielded {
+			return // nobody else is asked to
+		}
 		for _, addr := range e.entries {
 			if addr != e.leaderAddr && addr.Compare(e.cfg.Peers) < 0 {
 				rank++
@@ -247,7 +251,7 @@
 
 // survey asks all entries for the leader.
 func (e *Entry) survey() *elect.Survey {
-	s := &elect.Survey{Self: e.cfg.Peers}
+	s := &elect.Survey{Self: e.cfg.Peers, Processors: e.cfg.Processors}
 	var entries []netip.AddrPort
 	var h msgs.Hello
 	e.sync(func() {
@@ -261,7 +265,7 @@
 }
 
 func (e *Entry) greeting() msgs.Hello {
-	return msgs.Hello{Node: e.cfg.Name, Entry: true, Addr: e.cfg.Peers, Epoch: e.epoch, Leading: e.leader != nil, Lost: e.upstream == nil}
+	return msgs.Hello{Node: e.cfg.Name, Entry: true, Addr: e.cfg.Peers, Epoch: e.epoch, Leading: e.leader != nil, Lost: e.upstream == nil, Processors: e.cfg.Processors}
 }
 
 // Shutdown ends the entry in good order: new callers stay away, the leadership is
--- a/internal/run/entry/leading.go
+++ b/internal/run/entry/leading.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/ebonyarch/ebonyarch/internal/jobs/elect"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/lead"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
@@ -56,7 +57,7 @@
 		e.log.Warn("left out what was learned", "err", err)
 	}
 	e.seq, e.epoch, e.leaderAddr, e.heardAt = c.seq, c.epoch, e.cfg.Peers, now
-	e.pingAt = time.Time{}
+	e.pingAt, e.ledSince = time.Time{}, now
 	e.metrics.leading.Set(1)
 	e.log.Info("leads", "epoch", c.epoch, "jobs", c.book.Len(), "active", len(c.book.Active()))
 	e.passAll()
@@ -133,6 +134,7 @@
 	e.pingAt = now
 	cfg := e.config.Load()
 	agents := e.agents()
+	best := e.strongest()
 	for _, c := range e.conns {
 		if !c.entry {
 			continue
@@ -141,11 +143,26 @@
 		if cfg != nil && cfg.Version > c.config {
 			p.Config, c.config = cfg, cfg.Version
 		}
+		if c == best && elect.Yields(e.cfg.Processors, c.processors, now.Sub(e.ledSince), e.leader.Waiting(now)) {
+			p.Yield = true
+			e.log.Info("lets a stronger entry lead", "peer", c.node, "processors", e.cfg.Processors, "peerProcessors", c.processors, "epoch", e.epoch)
+		}
 		c.conn.Send(&msgs.Message{Ping: p})
 	}
 	return true
 }
 
+// strongest returns the connected entry with the most processors, nil if there is none.
+func (e *Entry) strongest() *client {
+	var best *client
+	for _, c := range e.conns {
+		if c.entry && (best == nil || c.processors > best.processors) {
+			best = c
+		}
+	}
+	return best
+}
+
 // agents returns the number of agents that are connected.
 func (e *Entry) agents() int {
 	n := 0
--- a/internal/run/entry/serve.go
+++ b/internal/run/entry/serve.go
@@ -81,9 +81,10 @@
 	w := &msgs.Welcome{
 		Node: e.cfg.Name, Leading: e.leader != nil, Epoch: e.epoch, Leader: e.leaderAddr,
 		Entries: append(e.entries, e.cfg.Peers), Heard: e.sinceHeard(),
+		Processors: e.cfg.Processors,
 	}
 	if w.Leading {
-		e.conns[conn.ID] = &client{conn: conn, node: h.Node, entry: h.Entry}
+		e.conns[conn.ID] = &client{conn: conn, node: h.Node, entry: h.Entry, processors: h.Processors}
 		e.log.Info("peer joins", "peer", h.Node, "entry", h.Entry, "epoch", e.epoch)
 		e.pingAt = time.Time{}
 	}
