--- a/internal/jobs/lead/copy_test.go
+++ b/internal/jobs/lead/copy_test.go
@@ -59,11 +59,7 @@
 	DescribeTable("is done when the first of them is, and the other is stopped", func(n int, run, other uint32) {
 		straggle(4 * time.Second)
 		end(n, run)
-		var stops []msgs.Stop
-		for _, o := range b.orders() {
-			stops = append(stops, o.Stops...)
-		}
-		Expect(stops).To(ConsistOf(msgs.Stop{Task: task, Run: other}))
+		Expect(b.stops()).To(ConsistOf(msgs.Stop{Task: task, Run: other}))
 		Expect(b.state(id)).To(Equal("completed"))
 	},
 		Entry("the copy", 1, uint32(2), uint32(1)),
--- a/internal/jobs/lead/lead_test.go
+++ b/internal/jobs/lead/lead_test.go
@@ -388,10 +388,6 @@
 			b.beat(1, false)
 			b.pass(400 * time.Millisecond)
 		}
-		var stops []msgs.Stop
-		for _, o := range b.orders() {
-			stops = append(stops, o.Stops...)
-		}
-		Expect(stops).NotTo(BeEmpty())
+		Expect(b.stops()).NotTo(BeEmpty())
 	})
 })
--- a/internal/jobs/lead/state_test.go
+++ b/internal/jobs/lead/state_test.go
@@ -21,3 +21,13 @@
 	Expect(answers).To(HaveLen(1))
 	return answers[0].State
 }
+
+// stops returns the runs that were to be stopped since the last call.
+func (b *bench) stops() []msgs.Stop {
+	return collect(b, func(m *msgs.Message) []msgs.Stop {
+		if m.Orders == nil {
+			return nil
+		}
+		return m.Orders.Stops
+	})
+}
--- a/internal/jobs/lead/timely.go
+++ b/internal/jobs/lead/timely.go
@@ -38,13 +38,6 @@
 	works map[string]*mean
 }
 
-// contest names jobs that compete for the same processors.
-type contest struct {
-	service  string
-	priority int
-	filler   bool
-}
-
 // accepted notes the work of a new job.
 func (t *timely) accepted(e *book.Entry, work float64) {
 	if t.works == nil {
@@ -171,26 +164,6 @@
 	return max(0, whole*time.Duration(100-it.progress.last)/100-now.Sub(at))
 }
 
-// coresFor returns the processors that jobs of a contest may use.
-func (p *pass) coresFor(c contest) float64 {
-	var sum int64
-	for _, v := range p.vms {
-		if v.room.Service != c.service {
-			continue
-		}
-		if c.filler {
-			sum += max(0, v.room.Free().CPU+v.room.Unused)
-		} else {
-			sum += v.room.Capacity.CPU - v.lastingCPU()
-		}
-	}
-	cores := float64(sum) / 1000
-	if m := p.l.timely.pace[c.service]; c.filler && m != nil {
-		cores = min(cores, paceMargin*m.value)
-	}
-	return cores
-}
-
 // notePace follows how much fillers get done where more of them wait: what they disturb
 // may leave them less than the processors that are free.
 func (p *pass) notePace() {
@@ -215,17 +188,6 @@
 	t.starved = map[string]bool{}
 }
 
-// lastingCPU returns the processors that lasting tasks hold, in thousandths.
-func (v *vm) lastingCPU() int64 {
-	var sum int64
-	for _, it := range v.runs {
-		if it.step.Lasting {
-			sum += it.step.Size.CPU
-		}
-	}
-	return sum
-}
-
 // untimelyOf reports whether the plan gives up an occurrence's objective.
 func (t *timely) untimelyOf(id model.ID, occurrence int) bool {
 	return t.untimely[plan.StageKey{Job: id, Occurrence: occurrence}]
