front: a request without time for a try no longer panics, and no ticket is lost

Cause: Flow.send passed a nil random source to the step after a failure, which chose a further upstream with it. Gate.Update made new kinds and forgot the queues of those that are no longer listed, so that their tickets were neither granted nor expired.

--- a/internal/front/flow/flow.go
+++ b/internal/front/flow/flow.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return f.finish(now, nil, err)
 	}
-	return f.send(now, u)
+	return f.send(now, rnd, u)
 }
 
 // pick chooses the upstream for the next try and counts the request as in flight
@@ -108,14 +108,14 @@
 
 // send adds a try at u and returns the step that sends it, or the step after its
 // failure if the deadline leaves no time.
-func (f *Flow) send(now time.Time, u *route.Upstream) Step {
+func (f *Flow) send(now time.Time, rnd route.Rand, u *route.Upstream) Step {
 	f.tries = append(f.tries, try{upstream: u, sent: now, open: true})
 	f.triedVMs = append(f.triedVMs, u.VM)
 	f.open++
 	i := len(f.tries) - 1
 	timeout := f.req.Deadline.Sub(now) - replyMargin - 2*u.OneWayDelay
 	if timeout <= 0 {
-		return f.Failed(now, nil, i, codes.New(codes.TimedOutNotRun, "the deadline passed before the request was sent"))
+		return f.Failed(now, rnd, i, codes.New(codes.TimedOutNotRun, "the deadline passed before the request was sent"))
 	}
 	s := Step{Action: Send, Try: i, Upstream: u, Timeout: timeout}
 	if f.req.Idempotent && i == 0 {
@@ -141,7 +141,7 @@
 		return Step{}
 	}
 	f.service.stats.Hedges++
-	return f.send(now, u)
+	return f.send(now, rnd, u)
 }
 
 // Replied handles an upstream's reply to try i and returns the next step.
@@ -250,7 +250,7 @@
 		return f.finish(now, nil, err)
 	}
 	f.service.stats.Retries++
-	return f.send(now, u)
+	return f.send(now, rnd, u)
 }
 
 // outOfCapacity reports whether err says that the upstreams had no capacity for the
--- a/internal/front/flow/flow_test.go
+++ b/internal/front/flow/flow_test.go
@@ -43,6 +43,22 @@
 		return sum
 	}
 
+	// Begin used to pass no random source to the choice of another upstream and panicked.
+	It("fails a request whose deadline leaves no time for a try, although the retry budget allows one", func() {
+		for range 200 {
+			f := request(true)
+			step := f.Begin(now, rnd)
+			reply := okReply()
+			reply.Load = &schema.Load{ServiceUs: 1000, Slots: 8}
+			f.Replied(now.Add(time.Millisecond), rnd, step.Try, reply)
+		}
+		f := flow.New(s, flow.Request{ID: "id", Idempotent: true, Deadline: now.Add(1500 * time.Microsecond)})
+		step := f.Begin(now, rnd)
+		Expect(step.Action).To(Equal(flow.Done))
+		Expect(codes.Of(step.Err)).To(Equal(codes.TimedOutNotRun))
+		Expect(inFlight()).To(BeZero())
+	})
+
 	It("returns the reply", func() {
 		f := request(true)
 		step := f.Begin(now, rnd)
--- a/internal/front/gate/gate.go
+++ b/internal/front/gate/gate.go
@@ -95,12 +95,16 @@
 	return g
 }
 
-// Update changes the slots and kinds; requests that hold slots keep them.
+// Update changes the slots and kinds. Requests that hold slots keep them, and queued
+// requests of a removed kind count as the last of kinds from then on.
 func (g *Gate) Update(slots int, kinds []Kind) {
-	old := g.byName
+	if len(kinds) == 0 {
+		kinds = []Kind{{Name: "default"}}
+	}
+	oldKinds, oldByName := g.kinds, g.byName
 	g.slots, g.kinds, g.byName = slots, nil, map[string]*kind{}
 	for _, k := range kinds {
-		state := old[k.Name]
+		state := oldByName[k.Name]
 		if state == nil {
 			state = &kind{serviceTime: initialServiceTime}
 		}
@@ -110,10 +114,21 @@
 		g.kinds = append(g.kinds, state)
 		g.byName[k.Name] = state
 	}
-	if len(g.kinds) == 0 {
-		state := &kind{Kind: Kind{Name: "default", Weight: 1}, serviceTime: initialServiceTime}
-		g.kinds, g.byName = []*kind{state}, map[string]*kind{"default": state}
+	last := g.kinds[len(g.kinds)-1]
+	for _, k := range oldKinds {
+		if g.byName[k.Name] != k {
+			last.adopt(k.queue)
+		}
+	}
+}
+
+// adopt adds the queued requests of a removed kind, in the order of their arrival.
+func (k *kind) adopt(queue []*Ticket) {
+	for _, t := range queue {
+		t.kind = k
 	}
+	k.queue = append(k.queue, queue...)
+	slices.SortStableFunc(k.queue, func(a, b *Ticket) int { return a.requestedAt.Compare(b.requestedAt) })
 }
 
 // Running returns the number of requests that hold slots.
--- a/internal/front/gate/gate_test.go
+++ b/internal/front/gate/gate_test.go
@@ -110,6 +110,39 @@
 		Expect(g.Cancel(t)).To(BeFalse())
 	})
 
+	// Update used to drop the queues of removed kinds; their tickets neither got a slot nor
+	// expired.
+	It("keeps the queued requests of a kind that is removed, as requests of the last kind", func() {
+		var running []*gate.Ticket
+		for range 8 {
+			t, _ := admit("urgent")
+			running = append(running, t)
+		}
+		first, d := admit("bulk")
+		Expect(d).To(Equal(gate.Queued))
+		second, _ := g.Admit(now, "bulk", now.Add(50*time.Millisecond))
+		now = now.Add(time.Millisecond)
+		third, _ := admit("default")
+		g.Update(8, []gate.Kind{{Name: "urgent", Share: 50}, {Name: "default"}})
+		Expect(g.Queued()).To(Equal(3))
+		Expect(g.Done(now, running[0], time.Millisecond)).To(ConsistOf(first))
+		late, granted := g.Expire(now.Add(60 * time.Millisecond))
+		Expect(late).To(ConsistOf(second))
+		Expect(granted).To(BeEmpty())
+		Expect(g.Cancel(third)).To(BeTrue())
+		g.Done(now, first, time.Millisecond)
+		Expect(g.Running()).To(Equal(7))
+	})
+
+	It("keeps the queue when it is updated without kinds", func() {
+		g := gate.New(1, nil)
+		running, _ := g.Admit(now, "a", farDeadline())
+		queued, d := g.Admit(now, "a", farDeadline())
+		Expect(d).To(Equal(gate.Queued))
+		g.Update(1, nil)
+		Expect(g.Done(now, running, time.Millisecond)).To(ConsistOf(queued))
+	})
+
 	It("keeps the slots of running requests when kinds change", func() {
 		t, _ := admit("bulk")
 		g.Update(4, []gate.Kind{{Name: "bulk", Share: 100}})
