run, jobs, platform: mend faults that reading had found

Cause, for each with the test that failed first: - MergeAddrs inserted into an array that messages waiting to be encoded still held, and Welcome appended to its spare capacity. It now returns a new, clipped slice. - The agent compared a run's doubt with the start of the latest poll instead of the poll it handles; a poll that started before a refusal could report a run as lost that was done. Without a test: counts of an ended leadership stay in no gauge, and the goroutine that applies a configuration is waited for at the stop.

--- a/internal/jobs/elect/elect.go
+++ b/internal/jobs/elect/elect.go
@@ -173,16 +173,17 @@
 	return "", false
 }
 
-// MergeAddrs inserts the valid addresses other than self into a sorted list, without
-// duplicates, and returns it.
+// MergeAddrs returns a sorted list with the addresses of list and the valid ones of more
+// other than self, without duplicates. It never changes list, and appending to the result
+// copies it, so that other goroutines may read both.
 func MergeAddrs(list []netip.AddrPort, self netip.AddrPort, more ...netip.AddrPort) []netip.AddrPort {
 	for _, addr := range more {
 		if !addr.IsValid() || addr == self {
 			continue
 		}
 		if i, found := slices.BinarySearchFunc(list, addr, netip.AddrPort.Compare); !found {
-			list = slices.Insert(list, i, addr)
+			list = slices.Insert(slices.Clone(list), i, addr)
 		}
 	}
-	return list
+	return slices.Clip(list)
 }
--- a/internal/jobs/elect/elect_test.go
+++ b/internal/jobs/elect/elect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -92,6 +93,19 @@
 	It("merges the valid addresses of other entries into a sorted list without duplicates", func() {
 		Expect(elect.MergeAddrs(nil, b, c, b, a, c, netip.AddrPort{})).To(Equal([]netip.AddrPort{a, c}))
 	})
+
+	// Messages that wait to be encoded by another goroutine hold earlier lists.
+	It("never changes an earlier list, nor lets two lists share memory that either may append to", func() {
+		before := elect.MergeAddrs(make([]netip.AddrPort, 0, 8), b, a, c)
+		d := netip.MustParseAddrPort("10.0.0.3:9")
+		after := elect.MergeAddrs(before, b, d)
+		Expect(before).To(Equal([]netip.AddrPort{a, c}))
+		Expect(after).To(ContainElements(a, c, d))
+		first := append(after, a)
+		second := append(after, c)
+		Expect(first).To(HaveExactElements(append(slices.Clone(after), a)))
+		Expect(second).To(HaveExactElements(append(slices.Clone(after), c)))
+	})
 })
 
 var _ = Describe("A leader with few processors", func() {
--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -67,8 +67,6 @@
 	// pollFailed is set if the latest poll failed. The worker may then have restarted and
 	// numbered its run ends from the start again.
 	pollFailed bool
-	// pollStart is when the latest poll was started.
-	pollStart time.Time
 	// calls holds the calls to make, out the messages to send to the leader.
 	calls []Call
 	out   []*msgs.Message
--- a/internal/jobs/exec/exec_test.go
+++ b/internal/jobs/exec/exec_test.go
@@ -114,6 +114,21 @@
 		Expect(h.ends()).To(ConsistOf(HaveField("Outcome", msgs.Done)))
 	})
 
+	It("is not misled by a poll that started before a refusal and ends after the next poll has started", func() {
+		c := h.order()
+		h.agent.Started(h.now, c, errNoResponse)
+		retry := h.call()
+		early, _ := h.agent.Poll(h.now, false)
+		h.now = h.now.Add(time.Millisecond)
+		h.agent.Started(h.now, retry, port.ErrRunOver)
+		h.now = h.now.Add(time.Millisecond)
+		later, _ := h.agent.Poll(h.now, false)
+		h.respond(early, port.PollResult{})
+		Expect(h.ends()).To(BeEmpty())
+		h.respond(later, done)
+		Expect(h.ends()).To(ConsistOf(HaveField("Outcome", msgs.Done)))
+	})
+
 	It("reports a run as lost if its start was refused and a later poll lists it neither as present nor as ended", func() {
 		h.agent.Started(h.now, h.order(), port.ErrRunOver)
 		Expect(h.ends()).To(BeEmpty())
--- a/internal/jobs/exec/poll.go
+++ b/internal/jobs/exec/poll.go
@@ -18,8 +18,7 @@
 	if !a.present || a.epoch == 0 {
 		return port.Poll{}, false
 	}
-	a.pollStart = now
-	p := port.Poll{Worker: a.vm.ID, FencingToken: a.fencingToken(), Seen: a.storedEnd}
+	p := port.Poll{Worker: a.vm.ID, FencingToken: a.fencingToken(), Seen: a.storedEnd, StartedAt: now}
 	if a.pollFailed {
 		p.Seen = 0
 	}
@@ -66,7 +65,7 @@
 	}
 	a.updateRuns(res.Running, res.Ended)
 	added := a.addEnds(res.Ended)
-	a.resolveUnconfirmed()
+	a.resolveUnconfirmed(p.StartedAt)
 	if a.NeedsSync() && p.FencingToken == a.fencingToken() {
 		a.sync(now)
 		return
@@ -123,11 +122,11 @@
 }
 
 // resolveUnconfirmed decides whether unconfirmed runs are present, from the result of a poll
-// that started after they became unconfirmed. A run that is neither present nor ended has
+// that started at startedAt. It decides only those that became unconfirmed before. A run that is neither present nor ended has
 // never started and never will, so it is reported as lost.
-func (a *Agent) resolveUnconfirmed() {
+func (a *Agent) resolveUnconfirmed(startedAt time.Time) {
 	for k, r := range a.runs {
-		if r.unconfirmedReason == "" || !a.pollStart.After(r.unconfirmedAt) {
+		if r.unconfirmedReason == "" || !startedAt.After(r.unconfirmedAt) {
 			continue
 		}
 		if r.listed {
--- a/internal/jobs/lead/preempt.go
+++ b/internal/jobs/lead/preempt.go
@@ -25,8 +25,8 @@
 			}
 			continue
 		}
-		if !v.couldRun(t) {
-			continue
+		if !v.couldRun(t) || v.placement.Free().Covers(t.Step.ResourceRequest()) {
+			continue // the VM does not lack capacity, so stopping runs would not help
 		}
 		keys, loss, ok := p.victims(v, t)
 		if ok && (bestVM == nil || loss < bestLoss) {
--- a/internal/jobs/model/step.go
+++ b/internal/jobs/model/step.go
@@ -44,7 +44,8 @@
 	// leave.
 	BestEffort bool
 	// MaxUnavailable is the maximum number of the step's long-running tasks that the
-	// scheduler may make unavailable at the same time. It is stored, but not used.
+	// scheduler may make unavailable at the same time. The scheduler stops runs of such
+	// steps only when their job is cancelled, which the limit allows.
 	MaxUnavailable int
 }
 
--- a/internal/jobs/plan/vm.go
+++ b/internal/jobs/plan/vm.go
@@ -9,7 +9,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/sched/place"
@@ -107,8 +106,6 @@
 	Service string
 	// Avoid holds the ids of VMs on which the task has failed. They are the last resort.
 	Avoid []string
-	// Wait is the time since the task became ready. It is not used.
-	Wait time.Duration
 	// NeedsTicket is set if the task may run only on VMs for which Tickets, by VM id,
 	// holds a ticket of the advisor.
 	NeedsTicket bool
--- a/internal/plat/port/exec.go
+++ b/internal/plat/port/exec.go
@@ -71,6 +71,8 @@
 	Deadline time.Duration
 	// Wait is how long the worker waits for a run to end before it responds.
 	Wait time.Duration
+	// StartedAt is when the agent made the poll. It is not sent to the worker.
+	StartedAt time.Time
 }
 
 // PollResult is a worker's response to a Poll.
--- a/internal/run/entry/follow.go
+++ b/internal/run/entry/follow.go
@@ -160,7 +160,7 @@
 	e.entries = elect.MergeAddrs(e.entries, e.cfg.Peers, m.Ping.Entries...)
 	if m.Ping.Config != nil {
 		cfg := *m.Ping.Config
-		go e.applyConfig(cfg) // applyConfig posts, which would block the event loop if its queue is full
+		e.wg.Go(func() { e.applyConfig(cfg) }) // applyConfig posts, which would block the event loop if its queue is full
 	}
 	e.askedToLead = m.Ping.Yield
 	reason, replace := elect.ShouldReplace(m.Ping, e.leaderSearches.Count(now), now.Sub(e.connectedAt))
--- a/internal/run/entry/leading.go
+++ b/internal/run/entry/leading.go
@@ -75,6 +75,7 @@
 	e.log.Warn("no longer leads", "epoch", e.epoch, "reason", reason, "storeAge", e.leader.StoreAge(time.Now()))
 	e.leader = nil
 	e.metrics.leading.Set(0)
+	e.metrics.stats.Reset() // the counts belong to the leadership that ended
 	e.leaderAddr, e.leaderHeardAt = netip.AddrPort{}, time.Time{}
 	for _, c := range e.conns {
 		c.conn.Close()
