--- a/internal/conf/jsonc/jsonc_test.go
+++ b/internal/conf/jsonc/jsonc_test.go
@@ -50,6 +50,8 @@
 		Entry("type", "{\n\"name\": 1}", "f:2: name: want string, got number"),
 		Entry("duration", "{\"wait\": \"soon\"}", "f:1: wait: want a duration"),
 		Entry("memory", "{\"size\": \"4 apples\"}", "f:1: size: want an amount"),
+		Entry("memory that is not a number", "{\"size\": \"NaNGB\"}", "f:1: size: want an amount"),
+		Entry("infinite memory", "{\"size\": \"+InfGB\"}", "f:1: size: want an amount"),
 		Entry("nested", "{\"items\":\n{\"x\": {\"n\": 300}}}", "f:2: items.x.n: want uint8"),
 		Entry("all at once", "{\n\"a\": 1,\n\"count\": \"x\"}", "f:2: a:", "f:3: count:"),
 		Entry("not an object", "[]", "f:1: : want an object"),
--- a/internal/conf/jsonc/memory.go
+++ b/internal/conf/jsonc/memory.go
@@ -26,7 +26,7 @@
 		}
 		n, err := strconv.ParseFloat(strings.TrimSpace(number), 64)
 		mb := n * unit.mb
-		if err != nil || mb < 0 || mb > 1<<31 {
+		if err != nil || !(mb >= 0 && mb <= 1<<31) { // not a number fails both comparisons
 			break
 		}
 		*m = Memory(mb)
--- a/internal/conf/jsonc/source.go
+++ b/internal/conf/jsonc/source.go
@@ -49,6 +49,11 @@
 	return ok
 }
 
+// Faulty reports whether a fault in the field was recorded.
+func (d *Document) Faulty(field string) bool {
+	return slices.ContainsFunc(d.faults, func(f Fault) bool { return f.Field == field })
+}
+
 // Faults returns the faults found so far, sorted by line.
 func (d *Document) Faults() Faults {
 	slices.SortStableFunc(d.faults, func(a, b Fault) int { return a.Line - b.Line })
--- a/internal/conf/proc/check.go
+++ b/internal/conf/proc/check.go
@@ -28,7 +28,9 @@
 	switch {
 	case !c.Has(field):
 		c.Add(field, "is missing; want an address such as \"127.0.0.1:8080\"")
-	case !addr.IsValid(): // reported by the decoder if it is not empty
+	case !addr.IsValid() && !c.Faulty(field): // the decoder accepts an empty address
+		c.Add(field, "is empty; want an address such as \"127.0.0.1:8080\"")
+	case !addr.IsValid():
 	case addr.Port() == 0 && !listen:
 		c.Add(field, "want a port other than 0")
 	}
--- a/internal/conf/proc/proc_test.go
+++ b/internal/conf/proc/proc_test.go
@@ -44,6 +44,15 @@
 		Expect(faults).To(HaveLen(1))
 	})
 
+	It("report an address that is empty", func() {
+		_, faults := proc.ParseEntry("e", []byte(`{"name": "e", "zone": "z", "callers": "127.0.0.1:0", "peers": "127.0.0.1:81", "admin": "", "log": ""}`))
+		var fields []string
+		for _, f := range faults {
+			fields = append(fields, f.Field)
+		}
+		Expect(fields).To(ConsistOf("admin", "log"))
+	})
+
 	It("report capacities and limits that are out of range", func() {
 		_, faults := proc.ParseAgent("a", []byte(`{"vm": "v", "zone": "z", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0",
 			"worker": "127.0.0.1:0", "entries": [], "cpu": -1, "memory": "0MB", "connections": -4}`))
--- a/internal/node/agent/beat.go
+++ b/internal/node/agent/beat.go
@@ -65,8 +65,8 @@
 }
 
 // sendHeartbeat sends a heartbeat, handles the reply and renews the worker's
-// lease. It wakes heartbeatLoop if the next heartbeat must follow immediately: after a
-// failure, because it then goes to another entry, or if the reply requires it.
+// lease. It wakes heartbeatLoop if the next heartbeat must follow soon: after a failure,
+// because it then goes to another entry, or if the reply requires it.
 func (a *Agent) sendHeartbeat(ctx context.Context) {
 	a.mu.Lock()
 	sentAt := time.Now()
@@ -81,9 +81,9 @@
 	a.mu.Lock()
 	if err != nil {
 		a.log.Debug("heartbeat failed", "entry", entry, "err", err)
-		a.host.HeartbeatFailed(entry)
+		delay := a.host.HeartbeatFailed(entry)
 		a.mu.Unlock()
-		a.wake()
+		time.AfterFunc(delay, a.wake)
 		return
 	}
 	lease, sendNow := a.host.Replied(time.Now(), sentAt, reply)
--- a/internal/node/entry/config.go
+++ b/internal/node/entry/config.go
@@ -41,7 +41,7 @@
 
 // checkReady returns an error until the log has been read to its end for the
 // first time. Before that, the entry could show an older revision of a
-// configuration than a caller has already seen.
+// configuration than a caller has already seen, or not know of an accepted job.
 func (e *Entry) checkReady() error {
 	if !e.core.Ready() {
 		return codes.New(codes.NotReady, "the entry has not caught up with the log")
@@ -49,6 +49,18 @@
 	return nil
 }
 
+// requireReady reports whether the log has been read to its end, and answers the caller
+// with an error if it has not.
+func (e *Entry) requireReady(w http.ResponseWriter) bool {
+	e.mu.Lock()
+	err := e.checkReady()
+	e.mu.Unlock()
+	if err != nil {
+		e.reject(w, err)
+	}
+	return err == nil
+}
+
 func (e *Entry) getConfig(w http.ResponseWriter, r *http.Request) {
 	team := mux.Vars(r)["team"]
 	e.mu.Lock()
@@ -173,6 +185,9 @@
 }
 
 func (e *Entry) configHistory(w http.ResponseWriter, r *http.Request) {
+	if !e.requireReady(w) {
+		return
+	}
 	team := mux.Vars(r)["team"]
 	changes := []view.Change{}
 	for _, c := range e.history(team) {
@@ -202,6 +217,9 @@
 
 // rollbackConfig publishes the body of an earlier revision as a new revision.
 func (e *Entry) rollbackConfig(w http.ResponseWriter, r *http.Request) {
+	if !e.requireReady(w) {
+		return
+	}
 	var spec struct {
 		Revision uint64 `json:"revision"`
 	}
--- a/internal/node/entry/jobs.go
+++ b/internal/node/entry/jobs.go
@@ -146,6 +146,9 @@
 }
 
 func (e *Entry) listJobs(w http.ResponseWriter, r *http.Request) {
+	if !e.requireReady(w) {
+		return
+	}
 	e.mu.Lock()
 	views := []view.Job{}
 	for _, j := range e.core.Fold().Jobs(mux.Vars(r)["team"]) {
@@ -158,6 +161,9 @@
 }
 
 func (e *Entry) getJob(w http.ResponseWriter, r *http.Request) {
+	if !e.requireReady(w) {
+		return
+	}
 	vars := mux.Vars(r)
 	e.mu.Lock()
 	j := e.core.Fold().Job(vars["job"])
--- a/internal/node/host/host.go
+++ b/internal/node/host/host.go
@@ -135,14 +135,22 @@
 	return req, h.entry
 }
 
+// allFailedDelay is the delay before the next heartbeat once as many in a row have failed
+// as there are entries. Failures may come at once, as those of refused connections do.
+const allFailedDelay = 200 * time.Millisecond
+
 // HeartbeatFailed handles a heartbeat to which an entry did not reply. The next one
-// goes to another entry.
-func (h *Host) HeartbeatFailed(failed netip.AddrPort) {
+// goes to another entry, after the delay that HeartbeatFailed returns.
+func (h *Host) HeartbeatFailed(failed netip.AddrPort) time.Duration {
 	if failed != h.entry {
-		return
+		return 0
 	}
 	h.failedHeartbeats++
 	h.useNextEntry()
+	if h.failedHeartbeats < len(h.entries) {
+		return 0
+	}
+	return allFailedDelay
 }
 
 // Poked handles a leader's request for a heartbeat. If the leader's term is higher
--- a/internal/node/host/host_test.go
+++ b/internal/node/host/host_test.go
@@ -112,6 +112,15 @@
 		Expect(h.Entry()).To(Equal(second))
 	})
 
+	// Heartbeats used to follow each other without a pause while all entries refused them.
+	It("tries each entry at once after a failure, but waits once all have failed", func() {
+		Expect(h.HeartbeatFailed(h.Entry())).To(BeZero())
+		Expect(h.HeartbeatFailed(h.Entry())).To(BeNumerically(">=", 100*time.Millisecond))
+		Expect(h.HeartbeatFailed(h.Entry())).To(BeNumerically(">=", 100*time.Millisecond))
+		h.Replied(now, now, &schema.BeatReply{Leader: true, Term: 1})
+		Expect(h.HeartbeatFailed(h.Entry())).To(BeZero())
+	})
+
 	It("switches from an entry that was the leader and knows of no other", func() {
 		h.NextHeartbeat(now)
 		h.Replied(now, now, &schema.BeatReply{LeaderAddr: first.String(), Term: 1})
--- a/internal/sched/leader/extension.go
+++ b/internal/sched/leader/extension.go
@@ -106,8 +106,9 @@
 //
 // An extension needs the promise of every entry that the former leader knew. If
 // this entry is certainly one of them, its own promise shows whether there was an
-// extension. If it joined later, the promise that any of them reports shows it. If
-// none has reported one yet, the longest possible extension is assumed.
+// extension. If it joined later, the promises that they report show it: one that was not
+// given excludes an extension, and otherwise the latest end counts. If none has reported
+// one yet, the longest possible extension is assumed.
 func (l *Leader) extensionEnd() time.Time {
 	c := l.fold.Cell(l.cell)
 	if c.Term <= 1 || c.PriorKnown == 0 {
@@ -120,6 +121,7 @@
 		}
 		return time.Time{}
 	}
+	var until time.Time
 	for id, p := range l.peerPromise {
 		w, known := l.fold.Writer(id)
 		if !known || w.JoinedAt >= c.PriorKnown || p.readTerm < c.Term {
@@ -128,9 +130,12 @@
 		if p.term != c.Term-1 {
 			return time.Time{} // the former leader needed this promise and did not get it
 		}
-		return p.until.Add(withMargin(VMLease))
+		until = later(until, p.until)
 	}
-	return l.leadingSince.Add(withMargin(MaxExtension))
+	if until.IsZero() {
+		return l.leadingSince.Add(withMargin(MaxExtension))
+	}
+	return until.Add(withMargin(VMLease))
 }
 
 // peerPromise is a promise that another entry reported.
--- a/internal/sched/leader/lease.go
+++ b/internal/sched/leader/lease.go
@@ -16,12 +16,8 @@
 	// incarnation is that of the agent's latest start; heartbeats of earlier ones are
 	// ignored.
 	incarnation int64
-	// extended is meant for a lease that was renewed without the log. It is not used.
-	extended bool
 	// attempts are the attempts in the VM's latest heartbeat.
 	attempts []ident.Attempt
-	// slowdown is not used.
-	slowdown uint32
 }
 
 // Beat handles an agent's heartbeat: it renews the VM's lease, stores the reported
--- a/internal/sched/leader/snap.go
+++ b/internal/sched/leader/snap.go
@@ -46,8 +46,9 @@
 	if now.Before(s.nextAt) || !l.fold.IsFirstCell(l.cell) {
 		return
 	}
-	if s.data == nil {
-		l.beginSnapshot()
+	if s.data == nil && !l.beginSnapshot() {
+		s.nextAt = now.Add(l.snapshotInterval)
+		return
 	}
 	if s.sent < s.parts {
 		from := int(s.sent) * maxPartSize
@@ -65,16 +66,18 @@
 	*s = snapshotter{nextAt: now.Add(l.snapshotInterval)}
 }
 
-// beginSnapshot encodes the state and splits it into parts.
-func (l *Leader) beginSnapshot() {
+// beginSnapshot encodes the state and splits it into parts. It returns false if the state
+// cannot be encoded.
+func (l *Leader) beginSnapshot() bool {
 	s := &l.snapshot
 	state := l.fold.Encode()
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(state)
 	if err != nil {
 		l.log.Error("cannot encode the snapshot", "err", err)
-		return
+		return false
 	}
 	s.data, s.base = data, state.GetOffset()
 	s.id = state.GetOffset()
 	s.parts = uint32((len(data) + maxPartSize - 1) / maxPartSize)
+	return true
 }
--- a/internal/sched/runner/runner.go
+++ b/internal/sched/runner/runner.go
@@ -36,8 +36,6 @@
 	// listed is true once the worker has listed its attempts; nothing is started or
 	// stopped before.
 	listed bool
-	// listedAt is when the worker last listed them. It is not used.
-	listedAt time.Time
 	// leaving is true once the VM starts no more attempts and stops its batch
 	// attempts.
 	leaving  bool
@@ -217,7 +215,7 @@
 
 // Listed handles the worker's list of its attempts.
 func (r *Runner) Listed(now time.Time, tasks []*schema.WorkerTask) {
-	r.listed, r.listedAt = true, now
+	r.listed = true
 	present := make(map[ident.Attempt]bool, len(tasks))
 	for _, task := range tasks {
 		id := ident.AttemptOf(task.GetTask())
--- a/internal/tool/cmds/cmds_test.go
+++ b/internal/tool/cmds/cmds_test.go
@@ -39,6 +39,8 @@
 		Entry("bad workload", cmds.ExitUsage, "try", "--workload", "other"),
 		Entry("bad address", cmds.ExitUsage, "job", "list", "t", "--entry", "here"),
 		Entry("bad output", cmds.ExitUsage, "job", "list", "t", "-o", "xml"),
+		Entry("no seeds of the matrix", cmds.ExitUsage, "matrix", "--seeds", "0"),
+		Entry("no seeds of the soak", cmds.ExitUsage, "soak", "--seeds", "0"),
 		Entry("no entry at the address", cmds.ExitUnreachable, "job", "list", "t", "--entry", "127.0.0.1:1"),
 		Entry("good settings", cmds.ExitOK, "agent", "--check", "../../../examples/agent.jsonc"),
 		Entry("good configuration", cmds.ExitOK, "config", "check", "../../../examples/presses.jsonc"),
--- a/internal/tool/cmds/matrix.go
+++ b/internal/tool/cmds/matrix.go
@@ -22,8 +22,11 @@
 		Use: "matrix", Short: "Simulate every fault at every step of a run and check the invariants",
 		Args: exactArgs(0, "none"),
 		RunE: func(*cobra.Command, []string) error {
+			if err := checkSeeds(seeds); err != nil {
+				return err
+			}
 			failed := 0
-			for n := range uint64(max(seeds, 0)) {
+			for n := range uint64(seeds) {
 				cells := append(matrix.Cells(seed+n), matrix.Pairs(1000*(seed+n), pairs)...)
 				if only != "" {
 					cells = matrix.Filter(cells, only)
--- a/internal/tool/cmds/root.go
+++ b/internal/tool/cmds/root.go
@@ -116,6 +116,14 @@
 	}
 }
 
+// checkSeeds checks the number of seeds of a command that would check nothing without any.
+func checkSeeds(n int) error {
+	if n < 1 {
+		return fmt.Errorf("%w: --seeds: want at least 1, got %d", errUsage, n)
+	}
+	return nil
+}
+
 func (r *root) versionCommand() *cobra.Command {
 	return &cobra.Command{
 		Use: "version", Short: "Print the version", Args: exactArgs(0, "none"),
--- a/internal/tool/cmds/soak.go
+++ b/internal/tool/cmds/soak.go
@@ -21,6 +21,9 @@
 		Use: "soak", Short: "Run entries and agents as processes, inject faults, and check what callers and workers observe",
 		Args: exactArgs(0, "none"),
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := checkSeeds(seeds); err != nil {
+				return err
+			}
 			ctx, stop := signalContext(cmd.Context())
 			defer stop()
 			failed := 0
