run/entry: an entry follows its leader while it waits for its turn to claim

Cause: an entry that wanted to replace its leader slept until its turn, 200 ms for each entry with a lower address, and handled no message meanwhile. With 55 entries the last ones kept sending requests to the earlier leader for up to 11 s after another had taken over; the same sleep, up to 2 s, followed the loss of a leader even if a new one had announced itself. Ruled out: the claim itself (120 ms from the signal to the new leader), the store. A leader that stops says so in every ping. Announcements go to 16 entries at a time without waiting for a whole group. An entry that learns of a later epoch while it leads now stops leading first; before, an append of the old leader could have carried the later epoch.

--- a/internal/run/entry/claim.go
+++ b/internal/run/entry/claim.go
@@ -103,7 +103,11 @@
 // tryClaim claims the leadership in the epoch after the given one and reports whether that
 // succeeded. If another entry won, it finds out which.
 func (e *Entry) tryClaim(epoch uint64, reason string) bool {
-	if e.Config() == nil {
+	e.claimMu.Lock()
+	defer e.claimMu.Unlock()
+	latest := epoch
+	e.postAndWait(func() { latest = e.epoch })
+	if e.Config() == nil || latest > epoch {
 		return false
 	}
 	e.log.Info("claims the leadership", "epoch", epoch+1, "reason", reason)
@@ -119,8 +123,7 @@
 	}
 	// Another entry has claimed the leadership. It announces itself to all entries; if no
 	// announcement arrives, read the claim from the store.
-	e.pause(announceWait)
-	latest := epoch
+	e.waitForLeader(announceWait)
 	e.postAndWait(func() { latest = e.epoch })
 	if latest <= epoch {
 		e.readClaim()
@@ -143,10 +146,7 @@
 		return
 	}
 	e.postAndWait(func() {
-		e.epoch = max(e.epoch, c.Epoch)
-		if c.Addr.IsValid() && c.Addr != e.cfg.Peers && e.leader == nil {
-			e.leaderAddr = c.Addr
-		}
+		e.adoptEpoch(c.Epoch, c.Addr)
 		e.log.Info("read the latest claim from the store", "epoch", c.Epoch, "leader", c.Addr.String())
 	})
 }
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -54,6 +54,10 @@
 	cancel   context.CancelFunc
 	ctx      context.Context
 	wg       sync.WaitGroup
+	// laterLeader signals that a process reported a later leader.
+	laterLeader chan struct{}
+	// claimMu is held during a claim, so that this entry makes one at a time.
+	claimMu sync.Mutex
 
 	// The fields below belong to the event loop.
 
@@ -69,9 +73,8 @@
 	leaderHeardAt time.Time
 	// leaderConn is the connection to the leader while this entry follows one, else nil.
 	leaderConn *peer.Conn
-	// connectedAt is when leaderConn was opened, connectedEpoch the epoch at that time.
-	connectedAt    time.Time
-	connectedEpoch uint64
+	// connectedAt is when leaderConn was opened.
+	connectedAt time.Time
 	// conns holds the connections of agents and other entries while this entry leads, by
 	// connection id.
 	conns map[uint64]*client
@@ -87,10 +90,10 @@
 	lastPing time.Time
 	// leadingSince is when this entry became the leader.
 	leadingSince time.Time
-	// askedToLead is set if the leader asked this entry to take over.
-	askedToLead bool
-	// claiming is set while a claim is under way.
-	claiming bool
+	// takeover is the plan to replace the leader that this entry follows; takingOver is set
+	// while the claim that results is under way.
+	takeover   elect.Takeover
+	takingOver bool
 }
 
 // client is an agent or another entry that is connected to this leading entry.
@@ -110,7 +113,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Entry{
 		cfg: cfg, store: store, advisor: advisor, log: log, metrics: newMetrics(), events: make(chan func(), eventQueueSize), ctx: ctx, cancel: cancel,
-		conns: map[uint64]*client{}, pending: map[uint64]*pendingRequest{},
+		laterLeader: make(chan struct{}, 1), conns: map[uint64]*client{}, pending: map[uint64]*pendingRequest{},
 		entries: elect.MergeAddrs(nil, cfg.Peers, cfg.Seeds.WithPort(cfg.Peers.Port())...),
 	}
 }
@@ -204,7 +207,10 @@
 func (e *Entry) step(now time.Time) time.Time {
 	if e.leader == nil {
 		e.refuseWithoutLeader(now)
-		return now.Add(idleInterval)
+		if reason, due := e.takeover.Due(now); due && !e.stopping.Load() {
+			e.takeOver(reason)
+		}
+		return e.takeover.NextWakeup(now.Add(idleInterval))
 	}
 	e.leader.Tick(now)
 	batch, err := e.leader.NextBatch(now)
--- a/internal/run/entry/follow.go
+++ b/internal/run/entry/follow.go
@@ -79,6 +79,37 @@
 	}
 }
 
+// waitForLeader pauses for d, or until a process reports a later leader.
+func (e *Entry) waitForLeader(d time.Duration) {
+	select {
+	case <-e.ctx.Done():
+	case <-e.laterLeader:
+	case <-time.After(d):
+	}
+}
+
+// adoptEpoch records that a later epoch has a leader at addr, which may be unknown. The
+// entry stops leading, since appends of a leader carry the latest epoch known, and closes
+// the connection to an earlier leader.
+func (e *Entry) adoptEpoch(epoch uint64, addr netip.AddrPort) {
+	if epoch <= e.epoch {
+		return
+	}
+	e.stopLeading("a later epoch is known")
+	e.epoch = epoch
+	if !addr.IsValid() || addr == e.cfg.Peers {
+		return
+	}
+	e.leaderAddr = addr
+	if e.leaderConn != nil {
+		e.leaderConn.Close()
+	}
+	select {
+	case e.laterLeader <- struct{}{}:
+	default:
+	}
+}
+
 // followLeader follows the leader at addr until the connection ends. It returns false if no
 // leader answers at addr.
 func (e *Entry) followLeader(addr netip.AddrPort) bool {
@@ -95,10 +126,15 @@
 		e.postAndWait(func() { e.forgetLeader(addr) })
 		return false
 	}
-	e.postAndWait(func() { e.leaderConnected(conn, addr, w) })
+	accepted := false
+	e.postAndWait(func() { accepted = e.leaderConnected(conn, addr, w) })
+	if !accepted {
+		return false
+	}
 	err = e.receive(conn)
 	e.postAndWait(func() {
 		e.leaderConn = nil
+		e.takeover.Cancel()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			e.forgetLeader(addr) // the leader is silent; dialing it again would take as long
 		}
@@ -114,44 +150,42 @@
 	}
 }
 
-// leaderConnected records the connection to a leader and sends it the pending requests.
-func (e *Entry) leaderConnected(conn *peer.Conn, addr netip.AddrPort, w *msgs.Welcome) {
-	e.epoch, e.leaderAddr, e.leaderHeardAt = max(e.epoch, w.Epoch), addr, time.Now()
+// leaderConnected records the connection to a leader and sends it the pending requests. It
+// returns false if this entry leads or a later leader is known.
+func (e *Entry) leaderConnected(conn *peer.Conn, addr netip.AddrPort, w *msgs.Welcome) bool {
+	e.adoptEpoch(w.Epoch, addr)
+	if e.leader != nil || w.Epoch < e.epoch {
+		return false
+	}
+	e.leaderAddr, e.leaderHeardAt = addr, time.Now()
 	e.entries = elect.MergeAddrs(e.entries, e.cfg.Peers, w.Entries...)
-	e.leaderConn, e.connectedAt, e.connectedEpoch = conn, e.leaderHeardAt, e.epoch
+	e.leaderConn, e.connectedAt = conn, e.leaderHeardAt
 	e.log.Info("follows", "leader", addr.String(), "epoch", e.epoch)
 	e.forwardAll()
+	return true
 }
 
-// receive handles the leader's messages until the connection ends or a later leader has
-// replaced this one, possibly this entry itself.
+// receive handles the leader's messages until the connection ends. It is closed when a later
+// leader is known.
 func (e *Entry) receive(conn *peer.Conn) error {
 	for {
 		m, err := conn.Receive(elect.LeaderTimeout)
 		if err != nil {
 			return err
 		}
-		var reason string // why the leader should be replaced, empty if it should not
-		e.postAndWait(func() { reason = e.handleLeaderMessage(m) })
-		if reason == "" {
-			continue
-		}
-		e.replaceLeader(reason)
-		if e.superseded(conn) {
-			return errors.New(reason)
-		}
+		e.postAndWait(func() { e.handleLeaderMessage(m) })
 	}
 }
 
-// handleLeaderMessage handles a message of the leader. It returns the reason if the leader
-// should be replaced, else an empty string.
-func (e *Entry) handleLeaderMessage(m *msgs.Message) string {
+// handleLeaderMessage handles a message of the leader, and plans a takeover if the leader
+// should be replaced.
+func (e *Entry) handleLeaderMessage(m *msgs.Message) {
 	now := time.Now()
 	if m.JobResponse != nil {
 		e.respond(m.JobResponse)
 	}
 	if m.Ping == nil {
-		return ""
+		return
 	}
 	e.leaderHeardAt = now
 	if e.leaderConn != nil {
@@ -162,47 +196,44 @@
 		cfg := *m.Ping.Config
 		e.wg.Go(func() { e.applyConfig(cfg) }) // applyConfig posts, which would block the event loop if its queue is full
 	}
-	e.askedToLead = m.Ping.Yield
 	reason, replace := elect.ShouldReplace(m.Ping, e.leaderSearches.Count(now), now.Sub(e.connectedAt))
 	if !replace || e.stopping.Load() {
-		return ""
+		e.takeover.Cancel()
+		return
 	}
-	return reason
-}
-
-// superseded reports whether the leader at the other end of conn is no longer the latest.
-func (e *Entry) superseded(conn *peer.Conn) bool {
-	superseded := true
-	e.postAndWait(func() { superseded = e.leader != nil || e.leaderConn != conn || e.epoch != e.connectedEpoch })
-	return superseded
+	e.takeover.Plan(now, reason, e.takeoverRank(m.Ping))
 }
 
-// replaceLeader tries to take over from a leader that still sends pings but cannot do its
-// work or wants to stop. Entries with lower addresses go first unless the leader asked for
-// this one, and entries that do not reach the store do not claim.
-func (e *Entry) replaceLeader(reason string) {
-	var epoch uint64
+// takeoverRank returns the number of entries that should claim before this one to replace
+// the leader. Entries with lower addresses go first, unless the leader asked this one alone.
+func (e *Entry) takeoverRank(p *msgs.Ping) int {
+	if p.Yield {
+		return 0
+	}
 	rank := 0
-	e.postAndWait(func() {
-		epoch = e.epoch
-		if e.askedToLead {
-			return // the leader asked this entry alone, so it claims without delay
+	for _, addr := range e.entries {
+		if addr != e.leaderAddr && addr.Compare(e.cfg.Peers) < 0 {
+			rank++
 		}
-		for _, addr := range e.entries {
-			if addr != e.leaderAddr && addr.Compare(e.cfg.Peers) < 0 {
-				rank++
-			}
-		}
-	})
-	if !e.reachesStore() {
-		return
 	}
-	e.pause(time.Duration(rank) * elect.ClaimStagger)
-	latest := epoch
-	e.postAndWait(func() { latest = e.epoch })
-	if latest == epoch {
-		e.tryClaim(epoch, reason)
+	return rank
+}
+
+// takeOver claims the leadership in the background, to replace a leader that still sends
+// pings but cannot do its work or wants to stop. An entry that does not reach the store does
+// not claim.
+func (e *Entry) takeOver(reason string) {
+	if e.takingOver {
+		return
 	}
+	e.takingOver = true
+	epoch := e.epoch
+	e.wg.Go(func() {
+		if e.reachesStore() {
+			e.tryClaim(epoch, reason)
+		}
+		e.post(func() { e.takingOver = false })
+	})
 }
 
 // reachesStore reports whether the store answers this entry within
@@ -216,6 +247,10 @@
 
 // findLeader asks the other entries for a leader and claims the leadership if there is none.
 func (e *Entry) findLeader() {
+	select {
+	case <-e.laterLeader: // reported before the survey below
+	default:
+	}
 	var epoch uint64
 	e.postAndWait(func() { epoch = e.epoch })
 	if epoch == 0 {
@@ -225,7 +260,10 @@
 	e.postAndWait(func() {
 		epoch = e.epoch
 		if addr, foundEpoch, claimed := s.Leader(); addr.IsValid() && addr != e.cfg.Peers && (claimed || foundEpoch > epoch) {
-			e.leaderAddr, e.epoch = addr, max(epoch, foundEpoch)
+			e.adoptEpoch(foundEpoch, addr)
+			if e.leader == nil {
+				e.leaderAddr = addr
+			}
 			epoch = 0
 		}
 	})
@@ -243,7 +281,11 @@
 		e.pause(searchInterval)
 		return
 	case wait > 0:
-		e.pause(wait)
+		e.waitForLeader(wait)
+		e.postAndWait(func() { known = e.leaderAddr.IsValid() })
+		if known {
+			return
+		}
 		second := e.survey()
 		if addr, _, claimed := second.Leader(); claimed {
 			e.postAndWait(func() { e.leaderAddr = addr })
--- a/internal/run/entry/leading.go
+++ b/internal/run/entry/leading.go
@@ -48,6 +48,10 @@
 
 // startLeading makes this entry the leader.
 func (e *Entry) startLeading(won leadership) {
+	if won.epoch < e.epoch {
+		e.log.Warn("does not lead, as a later epoch is known", "epoch", won.epoch, "latest", e.epoch)
+		return
+	}
 	now := time.Now()
 	cfg := model.Config{}
 	if p := e.config.Load(); p != nil {
@@ -59,6 +63,10 @@
 	}
 	e.nextSeq, e.epoch, e.leaderAddr, e.leaderHeardAt = won.nextSeq, won.epoch, e.cfg.Peers, now
 	e.lastPing, e.leadingSince = time.Time{}, now
+	e.takeover.Cancel()
+	if e.leaderConn != nil {
+		e.leaderConn.Close()
+	}
 	e.metrics.leading.Set(1)
 	e.log.Info("leads", "epoch", won.epoch, "jobs", won.table.Len(), "active", len(won.table.Active()))
 	e.forwardAll()
@@ -146,7 +154,7 @@
 		if !c.entry {
 			continue
 		}
-		p := &msgs.Ping{Epoch: e.epoch, Agents: agentCount, StoreWait: e.leader.StoreWait(now), Entries: e.entries}
+		p := &msgs.Ping{Epoch: e.epoch, Agents: agentCount, StoreWait: e.leader.StoreWait(now), Entries: e.entries, Leaving: e.stopping.Load()}
 		if cfg != nil && cfg.Version > c.config {
 			p.Config, c.config = cfg, cfg.Version
 		}
--- a/internal/run/entry/serve.go
+++ b/internal/run/entry/serve.go
@@ -73,10 +73,7 @@
 	if h.Epoch > e.epoch {
 		e.stopLeading("a peer reported a later epoch")
 		if h.Leading {
-			e.epoch, e.leaderAddr = h.Epoch, h.Addr
-			if e.leaderConn != nil {
-				e.leaderConn.Close()
-			}
+			e.adoptEpoch(h.Epoch, h.Addr)
 		}
 	}
 	w := &msgs.Welcome{
--- a/internal/run/peer/connect.go
+++ b/internal/run/peer/connect.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 )
 
@@ -64,11 +66,21 @@
 	return answers
 }
 
-// Announce sends h to all entries, at most maxSurveyed at a time.
+// maxAnnouncing limits the entries to which one Announce sends at the same time. Entries
+// that do not answer hold up the others for longer the lower it is.
+const maxAnnouncing = 16
+
+// Announce sends h to all entries.
 func Announce(ctx context.Context, addrs []netip.AddrPort, h msgs.Hello) {
-	for len(addrs) > 0 && ctx.Err() == nil {
-		n := min(len(addrs), maxSurveyed)
-		Survey(ctx, addrs[:n], h)
-		addrs = addrs[n:]
+	var g errgroup.Group
+	g.SetLimit(maxAnnouncing)
+	for _, addr := range addrs {
+		g.Go(func() error {
+			if conn, _, err := Connect(ctx, addr, h); err == nil {
+				conn.Close() // an entry that does not answer finds the leader by itself
+			}
+			return nil
+		})
 	}
+	_ = g.Wait() // the functions return no errors
 }
