lead: best-effort work is weighed by lateness, long-running tasks by size

Cause: a VM's best-effort tasks are throttled before a long-running task is over its target only if that is worth more than their work. The weight was 12 cores for each long-running task, whatever its size, and work for jobs that are planned to be late counted like any other. Now a long-running task weighs 1.2 cores for each core that it requests, and late work 0.15, the ratio of what its caller gets for it late and in time. The test that waits for tasks to resume now looks at the orders since the pause as a whole: they are back at full speed sooner, and it asks for the same end.

--- a/internal/jobs/lead/move.go
+++ b/internal/jobs/lead/move.go
@@ -174,7 +174,7 @@
 		return nil
 	}
 	to := p.vms[i]
-	if c.r.step.BestEffort && p.l.interference.expectedSpeed(p.now, to, c.r.step) < minMoveSpeed {
+	if c.r.step.BestEffort && p.l.expectedSpeed(p.now, to, c.r.step) < minMoveSpeed {
 		return nil
 	}
 	return to
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -222,7 +222,7 @@
 	assigned := p.l.table.Assign(e, ref, table.Run{Number: number, VM: v.info.ID, Incarnation: v.info.Incarnation, Node: v.info.Node})
 	r := v.add(e, ref, assigned, p.now)
 	if r.step.BestEffort {
-		r.speedLimit = p.l.interference.initialSpeed(p.now, v, r)
+		r.speedLimit = p.l.initialSpeed(p.now, v, r)
 	}
 	o := p.orders[v.info.ID]
 	if o == nil {
--- a/internal/jobs/lead/throttle.go
+++ b/internal/jobs/lead/throttle.go
@@ -12,9 +12,12 @@
 const (
 	// fullSpeed is the speed limit of runs that are not throttled, in percent.
 	fullSpeed = 100
-	// coresPerLongRunningTask is how much best-effort work, in cores, is worth as much as
-	// keeping one long-running task within its latency target.
-	coresPerLongRunningTask = 12.0
+	// coresPerLongRunningCore is how much best-effort work, in cores, is worth as much as
+	// keeping a long-running task that requests one core within its latency target.
+	coresPerLongRunningCore = 1.2
+	// lateWorkWeight is the value of best-effort work for a job that is planned to be late,
+	// relative to the same work for one that can be on time.
+	lateWorkWeight = 0.15
 	// throttleAfter is how long a long-running task may be continuously over its target
 	// before the best-effort tasks beside it are throttled regardless of how many cores
 	// they use.
@@ -76,7 +79,7 @@
 		cores[runKey{status.Task, status.Run}] = coresUsed(status)
 	}
 	var headrooms []headroom
-	over := 0
+	over := 0.0
 	for _, status := range statuses {
 		r := v.runs[runKey{status.Task, status.Run}]
 		if r == nil || r.step.LatencyTarget <= 0 || status.Measurement <= 0 {
@@ -84,11 +87,11 @@
 		}
 		hr := l.interference.headroom(now, v, r, float64(status.Measurement), cores)
 		if hr.over {
-			over++
+			over += r.requestedCores()
 		}
 		headrooms = append(headrooms, hr)
 	}
-	mayThrottle := v.bestEffortCores(cores) <= coresPerLongRunningTask*float64(over)
+	mayThrottle := l.weightedCores(v, cores) <= coresPerLongRunningCore*over
 	limits := map[*run]int{}
 	for _, hr := range headrooms {
 		if hr.pause {
@@ -140,22 +143,29 @@
 	return hr
 }
 
-// bestEffortCores returns the processors that a VM's best-effort runs would use at full
-// speed.
-func (v *vm) bestEffortCores(cores map[runKey]float64) float64 {
+// weightedCores returns the processors that a VM's best-effort runs would use at full speed,
+// weighted by the value of their work.
+func (l *Leader) weightedCores(v *vm, cores map[runKey]float64) float64 {
 	sum := 0.0
 	for key, r := range v.runs {
-		if r.step.BestEffort && !r.stopped {
+		switch {
+		case !r.step.BestEffort || r.stopped:
+		case l.onTimePlan.plannedLate(r.ref.Job, r.ref.Occurrence):
+			sum += lateWorkWeight * r.fullSpeedCores(cores[key])
+		default:
 			sum += r.fullSpeedCores(cores[key])
 		}
 	}
 	return sum
 }
 
+// requestedCores returns the processors that a run requests.
+func (r *run) requestedCores() float64 { return float64(r.step.Size.CPU) / 1000 }
+
 // fullSpeedCores returns the processors that a best-effort run would use at full speed,
 // extrapolated from those that it uses at its present speed limit.
 func (r *run) fullSpeedCores(cores float64) float64 {
-	full := float64(r.step.Size.CPU) / 1000
+	full := r.requestedCores()
 	if r.speedLimit > minSpeed && cores > 0 {
 		full = min(full, cores*fullSpeed/float64(r.speedLimit))
 	}
@@ -241,12 +251,13 @@
 // initialSpeed returns the speed limit, in percent, at which a best-effort run that was just
 // assigned to the VM starts. It follows from the estimated interference, and is 0 if the VM
 // is overloaded.
-func (in *interference) initialSpeed(now time.Time, v *vm, bestEffort *run) int {
+func (l *Leader) initialSpeed(now time.Time, v *vm, bestEffort *run) int {
 	if v.overloaded(now) {
 		return 0
 	}
 	limits := map[*run]int{}
-	over := 0
+	in := &l.interference
+	over := 0.0
 	for _, r := range v.runs {
 		if !r.step.LongRunning || r.step.LatencyTarget <= 0 {
 			continue
@@ -257,11 +268,11 @@
 		}
 		budget := in.limit(r.step) - in.baseLoad(r)
 		if full > budget {
-			over++
+			over += r.requestedCores()
 			divideBudget(headroom{contributions: contributions, budget: budget}, limits)
 		}
 	}
-	if v.bestEffortCores(nil) > coresPerLongRunningTask*float64(over) {
+	if l.weightedCores(v, nil) > coresPerLongRunningCore*over {
 		return fullSpeed
 	}
 	if limit, ok := limits[bestEffort]; ok {
@@ -272,10 +283,10 @@
 
 // expectedSpeed returns the speed limit, in percent, at which a further best-effort task
 // would start on the VM. It adds the task to the VM's runs for the calculation only.
-func (in *interference) expectedSpeed(now time.Time, v *vm, bestEffort *model.Step) int {
+func (l *Leader) expectedSpeed(now time.Time, v *vm, bestEffort *model.Step) int {
 	further := &run{step: bestEffort, speedLimit: fullSpeed}
 	key := runKey{}
 	v.runs[key] = further
 	defer delete(v.runs, key)
-	return in.initialSpeed(now, v, further)
+	return l.initialSpeed(now, v, further)
 }
--- a/internal/jobs/lead/throttle_test.go
+++ b/internal/jobs/lead/throttle_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/types"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
@@ -49,10 +50,33 @@
 		h.advance(3 * time.Second)
 		reportLatency(h, 40, 0, 2*time.Second)
 		Expect(reportLatency(h, 400, 3000, 3200*time.Millisecond)).To(And(HaveLen(2), HaveEach(BeZero())))
-		Expect(reportLatency(h, 30, 0, 3*time.Second)).To(And(HaveLen(2), HaveEach(BeNumerically(">", 0))))
-		Expect(reportLatency(h, 30, 3000, 6*time.Second)).To(HaveEach(Equal(100)), "they no longer interfere with it")
+		resumed := reportLatency(h, 30, 0, 3*time.Second)
+		Expect(resumed).To(And(HaveLen(2), HaveEach(BeNumerically(">", 0))))
+		maps.Copy(resumed, reportLatency(h, 30, 3000, 6*time.Second))
+		Expect(resumed).To(And(HaveLen(2), HaveEach(Equal(100))), "they no longer interfere with it")
 	})
 
+	// A flood of best-effort work beside tasks of which some come near their targets: the value
+	// of a long-running task is that of its size, and work that will be late is worth little.
+	DescribeTable("are throttled before it is over its target", func(cpu int64, stretch float64, want types.GomegaMatcher) {
+		h := newHarness()
+		h.join(0)
+		s := longRunning
+		s.Size.CPU = cpu
+		j := job(1, s)
+		h.request(msgs.Submit, j, j.ID)
+		j = job(2, bestEffort)
+		j.Queue.Stretch = stretch
+		h.request(msgs.Submit, j, j.ID)
+		h.advance(3 * time.Second)
+		reportLatency(h, 40, 0, 2*time.Second)
+		Expect(reportLatency(h, 140, 3000, 800*time.Millisecond)).To(want)
+	},
+		Entry("if it is large", int64(8000), 2.0, HaveLen(2)),
+		Entry("not if it is small and much work beside it can be on time", int64(2000), 2.0, BeEmpty()),
+		Entry("if it is small and the work beside it will be late", int64(2000), 0.5, HaveLen(2)),
+	)
+
 	It("are paused sooner if it is far over its target, since its queue takes long to drain", func() {
 		h := newHarness()
 		h.join(0)
