run/entry, jobs/exec: tests of what operators of similar systems saw go wrong

Cause: the users ask whether a lease that ran out during a pause is acted on, an old leader goes on beside a new one, an earlier configuration comes back, a lost answer becomes "not run", or one bad message ends a process. The tests hold on the code as it is; none of these was found.

--- a/internal/jobs/exec/exec_test.go
+++ b/internal/jobs/exec/exec_test.go
@@ -171,6 +171,16 @@
 		Expect(h.agent.LeaderConnected(epoch - 1)).To(BeFalse())
 	})
 
+	It("starts nothing under a lease that ended while the process was suspended", func() {
+		h.now = h.now.Add(2 * lease)
+		h.agent.Orders(h.now, &msgs.Orders{Epoch: epoch, VM: "vm-1", Incarnation: h.incarnation, Starts: []msgs.Start{{Task: task, Run: 1, Percent: 100}}})
+		Expect(h.agent.Calls()).To(BeEmpty())
+		Expect(h.ends()).To(ConsistOf(HaveField("Outcome", msgs.Lost)))
+		p, ok := h.agent.Poll(h.now, false)
+		Expect(ok).To(BeTrue())
+		Expect(p.Deadline).To(BeZero(), "the worker's lease is not extended")
+	})
+
 	It("refuses new work while the VM is draining", func() {
 		h.agent.Heartbeat(h.now, port.Heartbeat{VM: msgs.VM{ID: "vm-1", Incarnation: h.incarnation, Service: "registry", Draining: true}})
 		h.agent.Orders(h.now, &msgs.Orders{Epoch: epoch, VM: "vm-1", Incarnation: h.incarnation, Starts: []msgs.Start{{Task: task, Run: 1}}})
--- a/internal/run/entry/follow_test.go
+++ b/internal/run/entry/follow_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -38,6 +39,8 @@
 	listener net.Listener
 	// requests gets the jobs of the requests that arrive.
 	requests chan model.ID
+	// silent is set if the leader responds to no requests.
+	silent atomic.Bool
 }
 
 // newLeader returns a leader that welcomes all processes, sends them the pings, and responds
@@ -76,11 +79,49 @@
 			}
 		case m.JobRequest != nil:
 			l.requests <- m.JobRequest.Job
+			if l.silent.Load() {
+				continue
+			}
 			conn.Send(&msgs.Message{JobResponse: &msgs.JobResponse{Seq: m.JobRequest.Seq, State: "running"}})
 		}
 	}
 }
 
+// startEntry starts an entry that finds the claim of epoch 1 by a leader in the store. The
+// leader may be nil.
+func startEntry(first *leader) (*entry.Entry, netip.AddrPort) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(ln.Close)
+	addr := ln.Addr().(*net.TCPAddr).AddrPort()
+	store := &topics.Store{}
+	if first != nil {
+		claim, err := codec.Marshal([]any{1, first.addr(), "first"})
+		Expect(err).NotTo(HaveOccurred())
+		store.Put("jobs", port.Record{Key: "leader", Value: claim})
+	}
+	e := entry.New(proc.JobEntry{Name: "e", Peers: addr}, platformStore{store}, nil, slog.New(slog.DiscardHandler))
+	go e.Run()
+	go e.Serve(ln)
+	DeferCleanup(e.Close)
+	return e, addr
+}
+
+// connect sends Hello to the entry at addr and returns its Welcome.
+func connect(addr netip.AddrPort, h msgs.Hello) *msgs.Welcome {
+	conn, w, err := peer.Connect(context.Background(), addr, h)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(conn.Close)
+	return w
+}
+
+// ask asks the entry for the state of a job.
+func ask(e *entry.Entry, id model.ID) msgs.JobResponse {
+	ctx, cancel := context.WithTimeout(context.Background(), responseTimeout)
+	defer cancel()
+	return e.JobRequest(ctx, msgs.JobRequest{Verb: msgs.State, Job: id})
+}
+
 var _ = Describe("An entry whose leader is leaving", func() {
 	// The entry used to handle no messages until its turn to claim came, which took 200 ms
 	// for each entry with a lower address. Requests were sent to the earlier leader meanwhile
@@ -92,29 +133,63 @@
 		}
 		first := newLeader(1, &msgs.Ping{Epoch: 1, Entries: others, Leaving: true})
 		second := newLeader(2)
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(ln.Close)
-		addr := ln.Addr().(*net.TCPAddr).AddrPort()
-		store := &topics.Store{}
-		claim, err := codec.Marshal([]any{1, first.addr(), "first"})
-		Expect(err).NotTo(HaveOccurred())
-		store.Put("jobs", port.Record{Key: "leader", Value: claim})
-		e := entry.New(proc.JobEntry{Name: "e", Peers: addr}, platformStore{store}, nil, slog.New(slog.DiscardHandler))
-		go e.Run()
-		go e.Serve(ln)
-		DeferCleanup(e.Close)
-		ask := func(id model.ID) msgs.JobResponse {
-			ctx, cancel := context.WithTimeout(context.Background(), responseTimeout)
-			defer cancel()
-			return e.JobRequest(ctx, msgs.JobRequest{Verb: msgs.State, Job: id})
-		}
-		Expect(ask("a").Code).To(Equal(codes.OK))
+		e, addr := startEntry(first)
+		Expect(ask(e, "a").Code).To(Equal(codes.OK))
 		Expect(<-first.requests).To(BeEquivalentTo("a"))
-		conn, _, err := peer.Connect(context.Background(), addr, msgs.Hello{Node: "l", Entry: true, Addr: second.addr(), Epoch: 2, Leading: true})
-		Expect(err).NotTo(HaveOccurred())
-		conn.Close()
-		Expect(ask("b").Code).To(Equal(codes.OK))
+		connect(addr, msgs.Hello{Node: "l", Entry: true, Addr: second.addr(), Epoch: 2, Leading: true})
+		Expect(ask(e, "b").Code).To(Equal(codes.OK))
 		Expect(second.requests).To(Receive(BeEquivalentTo("b")))
 	})
 })
+
+var _ = Describe("An entry", func() {
+	It("stops leading as soon as a process knows of a later epoch", func() {
+		e, addr := startEntry(nil)
+		agent := msgs.Hello{Node: "agent"}
+		Expect(ask(e, "a").Code).To(Equal(codes.JobNotFound), "it leads")
+		Expect(connect(addr, agent).Leading).To(BeTrue())
+		agent.Epoch = 7
+		Expect(connect(addr, agent).Leading).To(BeFalse())
+	})
+
+	It("says that the fate of a job is unknown, not that it did not run, if the leader does not answer", func() {
+		first := newLeader(1)
+		first.silent.Store(true)
+		e, _ := startEntry(first)
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			defer cancel() // the caller's deadline passes
+			<-first.requests
+		}()
+		spec := &model.Job{ID: "a"}
+		Expect(e.JobRequest(ctx, msgs.JobRequest{Verb: msgs.Submit, Job: "a", Spec: spec}).Code).To(Equal(codes.FateUnknown))
+	})
+
+	It("keeps the latest configuration when a leader sends an earlier one", func() {
+		first := newLeader(1, &msgs.Ping{Epoch: 1, Config: &model.Config{Version: 3}}, &msgs.Ping{Epoch: 1, Config: &model.Config{Version: 2}})
+		e, _ := startEntry(first)
+		version := func() int64 {
+			if cfg := e.Config(); cfg != nil {
+				return cfg.Version
+			}
+			return 0
+		}
+		Eventually(version).Should(BeEquivalentTo(3))
+		Expect(ask(e, "a").Code).To(Equal(codes.OK))
+		Expect(version()).To(BeEquivalentTo(3))
+	})
+
+	DescribeTable("survives malformed messages", func(data []byte) {
+		e, addr := startEntry(newLeader(1))
+		conn, err := net.Dial("tcp", addr.String())
+		Expect(err).NotTo(HaveOccurred())
+		_, err = conn.Write(data)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.Close()).To(Succeed())
+		Expect(ask(e, "a").Code).To(Equal(codes.OK))
+	},
+		Entry("no CBOR", []byte("GET / HTTP/1.1\r\n\r\n")),
+		Entry("no message", []byte{0x81, 0xf6}),
+		Entry("an array of unreasonable length", []byte{0x9b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}),
+	)
+})
