platform, exec: a poll for one incarnation of a worker goes only over its connection

Cause: Go's HTTP client opens a new connection when the old one is closed, and sends a request again if nothing of it was written. A poll that acknowledges ends by number and extends the lease could so reach the worker's next incarnation, which has the same id, numbers its ends and its clock from the start again, and would forget ends that no leader has stored. Ruled out: X-Expect-Instance, since the id stays; the fencing token, since a new incarnation has seen none. After: such a poll fails with ErrNewConnection, the next one only asks, and a worker that answers it is not given up because its lease ended meanwhile. Conclusion: what acknowledges or extends must name its incarnation; the protocol has no field for it, so the connection stands for it.

--- a/internal/jobs/exec/exec_test.go
+++ b/internal/jobs/exec/exec_test.go
@@ -222,6 +222,29 @@
 		Expect(h.poll(port.PollResult{}).Seen).To(Equal(int64(1)))
 	})
 
+	// Another incarnation may respond, whose clock starts again: a deadline on the clock of the
+	// earlier one would let its runs go on long after the leader has given them up.
+	It("extends no lease in the poll after a failed one", func() {
+		p, _ := h.agent.Poll(h.now, true)
+		Expect(p.Deadline).NotTo(BeZero())
+		h.agent.Polled(h.now, p, port.PollResult{}, errors.New("connection reset"))
+		p, _ = h.agent.Poll(h.now, true)
+		Expect(p).To(And(HaveField("Deadline", BeZero()), HaveField("Wait", BeZero())))
+		h.respond(p, port.PollResult{})
+		p, _ = h.agent.Poll(h.now, true)
+		Expect(p.Deadline).NotTo(BeZero())
+	})
+
+	It("keeps the ends of a worker whose lease ended while the process was suspended, if only its connection is new", func() {
+		h.agent.Started(h.now, h.order(), nil)
+		p, _ := h.agent.Poll(h.now, true)
+		h.now = h.now.Add(2 * lease)
+		h.agent.Polled(h.now, p, port.PollResult{}, port.ErrNewConnection)
+		Expect(h.agent.VM().ID).To(Equal("vm-1"))
+		h.poll(done)
+		Expect(h.ends()).To(ConsistOf(HaveField("Outcome", msgs.Done)))
+	})
+
 	It("polls the worker with a new leader's fencing token before it lists the runs for that leader", func() {
 		h.agent.Started(h.now, h.order(), nil)
 		before := h.poll(port.PollResult{Running: []msgs.RunStatus{{Task: task, Run: 1, Percent: 10}}}).FencingToken
--- a/internal/jobs/exec/poll.go
+++ b/internal/jobs/exec/poll.go
@@ -13,7 +13,8 @@
 const pollWait = 400 * time.Millisecond
 
 // Poll returns the next poll of the worker, or false if there is no worker to poll. If
-// mayWait is not set, the worker responds without waiting for a run to end.
+// mayWait is not set, the worker responds without waiting for a run to end. The poll after a
+// failed one only asks, because another incarnation of the worker may respond to it.
 func (a *Agent) Poll(now time.Time, mayWait bool) (port.Poll, bool) {
 	if !a.present || a.epoch == 0 {
 		return port.Poll{}, false
@@ -21,6 +22,7 @@
 	p := port.Poll{Worker: a.vm.ID, FencingToken: a.fencingToken(), Seen: a.storedEnd, StartedAt: now}
 	if a.pollFailed {
 		p.Seen = 0
+		return p, true
 	}
 	if d := a.leaseDeadline(now); d > a.deadline {
 		a.deadline = d
@@ -140,6 +142,8 @@
 // handlePollError decides whether the worker is gone after a poll that failed.
 func (a *Agent) handlePollError(now time.Time, err error) {
 	switch {
+	case errors.Is(err, port.ErrNewConnection):
+		return // the next poll shows whether the worker has restarted
 	case errors.Is(err, port.ErrNoWorker):
 		if a.noWorkerSince.IsZero() {
 			a.noWorkerSince = now
--- a/internal/plat/port/exec.go
+++ b/internal/plat/port/exec.go
@@ -32,6 +32,9 @@
 	ErrWorkerReplaced = errors.New("another worker answers")
 	// ErrNoWorker means that no process listens at the worker's address.
 	ErrNoWorker = errors.New("no worker listens")
+	// ErrNewConnection means that a poll was not sent because it was meant for an
+	// incarnation of the worker that may have ended together with its connection.
+	ErrNewConnection = errors.New("the connection to the worker is new")
 )
 
 // Order identifies the run and the worker that an order is for.
@@ -94,7 +97,10 @@
 	Start(ctx context.Context, o StartOrder) error
 	// Stop stops a run. A run that has not started never will.
 	Stop(ctx context.Context, o Order) error
-	// Poll returns which runs are present and which have ended, and extends the lease.
+	// Poll returns which runs are present and which have ended, and extends the lease. A
+	// poll with Seen or Deadline is sent only over the connection of the previous poll, so
+	// that a later incarnation of the worker never receives it; without that connection the
+	// error wraps ErrNewConnection.
 	Poll(ctx context.Context, p Poll) (PollResult, error)
 	// Throttle sets the speed limit of a run, in percent of full speed; 0 pauses it.
 	Throttle(ctx context.Context, o Order, percent int) error
--- a/internal/run/agent/worker.go
+++ b/internal/run/agent/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/exec"
@@ -56,17 +57,17 @@
 			continue
 		}
 		result, err := a.worker.Poll(ctx, poll)
-		interrupted := ctx.Err() == context.Canceled
-		cancel()
-		if interrupted {
-			continue
+		if err != nil && ctx.Err() == context.Canceled {
+			err = port.ErrNewConnection // the interrupted poll's connection is closed
 		}
+		cancel()
 		unstoredEnds := false
 		a.update(func(now time.Time) {
 			a.core.Polled(now, poll, result, err)
 			unstoredEnds = a.core.HasUnstoredEnds()
 		})
 		switch {
+		case errors.Is(err, port.ErrNewConnection):
 		case err != nil:
 			a.pause(pollRetryDelay)
 		case unstoredEnds:
