--- a/internal/fake/relay/relay.go
+++ b/internal/fake/relay/relay.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/ebonyarch/ebonyarch/internal/fake/stack"
 )
 
 // Relay forwards TCP connections to one target address. Create it with Listen.
@@ -21,8 +23,8 @@
 	to netip.AddrPort
 	// pairs holds all connections accepted so far, closed ones included.
 	pairs []*pair
-	// current is the impairment of all connections; nil is none.
-	current atomic.Pointer[Impairment]
+	// impairments holds the impairments of all connections.
+	impairments stack.Stack[Impairment]
 }
 
 // Impairment describes a network fault on all connections of a relay. The zero value is a
@@ -37,20 +39,29 @@
 	Delay time.Duration
 }
 
+// combine returns the impairment that two impairments are together.
+func combine(x, y Impairment) Impairment {
+	return Impairment{
+		Cut: x.Cut || y.Cut, CutReplies: x.CutReplies || y.CutReplies, Refuse: x.Refuse || y.Refuse, Delay: max(x.Delay, y.Delay),
+	}
+}
+
 // cutPollInterval is the time between two checks whether a cut has ended.
 const cutPollInterval = 10 * time.Millisecond
 
-// SetImpairment sets the impairment of all connections, open ones included.
-func (r *Relay) SetImpairment(impairment Impairment) { r.current.Store(&impairment) }
+// Impair adds an impairment to all connections, open ones included, until end is called. Others
+// stay in effect.
+func (r *Relay) Impair(impairment Impairment) (end func()) { return r.impairments.Add(impairment) }
+
+// impairment returns the combination of all impairments.
+func (r *Relay) impairment() Impairment { return r.impairments.Fold(combine) }
 
 // waitWhileCut waits while a cut holds back the bytes of one direction, and then for the
 // delay. The direction is from the target if replies is set, else to the target.
 func (r *Relay) waitWhileCut(replies bool) {
 	for {
-		impairment := r.current.Load()
+		impairment := r.impairment()
 		switch {
-		case impairment == nil:
-			return
 		case impairment.Cut || (replies && impairment.CutReplies):
 			time.Sleep(cutPollInterval)
 		default:
@@ -113,7 +124,7 @@
 		if err != nil {
 			return
 		}
-		if impairment := r.current.Load(); impairment != nil && impairment.Refuse {
+		if r.impairment().Refuse {
 			reset(in)
 			continue
 		}
@@ -126,14 +137,28 @@
 			continue
 		}
 		p := &pair{in: in, out: out}
-		r.mu.Lock()
-		r.pairs = append(r.pairs, p)
-		r.mu.Unlock()
+		if !r.add(p) {
+			reset(in)
+			reset(out)
+			continue
+		}
 		go p.copy(in, out, func() { r.waitWhileCut(false) })
 		go p.copy(out, in, func() { r.waitWhileCut(true) })
 	}
 }
 
+// add adds a pair, unless new connections are refused by now: Reset must leave no connection
+// that was accepted before.
+func (r *Relay) add(p *pair) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.impairment().Refuse {
+		return false
+	}
+	r.pairs = append(r.pairs, p)
+	return true
+}
+
 // copy forwards bytes until either connection closes. Once the pair is blackholed, it reads
 // and discards the bytes and does not forward the close either. wait returns when the bytes
 // read may be forwarded.
--- a/internal/fake/serve/serve.go
+++ b/internal/fake/serve/serve.go
@@ -2,6 +2,7 @@
 package serve
 
 import (
+	"context"
 	"errors"
 	"log/slog"
 	"net"
@@ -19,13 +20,23 @@
 	list []*http.Server
 }
 
-// Serve serves a handler at a free loopback address until Close.
+// ConnHandler is a handler that adds values to the context of each connection when it is
+// accepted. The contexts of the connection's requests contain them.
+type ConnHandler interface {
+	http.Handler
+	ConnContext(ctx context.Context, c net.Conn) context.Context
+}
+
+// Serve serves a handler, which may be a ConnHandler, at a free loopback address until Close.
 func (s *Servers) Serve(h http.Handler, log *slog.Logger) (netip.AddrPort, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+	if c, ok := h.(ConnHandler); ok {
+		server.ConnContext = c.ConnContext
+	}
 	s.list = append(s.list, server)
 	go func() {
 		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/fake/topics/topics.go
+++ b/internal/fake/topics/topics.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/ebonyarch/ebonyarch/internal/fake/stack"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 )
 
@@ -23,7 +24,7 @@
 type Store struct {
 	mu     sync.Mutex
 	topics map[string]*topic
-	faults Faults
+	faults stack.Stack[Faults]
 	calls  int
 }
 
@@ -51,11 +52,14 @@
 	replies map[uint64]port.Position
 }
 
-// Set replaces the current faults.
-func (s *Store) Set(f Faults) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = f
+// Disturb adds faults until end is called. Others stay in effect.
+func (s *Store) Disturb(f Faults) (end func()) { return s.faults.Add(f) }
+
+// currentFaults returns all faults in effect.
+func (s *Store) currentFaults() Faults {
+	return s.faults.Fold(func(x, y Faults) Faults {
+		return Faults{Refuse: x.Refuse || y.Refuse, Silent: x.Silent || y.Silent, LoseReplies: x.LoseReplies || y.LoseReplies}
+	})
 }
 
 // Calls returns the number of calls so far.
@@ -95,10 +99,11 @@
 // begin counts a call and returns the error that the current faults cause.
 func (s *Store) begin() error {
 	s.calls++
+	faults := s.currentFaults()
 	switch {
-	case s.faults.Refuse:
+	case faults.Refuse:
 		return port.ErrStoreRefused
-	case s.faults.Silent:
+	case faults.Silent:
 		return port.ErrStoreUnknown
 	}
 	return nil
@@ -112,7 +117,7 @@
 		return port.Position{}, err
 	}
 	pos, err := s.topic(w.Topic).append(w)
-	if s.faults.LoseReplies {
+	if s.currentFaults().LoseReplies {
 		return port.Position{}, port.ErrStoreUnknown
 	}
 	return pos, err
--- a/internal/proof/fleet/fault.go
+++ b/internal/proof/fleet/fault.go
@@ -16,8 +16,7 @@
 // storeFault returns a function that gives the store faults for d.
 func storeFault(f topics.Faults, d time.Duration) func(*World) {
 	return func(w *World) {
-		w.Store.Set(f)
-		w.After(d, func() { w.Store.Set(topics.Faults{}) })
+		w.After(d, w.Store.Disturb(f))
 	}
 }
 
--- a/internal/proof/soak/fault.go
+++ b/internal/proof/soak/fault.go
@@ -118,29 +118,29 @@
 // restartWorker starts a new incarnation of a worker under the same id. Its connections are
 // reset, and new ones are refused for d.
 func restartWorker(ctx context.Context, v *vm, d time.Duration) error {
-	v.toWorker.SetImpairment(relay.Impairment{Refuse: true})
+	end := v.toWorker.Impair(relay.Impairment{Refuse: true})
+	defer end()
 	v.worker.Do(func(w *tasks.Worker) {
 		v.toWorker.Reset()
 		w.Restart(time.Now())
 	})
 	sleep(ctx, d)
-	v.toWorker.SetImpairment(relay.Impairment{})
 	return nil
 }
 
 // disturbStore gives the store faults for d.
 func (f *fleet) disturbStore(ctx context.Context, faults topics.Faults, d time.Duration) error {
-	f.store.Set(faults)
+	end := f.store.Disturb(faults)
+	defer end()
 	sleep(ctx, d)
-	f.store.Set(topics.Faults{})
 	return nil
 }
 
 // impair gives a relay an impairment for d.
 func impair(ctx context.Context, r *relay.Relay, impairment relay.Impairment, d time.Duration) error {
-	r.SetImpairment(impairment)
+	end := r.Impair(impairment)
+	defer end()
 	sleep(ctx, d)
-	r.SetImpairment(relay.Impairment{})
 	return nil
 }
 
