table: a run that was given up and is done completes its task

When a worker lists as done a run that the leader has given up (its order reached the next incarnation, or was carried out late), the leader dropped the end, acknowledged it and started the task again: work that had run was run again. Ruled out: gangs, whose members share an end, and long-running tasks stay as they are. The existing test asked that such an end changes nothing; it now asks that for all outcomes but done, and that done completes the task once, and never a cancelled job's.

--- a/internal/jobs/lead/restart_test.go
+++ b/internal/jobs/lead/restart_test.go
@@ -61,6 +61,19 @@
 		Expect(starts[0].Run).To(Equal(uint32(2)))
 	})
 
+	// The leader gave the run up with the earlier incarnation, and the new one carried out its
+	// order nevertheless.
+	It("completes a task that was given up", func() {
+		requestLease(true)
+		Expect(h.starts()).To(ConsistOf(HaveField("Run", uint32(2))))
+		h.leader.Handle(h.now, firstAgentConn, &msgs.Message{Report: &msgs.Report{
+			VM: "vm-0", Incarnation: after, Ends: []msgs.RunEnd{{Number: 1, Task: task, Run: 1, Outcome: msgs.Done}},
+		}})
+		h.advance(flushTime)
+		Expect(h.state("0000000000000001")).To(Equal("completed"))
+		Expect(h.starts()).To(BeEmpty())
+	})
+
 	It("loses no run before it has listed its runs", func() {
 		requestLease(false)
 		Expect(h.starts()).To(BeEmpty())
--- a/internal/jobs/table/runs.go
+++ b/internal/jobs/table/runs.go
@@ -28,8 +28,9 @@
 	return run
 }
 
-// EndRun records the end of a run and returns the run. It changes nothing and returns
-// false if the table has no such run.
+// EndRun records the end of a run and returns the run. If the table has no such run because
+// it was given up as lost, the end only completes its task. EndRun changes nothing and
+// returns false if the task needs no such end.
 func (tbl *Table) EndRun(now time.Time, ref model.TaskRef, number uint32, outcome msgs.Outcome, checkpoint string) (Run, bool) {
 	e := tbl.entries[ref.Job]
 	if e == nil {
@@ -41,7 +42,7 @@
 	}
 	i := slices.IndexFunc(t.Runs, func(r Run) bool { return r.Number == number })
 	if i < 0 {
-		return Run{}, false
+		return Run{}, outcome == msgs.Done && tbl.completeLate(now, e, ref, number)
 	}
 	run := t.Runs[i]
 	t.Runs = slices.Delete(t.Runs, i, i+1)
@@ -54,6 +55,20 @@
 	return run, true
 }
 
+// completeLate completes a task with a run that was given up as lost and turns out to be done,
+// so that the task does not run again. It reports whether it changed the task.
+func (tbl *Table) completeLate(now time.Time, e *Entry, ref model.TaskRef, number uint32) bool {
+	st := e.Stage(ref)
+	step := e.StepOf(st)
+	t := e.Task(ref)
+	if t.Done || e.State.Ended() || step.LongRunning || step.Gang || number == 0 || number > t.LastRun {
+		return false
+	}
+	tbl.markDirty(e)
+	tbl.complete(now, e, st, ref.Index)
+	return true
+}
+
 // applyOutcome updates the task and the job according to the outcome of a run that has
 // ended.
 func (tbl *Table) applyOutcome(now time.Time, e *Entry, ref model.TaskRef, t *Task, outcome msgs.Outcome) {
--- a/internal/jobs/table/table_test.go
+++ b/internal/jobs/table/table_test.go
@@ -35,6 +35,22 @@
 		return found
 	}
 
+	It("completes a task with a run that was given up, and keeps it completed", func() {
+		e := tbl.Add(job(model.Step{Tasks: 2}))
+		first := assign(e, ref(0, 0))
+		Expect(end(ref(0, 0), first, msgs.Lost)).To(BeTrue())
+		second := assign(e, ref(0, 0))
+		Expect(end(ref(0, 0), first, msgs.Failed)).To(BeFalse())
+		Expect(end(ref(0, 0), second+1, msgs.Done)).To(BeFalse(), "there was no such run")
+		Expect(end(ref(0, 0), first, msgs.Done)).To(BeTrue())
+		Expect(e.Surplus()).To(ConsistOf(HaveField("Run.Number", second)))
+		Expect(end(ref(0, 0), first, msgs.Done)).To(BeFalse(), "it is completed already")
+		Expect(end(ref(0, 0), second, msgs.Stopped)).To(BeTrue())
+		Expect(e.Stages[0].Waiting).To(ConsistOf(1))
+		Expect(end(ref(0, 1), assign(e, ref(0, 1)), msgs.Done)).To(BeTrue())
+		Expect(e.State).To(Equal(table.Completed))
+	})
+
 	It("completes a job once all steps are completed, in order", func() {
 		e := tbl.Add(job(model.Step{Tasks: 2}, model.Step{Tasks: 1, After: []int{0}}))
 		Expect(e.Ready(now, &e.Stages[1])).To(BeFalse())
@@ -83,8 +99,21 @@
 		n := assign(e, ref(0, 0))
 		Expect(end(ref(0, 0), n+1, msgs.Done)).To(BeFalse())
 		Expect(end(ref(0, 0), n, msgs.Lost)).To(BeTrue())
-		Expect(end(ref(0, 0), n, msgs.Done)).To(BeFalse())
+		for _, o := range []msgs.Outcome{msgs.Lost, msgs.Failed, msgs.Stopped, msgs.LeaseExpired} {
+			Expect(end(ref(0, 0), n, o)).To(BeFalse())
+		}
 		Expect(e.Tasks[0].Done).To(BeFalse())
+		Expect(e.Tasks[0].Failures).To(BeZero())
+		Expect(e.Stages[0].Waiting).To(ConsistOf(0))
+	})
+
+	It("ignores the end of a cancelled job's run that was given up", func() {
+		e := tbl.Add(job(model.Step{Tasks: 1}))
+		n := assign(e, ref(0, 0))
+		Expect(end(ref(0, 0), n, msgs.Lost)).To(BeTrue())
+		tbl.Cancel(now, e)
+		Expect(end(ref(0, 0), n, msgs.Done)).To(BeFalse())
+		Expect(e.State).To(Equal(table.Cancelled))
 	})
 
 	It("completes all members of a gang when one of them reports its end", func() {
