lead: a message waits for all changes before it, also those of a later batch

A batch ends at 512 KB; the messages that were held for the store left with it although the changes behind some of them were in the next batch. Before: the test is red. After: green.

--- a/internal/jobs/lead/flush.go
+++ b/internal/jobs/lead/flush.go
@@ -42,8 +42,7 @@
 		return nil, err
 	}
 	if changes.Empty() {
-		l.outbound = append(l.outbound, l.heldForStore...)
-		l.heldForStore = nil
+		l.outbound = append(l.outbound, l.takeStored()...)
 		if now.Sub(l.storeConfirmedAt) < confirmInterval {
 			return nil, nil
 		}
@@ -56,8 +55,7 @@
 		}
 		records = append(records, extra...)
 	}
-	l.inFlight = &Batch{Records: records, changes: changes, sentAt: now, messages: l.heldForStore}
-	l.heldForStore = nil
+	l.inFlight = &Batch{Records: records, changes: changes, sentAt: now, messages: l.takeStored()}
 	l.stats.Batches++
 	l.stats.Records += uint64(len(records))
 	for _, r := range records {
--- a/internal/jobs/lead/lead_test.go
+++ b/internal/jobs/lead/lead_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -166,6 +167,42 @@
 		Expect(h.starts()).To(ConsistOf(HaveField("Run", uint32(1))))
 	})
 
+	It("sends no message whose change is left for the next batch", func() {
+		const count = 200
+		for n := range count {
+			large := job(n+1, smallStep)
+			large.Payload = strings.Repeat("x", 4000)
+			submit(large)
+		}
+		h.request(msgs.Cancel, nil, job(count, smallStep).ID)
+		cancelled := HaveField("Seq", h.seq)
+		h.now = h.now.Add(20 * time.Millisecond)
+		Expect(h.nextBatch()).To(BeTrue())
+		h.confirmBatch()
+		responses := h.responses()
+		Expect(responses).NotTo(BeEmpty())
+		Expect(responses).NotTo(ContainElement(cancelled))
+		h.now = h.now.Add(20 * time.Millisecond)
+		Expect(h.nextBatch()).To(BeTrue())
+		h.confirmBatch()
+		Expect(h.responses()).To(ContainElement(cancelled))
+	})
+
+	It("holds no message for the change of a job that was refused", func() {
+		h.join(0)
+		submit(job(1, smallStep))
+		h.now = h.now.Add(20 * time.Millisecond)
+		Expect(h.nextBatch()).To(BeTrue())
+		submit(job(2, smallStep))
+		h.now = h.now.Add(time.Second)
+		h.nextBatch()
+		Expect(h.responses()).To(ConsistOf(HaveField("Code", codes.LogDown)))
+		h.request(msgs.Cancel, nil, job(1, smallStep).ID)
+		h.confirmBatch()
+		h.advance(50 * time.Millisecond)
+		Expect(h.responses()).To(ContainElement(HaveField("Seq", h.seq)))
+	})
+
 	It("refuses new jobs at once while the store does not respond, and never runs them", func() {
 		h.join(0)
 		submit(job(1, smallStep))
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -45,6 +45,13 @@
 	Message *msgs.Message
 }
 
+// heldMessage is a message that must wait until the changes before it are stored.
+type heldMessage struct {
+	OutboundMessage
+	// changes covers these changes, see table.Table.Marked.
+	changes uint64
+}
+
 // Leader holds the state of one leadership. Create it with New. It is not safe for
 // concurrent use.
 type Leader struct {
@@ -66,9 +73,11 @@
 	advice         map[plan.StageKey]*stageAdvice
 	adviceRequest  *AdviceRequest
 	adviceInFlight bool
-	// outbound holds the messages that may be sent now, heldForStore those that must wait
-	// until the next batch is stored.
-	outbound, heldForStore []OutboundMessage
+	// outbound holds the messages that may be sent now.
+	outbound []OutboundMessage
+	// heldForStore holds the messages that must wait until the changes before them are
+	// stored, the oldest first.
+	heldForStore []heldMessage
 	// inFlight is the batch that is being appended to the store, if any.
 	inFlight *Batch
 	// pendingReplies holds the requests that get a response once their job is stored.
@@ -215,5 +224,16 @@
 
 // sendWhenStored sends a message once all changes made so far are stored.
 func (l *Leader) sendWhenStored(conn uint64, m *msgs.Message) {
-	l.heldForStore = append(l.heldForStore, OutboundMessage{conn, m})
+	l.heldForStore = append(l.heldForStore, heldMessage{OutboundMessage{conn, m}, l.table.Marked()})
+}
+
+// takeStored removes and returns the held messages whose changes are all in a batch.
+func (l *Leader) takeStored() []OutboundMessage {
+	batched := l.table.Batched()
+	var ready []OutboundMessage
+	for len(l.heldForStore) > 0 && l.heldForStore[0].changes <= batched {
+		ready = append(ready, l.heldForStore[0].OutboundMessage)
+		l.heldForStore = l.heldForStore[1:]
+	}
+	return ready
 }
--- a/internal/jobs/table/entry.go
+++ b/internal/jobs/table/entry.go
@@ -24,6 +24,8 @@
 	// dirty is set while the latest change is in no batch, unrecorded while the job as
 	// submitted is in none.
 	dirty, unrecorded bool
+	// mark is the value of Table.marked when the entry became dirty.
+	mark uint64
 }
 
 // Stage is a step of one occurrence.
--- a/internal/jobs/table/table.go
+++ b/internal/jobs/table/table.go
@@ -25,6 +25,21 @@
 	dirty []*Entry
 	// purged holds the ids of jobs whose records the next batch deletes.
 	purged []model.ID
+	// marked counts the entries ever added to dirty.
+	marked uint64
+}
+
+// Marked returns a count that covers all changes so far. These are in a batch once Batched
+// has reached it.
+func (tbl *Table) Marked() uint64 { return tbl.marked }
+
+// Batched returns the count up to which the changes are in a batch, or were dropped together
+// with their job.
+func (tbl *Table) Batched() uint64 {
+	if len(tbl.dirty) == 0 {
+		return tbl.marked
+	}
+	return tbl.dirty[0].mark - 1
 }
 
 // Get returns the entry of a job, or nil if the job is not in the table.
@@ -81,6 +96,8 @@
 	}
 	e.dirty = true
 	tbl.dirty = append(tbl.dirty, e)
+	tbl.marked++
+	e.mark = tbl.marked
 }
 
 // Cancel ends a job at its caller's request. It does nothing if the job has ended.
