--- a/internal/run/entry/follow_test.go
+++ b/internal/run/entry/follow_test.go
@@ -57,7 +57,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(ln.Close)
-	l := &leader{listener: ln, requests: make(chan model.ID, 16)}
+	l := &leader{listener: ln, requests: make(chan model.ID, 64)}
 	go func() {
 		for {
 			conn, err := ln.Accept()
@@ -156,6 +156,16 @@
 	})
 })
 
+var _ = Describe("An entry whose leader recovers", func() {
+	// The takeover was due 200 ms after the first ping.
+	It("does not replace it", func() {
+		other := netip.MustParseAddrPort("127.0.0.0:1")
+		first := newLeader(1, &msgs.Ping{Epoch: 1, Entries: []netip.AddrPort{other}, Leaving: true}, &msgs.Ping{Epoch: 1})
+		e, _ := startEntry(first)
+		Consistently(func() codes.Code { return ask(e, "a").Code }, "500ms", "20ms").Should(Equal(codes.OK))
+	})
+})
+
 var _ = Describe("An entry", func() {
 	It("stops leading as soon as a process knows of a later epoch", func() {
 		e, addr := startEntry(nil)
