--- a/internal/fake/worker/worker_test.go
+++ b/internal/fake/worker/worker_test.go
@@ -102,6 +102,20 @@
 		Expect(share()).To(BeEquivalentTo(50))
 	})
 
+	It("resumes from a checkpoint with the work that was done before it", func() {
+		Expect(a.Start(ctx, assignment(1, 500), time.Hour)).To(Succeed())
+		now = now.Add(3 * time.Second)
+		token, err := a.Stop(ctx, assignment(1, 500).Task, port.Checkpoint)
+		Expect(err).NotTo(HaveOccurred())
+		next := assignment(2, 500)
+		next.Checkpoint = token
+		Expect(b.Start(ctx, next, time.Hour)).To(Succeed())
+		resumedAt := now
+		now = now.Add(time.Minute)
+		b.RecordEnds()
+		Expect(w.Runs()[1]).To(And(HaveField("End", worker.Finished), HaveField("To", resumedAt.Add(7*time.Second))))
+	})
+
 	It("ends a run that resumed from a checkpoint when its lease expires, and never starts a stopped attempt again", func() {
 		Expect(a.Start(ctx, assignment(1, 500), 4*time.Second)).To(Succeed())
 		now = now.Add(3 * time.Second)
--- a/internal/proof/check/judge.go
+++ b/internal/proof/check/judge.go
@@ -7,7 +7,7 @@
 )
 
 // checkTimeout limits the check of one object's history. A history whose check takes longer
-// passes.
+// does not pass.
 const checkTimeout = 20 * time.Second
 
 // endOfTime, in Unix nanoseconds, is the return time of calls with an unknown outcome: these may
@@ -46,7 +46,7 @@
 		},
 	}).ToModel()
 	for _, ops := range byKey {
-		if porcupine.CheckOperationsTimeout(model, ops, checkTimeout) == porcupine.Illegal {
+		if porcupine.CheckOperationsTimeout(model, ops, checkTimeout) != porcupine.Ok {
 			return false
 		}
 	}
