--- a/internal/jobs/lead/move.go
+++ b/internal/jobs/lead/move.go
@@ -14,9 +14,10 @@
 	// moveInterval is the time between searches for runs that would end sooner on another
 	// VM.
 	moveInterval = 250 * time.Millisecond
-	// maxMoves is the maximum number of runs for which one search chooses another VM. Those
-	// that gain most come first.
-	maxMoves = 6
+	// minMoves is the number of runs for which one search may choose another VM in a small
+	// fleet; a large one may move one run for each vmsPerMove VMs. The runs of jobs that can be
+	// on time come first, and those that gain most.
+	minMoves, vmsPerMove = 6, 5
 	// moveCost is the time that a move takes in addition to the run itself: the stop, the
 	// order to start and the restore of the checkpoint.
 	moveCost = 900 * time.Millisecond
@@ -109,12 +110,18 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b moveCandidate) int {
+		if la, lb := p.l.plannedLate(a.r), p.l.plannedLate(b.r); la != lb {
+			if lb {
+				return -1
+			}
+			return 1
+		}
 		if c := cmp.Compare(b.gain, a.gain); c != 0 {
 			return c
 		}
 		return cmp.Compare(a.key.task, b.key.task)
 	})
-	for _, c := range list[:min(len(list), maxMoves)] {
+	for _, c := range list[:min(len(list), max(minMoves, len(p.vms)/vmsPerMove))] {
 		to := p.destination(c)
 		if to == nil {
 			continue
