plan, lead: a wave of tasks is placed in one pass over the VMs

A lease request walked over all VMs to find earlier workers of its node, which grows as the square of the fleet.

--- a/internal/jobs/lead/lead_test.go
+++ b/internal/jobs/lead/lead_test.go
@@ -49,13 +49,18 @@
 func (h *harness) requestLease(n int, synced bool, runs ...msgs.RunStatus) {
 	h.seq++
 	h.leader.Handle(h.now, uint64(firstAgentConn+n), &msgs.Message{LeaseRequest: &msgs.LeaseRequest{
-		Seq: h.seq, Synced: synced, RunsListed: true, Runs: runs, VM: msgs.VM{
-			ID: fmt.Sprintf("vm-%d", n), Node: fmt.Sprintf("node-%d", n), Incarnation: 5, Service: "registry",
-			Capacity: place.Resources{CPU: 16000, Memory: 64000},
-		},
+		Seq: h.seq, Synced: synced, RunsListed: true, Runs: runs, VM: vmInfo(n),
 	}})
 }
 
+// vmInfo returns the description of VM n.
+func vmInfo(n int) msgs.VM {
+	return msgs.VM{
+		ID: fmt.Sprintf("vm-%d", n), Node: fmt.Sprintf("node-%d", n), Incarnation: 5, Service: "registry",
+		Capacity: place.Resources{CPU: 16000, Memory: 64000},
+	}
+}
+
 // request sends a caller's request.
 func (h *harness) request(verb msgs.Verb, spec *model.Job, id model.ID) {
 	h.seq++
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -61,7 +61,10 @@
 	// vms holds the VMs by id.
 	vms map[string]*vm
 	// vmByConn holds the id of the VM of each agent's connection.
-	vmByConn     map[uint64]string
+	vmByConn map[uint64]string
+	// vmsByNode holds the VMs whose agent has a name, by that name: the one of the present
+	// worker and those of earlier ones until they are removed.
+	vmsByNode    map[string][]*vm
 	durations    durationEstimates
 	interference interference
 	backoffs     backoffs
@@ -102,7 +105,7 @@
 func New(now time.Time, epoch uint64, t *table.Table, cfg model.Config, log *slog.Logger) *Leader {
 	l := &Leader{
 		epoch: epoch, table: t, cfg: cfg, storeConfirmedAt: now, flushedAt: now, prunedAt: now, estimatesSavedAt: now, placementDue: true, log: log,
-		vms: map[string]*vm{}, vmByConn: map[uint64]string{}, pendingReplies: map[model.ID][]pendingReply{},
+		vms: map[string]*vm{}, vmByConn: map[uint64]string{}, vmsByNode: map[string][]*vm{}, pendingReplies: map[model.ID][]pendingReply{},
 		advice: map[plan.StageKey]*stageAdvice{}, idle: map[model.ID]time.Time{},
 	}
 	l.restoreRuns(now)
@@ -119,6 +122,7 @@
 				v = newVM(msgs.VM{ID: p.Run.VM, Incarnation: p.Run.Incarnation, Node: p.Run.Node})
 				v.leaseExpiry = now.Add(StoreTimeout + leaseWait(LeaseDuration))
 				l.vms[p.Run.VM] = v
+				l.vmsByNode[p.Run.Node] = append(l.vmsByNode[p.Run.Node], v)
 			}
 			v.info.Incarnation = max(v.info.Incarnation, p.Run.Incarnation)
 			v.add(e, p.Ref, p.Run, now)
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -139,7 +139,7 @@
 	st := stageOf(e, w.Key)
 	step := e.StepOf(st)
 	task := &plan.Task{
-		Key: w.Key, Step: step, Service: p.serviceOf(e), Urgent: w.LongRunning || w.Priority == 0,
+		Key: w.Key, Step: step, Service: p.serviceOf(e), Urgent: w.LongRunning || (w.Priority == 0 && !step.BestEffort),
 	}
 	if p.l.needsAdvice(e) {
 		task.NeedsTicket, task.Tickets = true, p.l.tickets(p.now, w.Key)
@@ -148,30 +148,46 @@
 		p.placeGang(e, st, task)
 		return
 	}
+	ranking := plan.NewRanking(task, p.placement)
 	for len(st.Waiting) > 0 && p.starts < maxStarts {
 		index := st.Waiting[0]
-		task.Avoid = p.l.failedVMs(e, st, index)
+		t := *task
+		t.Avoid = p.l.failedVMs(e, st, index)
 		if step.BestEffort {
-			task.Urgent = p.underused && p.l.idleTooLong(p.now, e)
+			t.Urgent = p.underused && p.l.idleTooLong(p.now, e)
 		}
-		i := p.chooseVM(task)
-		if i < 0 && task.NeedsTicket {
-			p.requestAdvice(task)
+		i := p.chooseRanked(&t, task, ranking)
+		if i < 0 && t.NeedsTicket {
+			p.requestAdvice(&t)
 			return
 		}
 		if i < 0 {
 			if w.LongRunning {
-				p.preempt(task)
+				p.preempt(&t)
 			}
 			if step.BestEffort {
-				p.l.onTimePlan.noteStarved(task.Service)
+				p.l.onTimePlan.noteStarved(t.Service)
 			}
 			return
 		}
 		p.assign(e, st, index, p.vms[i], 0)
+		ranking.Update(i)
 	}
 }
 
+// chooseRanked is chooseVM with the ranking of VMs for the task ranked, which applies to t if
+// nothing distinguishes the two.
+func (p *pass) chooseRanked(t, ranked *plan.Task, ranking *plan.Ranking) int {
+	if len(t.Avoid) > 0 || t.Urgent != ranked.Urgent {
+		return p.chooseVM(t)
+	}
+	i := ranking.Best()
+	if i >= 0 && p.vms[i].reservedForOther(p.now, t.Key) {
+		return p.chooseVM(t)
+	}
+	return i
+}
+
 // chooseVM returns the index of the VM for a task, or a negative number. VMs whose
 // capacity is reserved for another stage are left out.
 func (p *pass) chooseVM(t *plan.Task) int {
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
@@ -73,8 +74,19 @@
 // removeReplaced removes VMs of earlier workers on the same node: each of them must have
 // ended before the next could listen at its address.
 func (l *Leader) removeReplaced(now time.Time, v *vm) {
-	for _, other := range l.vms {
-		if other != v && other.info.Node != "" && other.info.Node == v.info.Node && other.info.Incarnation < v.info.Incarnation {
+	node := v.info.Node
+	if node == "" {
+		return
+	}
+	present := slices.DeleteFunc(l.vmsByNode[node], func(other *vm) bool {
+		return l.vms[other.info.ID] != other || other.info.Node != node
+	})
+	if !slices.Contains(present, v) {
+		present = append(present, v)
+	}
+	l.vmsByNode[node] = present
+	for _, other := range present {
+		if other.info.Incarnation < v.info.Incarnation {
 			l.removeVM(now, other, "a newer worker runs on its node")
 		}
 	}
