--- a/internal/jobs/lead/jobclass.go
+++ b/internal/jobs/lead/jobclass.go
@@ -22,7 +22,7 @@
 	}
 	cores := float64(sum) / 1000
 	if m := p.l.onTimePlan.recentCores[c.service]; c.bestEffort && m != nil {
-		cores = min(cores, recentCoresMargin*m.value)
+		cores = min(cores, recentCoresShare*m.value)
 	}
 	return cores
 }
--- a/internal/jobs/lead/ontime.go
+++ b/internal/jobs/lead/ontime.go
@@ -13,9 +13,9 @@
 	planInterval = 100 * time.Millisecond
 	// plannedCPUShare is the share of the processors that a plan counts on.
 	plannedCPUShare = 0.9
-	// recentCoresMargin is the factor by which a plan for best-effort jobs may exceed the
-	// processors that they used recently.
-	recentCoresMargin = 1.1
+	// recentCoresShare is the share of the processors that best-effort tasks used recently on
+	// which a plan for them counts: a part is used by runs of jobs that will be late.
+	recentCoresShare = 0.85
 	// baseValue is the part of a job's value that does not grow with its work, maxValue an
 	// upper bound. Both are relative to a job with the mean work of its queue.
 	baseValue, maxValue = 0.3, 4.0
