--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -1,7 +1,6 @@
 package lead
 
 import (
-	"slices"
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
@@ -71,27 +70,6 @@
 	v.updateInfo(info)
 }
 
-// removeReplaced removes VMs of earlier workers on the same node: each of them must have
-// ended before the next could listen at its address.
-func (l *Leader) removeReplaced(now time.Time, v *vm) {
-	node := v.info.Node
-	if node == "" {
-		return
-	}
-	present := slices.DeleteFunc(l.vmsByNode[node], func(other *vm) bool {
-		return l.vms[other.info.ID] != other || other.info.Node != node
-	})
-	if !slices.Contains(present, v) {
-		present = append(present, v)
-	}
-	l.vmsByNode[node] = present
-	for _, other := range present {
-		if other.info.Incarnation < v.info.Incarnation {
-			l.removeVM(now, other, "a newer worker runs on its node")
-		}
-	}
-}
-
 // sendLease responds to a lease request, unless the store has not confirmed this
 // leadership for StoreTimeout.
 func (l *Leader) sendLease(now time.Time, conn uint64, v *vm, req *msgs.LeaseRequest) {
@@ -267,37 +245,6 @@
 	}})
 }
 
-// removeVM ends all runs of a VM whose worker is gone, and forgets the VM.
-func (l *Leader) removeVM(now time.Time, v *vm, reason string) {
-	if v == nil {
-		return
-	}
-	l.log.Info("VM is gone", "vm", v.info.ID, "life", v.info.Incarnation, "runs", len(v.runs), "reason", reason)
-	l.endRunsBefore(now, v, v.info.Incarnation+1, reason)
-	delete(l.vms, v.info.ID)
-	delete(l.vmByConn, v.conn)
-	l.placementDue = true
-}
-
-// endRunsBefore ends the VM's runs of all incarnations before the given one.
-func (l *Leader) endRunsBefore(now time.Time, v *vm, incarnation int64, reason string) {
-	for key, r := range v.runs {
-		if r.incarnation < incarnation {
-			l.endRun(now, v, key, msgs.Lost, "", reason)
-		}
-	}
-	v.synced = false
-}
-
-// expireLeases removes VMs whose leases have ended even by the slowest allowed clock.
-func (l *Leader) expireLeases(now time.Time) {
-	for _, v := range l.vms {
-		if now.After(v.leaseExpiry) {
-			l.removeVM(now, v, "its lease has ended")
-		}
-	}
-}
-
 // releaseGang releases the resources of all members of a gang, since only one of them
 // reports the end.
 func (l *Leader) releaseGang(done *run) {
--- a/internal/jobs/lead/throttle.go
+++ b/internal/jobs/lead/throttle.go
@@ -46,28 +46,6 @@
 	maxSpeedIncrease = 30
 )
 
-// contribution is the utilization that a best-effort run adds to a long-running task, at
-// present and at full speed.
-type contribution struct {
-	r         *run
-	now, full float64
-	// late is set if the run's job is planned to be late.
-	late bool
-}
-
-// headroom describes how much load best-effort tasks may add to a long-running task.
-type headroom struct {
-	// contributions are sorted: those of jobs that can be on time first, then by the
-	// utilization at full speed, lowest first.
-	contributions []contribution
-	// budget is the utilization that best-effort tasks may add.
-	budget float64
-	// over is set if best-effort tasks at full speed would exceed the budget. throttle,
-	// pause and pauseAll are set once the task has been over its target for yieldAfter,
-	// pauseAfter (or pauseFarOverAfter) and pauseAllAfter.
-	over, throttle, pause, pauseAll bool
-}
-
 // throttleBestEffort sets the speed limits of a VM's best-effort runs from the latest
 // measurements. It returns the orders that change them, or nil. It handles noisy neighbours
 // whose load comes in bursts.
@@ -118,34 +96,6 @@
 	return false
 }
 
-// headroom returns the headroom of a long-running run with the given tail latency, in
-// milliseconds, and updates the time since which the run is over its target. cores holds
-// the processors that each run uses.
-func (in *interference) headroom(now time.Time, v *vm, r *run, latency float64, cores map[runKey]float64, late func(*run) bool) headroom {
-	target := float64(r.step.LatencyTarget.Milliseconds())
-	switch {
-	case latency < overTargetUntil*target:
-		r.overTargetSince = time.Time{}
-	case latency >= overTargetFrom*target && r.overTargetSince.IsZero():
-		r.overTargetSince = now
-	}
-	hr := headroom{contributions: in.contributions(v, r, cores, late)}
-	baseLoad, full := in.utilization(r.step, latency), 0.0
-	for _, c := range hr.contributions {
-		baseLoad -= c.now
-		full += c.full
-	}
-	hr.budget = in.limit(r.step) - max(0, baseLoad)
-	hr.over = full > hr.budget
-	if !r.overTargetSince.IsZero() {
-		over := now.Sub(r.overTargetSince)
-		hr.throttle = over > throttleAfter
-		hr.pause = over > pauseAfter || (over > pauseFarOverAfter && latency > farOverTarget*target)
-		hr.pauseAll = over > pauseAllAfter
-	}
-	return hr
-}
-
 // weightedCores returns the processors that a VM's best-effort runs would use at full speed,
 // weighted by the value of their work.
 func (l *Leader) weightedCores(v *vm, cores map[runKey]float64) float64 {
@@ -205,68 +155,6 @@
 	return &msgs.Message{Orders: &msgs.Orders{Epoch: l.epoch, VM: v.info.ID, Incarnation: v.info.Incarnation, Throttles: list}}
 }
 
-// contributions returns what a VM's best-effort runs add to the utilization of a
-// long-running run, lowest at full speed first.
-func (in *interference) contributions(v *vm, longRunning *run, cores map[runKey]float64, late func(*run) bool) []contribution {
-	var list []contribution
-	for key, r := range v.runs {
-		if !r.step.BestEffort || r.stopped {
-			continue
-		}
-		weight := in.coefficient(longRunning.step.Image, r.step.Image) / v.cores()
-		list = append(list, contribution{r, weight * cores[key], weight * r.fullSpeedCores(cores[key]), late(r)})
-	}
-	slices.SortFunc(list, func(a, b contribution) int {
-		if a.late != b.late {
-			if b.late {
-				return -1
-			}
-			return 1
-		}
-		if c := cmp.Compare(a.full, b.full); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.r.ref.String(), b.r.ref.String())
-	})
-	return list
-}
-
-// divideBudget divides the budget among the best-effort runs, first among those of jobs that
-// can be on time: each of them gets an equal share, and what a run does not need of it is left
-// to the others. It lowers the speed limits of runs that would exceed their shares. Runs with
-// negligible interference are not throttled unless pauseAll is set.
-func divideBudget(hr headroom, limits map[*run]int) {
-	firstLate := len(hr.contributions)
-	if i := slices.IndexFunc(hr.contributions, func(c contribution) bool { return c.late }); i >= 0 {
-		firstLate = i
-	}
-	budget := hr.divide(hr.contributions[:firstLate], hr.budget, limits)
-	hr.divide(hr.contributions[firstLate:], budget, limits)
-}
-
-// divide divides the budget among some of the runs and returns what is left of it.
-func (hr *headroom) divide(contributions []contribution, budget float64, limits map[*run]int) float64 {
-	for i, c := range contributions {
-		if c.full < negligibleInterference && !hr.pauseAll {
-			budget -= c.full
-			continue
-		}
-		share := max(0, budget) / float64(len(contributions)-i)
-		limit := fullSpeed
-		if c.full > share {
-			limit = int(fullSpeed * share / c.full)
-		}
-		if limit < minSpeed {
-			limit = 0
-		}
-		budget -= min(c.full, share)
-		if before, ok := limits[c.r]; !ok || limit < before {
-			limits[c.r] = limit
-		}
-	}
-	return budget
-}
-
 // plannedLate reports whether the plan lets a run's job miss its objective.
 func (l *Leader) plannedLate(r *run) bool {
 	return l.onTimePlan.plannedLate(r.ref.Job, r.ref.Occurrence)
