--- a/internal/jobs/lead/headroom.go
+++ b/internal/jobs/lead/headroom.go
@@ -23,8 +23,8 @@
 	// budget is the utilization that best-effort tasks may add.
 	budget float64
 	// over is set if best-effort tasks at full speed would exceed the budget. throttle,
-	// pause and pauseAll are set once the task has been over its target for yieldAfter,
-	// pauseAfter (or pauseFarOverAfter) and pauseAllAfter.
+	// pause and pauseAll are set once the task has been over its target for
+	// throttleAfter, pauseAfter (or pauseFarOverAfter) and pauseAllAfter.
 	over, throttle, pause, pauseAll bool
 }
 
@@ -68,11 +68,8 @@
 		list = append(list, contribution{r, weight * cores[key], weight * r.fullSpeedCores(cores[key]), late(r)})
 	}
 	slices.SortFunc(list, func(a, b contribution) int {
-		if a.late != b.late {
-			if b.late {
-				return -1
-			}
-			return 1
+		if c := compareLate(a.late, b.late); c != 0 {
+			return c
 		}
 		if c := cmp.Compare(a.full, b.full); c != 0 {
 			return c
@@ -82,6 +79,17 @@
 	return list
 }
 
+// compareLate orders what is late after what is not.
+func compareLate(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // divideBudget divides the budget among the best-effort runs, first among those of jobs that
 // can be on time: each of them gets an equal share, and what a run does not need of it is left
 // to the others. It lowers the speed limits of runs that would exceed their shares. Runs with
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -122,7 +122,9 @@
 				v = newVM(msgs.VM{ID: p.Run.VM, Incarnation: p.Run.Incarnation, Node: p.Run.Node})
 				v.leaseExpiry = now.Add(StoreTimeout + leaseWait(LeaseDuration))
 				l.vms[p.Run.VM] = v
-				l.vmsByNode[p.Run.Node] = append(l.vmsByNode[p.Run.Node], v)
+				if p.Run.Node != "" {
+					l.vmsByNode[p.Run.Node] = append(l.vmsByNode[p.Run.Node], v)
+				}
 			}
 			v.info.Incarnation = max(v.info.Incarnation, p.Run.Incarnation)
 			v.add(e, p.Ref, p.Run, now)
--- a/internal/jobs/lead/move.go
+++ b/internal/jobs/lead/move.go
@@ -110,11 +110,8 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b moveCandidate) int {
-		if la, lb := p.l.plannedLate(a.r), p.l.plannedLate(b.r); la != lb {
-			if lb {
-				return -1
-			}
-			return 1
+		if c := compareLate(p.l.plannedLate(a.r), p.l.plannedLate(b.r)); c != 0 {
+			return c
 		}
 		if c := cmp.Compare(b.gain, a.gain); c != 0 {
 			return c
--- a/internal/run/agent/worker.go
+++ b/internal/run/agent/worker.go
@@ -50,6 +50,7 @@
 
 // pollLoop polls the worker for running and ended runs until the agent is closed.
 func (a *Agent) pollLoop() {
+	var lastNew time.Time // when a poll last had no connection to go over
 	for a.ctx.Err() == nil {
 		poll, ctx, cancel, ok := a.nextPoll()
 		if !ok {
@@ -67,7 +68,8 @@
 			unstoredEnds = a.core.HasUnstoredEnds()
 		})
 		switch {
-		case errors.Is(err, port.ErrNewConnection):
+		case errors.Is(err, port.ErrNewConnection) && time.Since(lastNew) > pollRetryDelay:
+			lastNew = time.Now()
 		case err != nil:
 			a.pause(pollRetryDelay)
 		case unstoredEnds:
