--- a/internal/jobs/msgs/member.go
+++ b/internal/jobs/msgs/member.go
@@ -60,7 +60,8 @@
 	// StoreWait is how long the leader has been waiting for the store to confirm an
 	// append, 0 if none is pending.
 	StoreWait time.Duration
-	// Entries holds the addresses of all entries known.
+	// Entries holds the addresses of all entries known, if there are more than in the ping
+	// before.
 	Entries []netip.AddrPort
 	// Config is set if the configuration changed since the last ping.
 	Config *model.Config
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -104,8 +104,11 @@
 	// processors is the number of processors of an entry, possibly a fraction; 0 if
 	// unknown.
 	processors float64
-	// config is the version of the configuration that was last sent to it.
-	config int64
+	// config is the version of the configuration that was last sent to it, entries the number
+	// of addresses of entries. Addresses are only added, so that the number tells whether
+	// there are new ones.
+	config  int64
+	entries int
 }
 
 // New returns an entry that is not running yet. The advisor may be nil.
--- a/internal/run/entry/follow_test.go
+++ b/internal/run/entry/follow_test.go
@@ -176,6 +176,28 @@
 		Expect(connect(addr, agent).Leading).To(BeFalse())
 	})
 
+	// Both the list and the number of pings grow with the entries.
+	It("sends the other entries' addresses only when there are new ones", func() {
+		e, addr := startEntry(nil)
+		Expect(ask(e, "a").Code).To(Equal(codes.JobNotFound), "it leads")
+		conn, w, err := peer.Connect(context.Background(), addr, msgs.Hello{Node: "other", Entry: true, Addr: netip.MustParseAddrPort("127.0.0.9:1")})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		Expect(w.Leading).To(BeTrue())
+		ping := func() *msgs.Ping {
+			m, err := conn.Receive(responseTimeout)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(m.Ping).NotTo(BeNil())
+			return m.Ping
+		}
+		ping()
+		Expect(ping().Entries).To(BeEmpty())
+		added := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.8"), addr.Port())
+		e.AddSeeds(proc.Seeds{added})
+		Eventually(func() []netip.AddrPort { return ping().Entries }).Should(ContainElement(added))
+		Expect(ping().Entries).To(BeEmpty())
+	})
+
 	It("says that the fate of a job is unknown, not that it did not run, if the leader does not answer", func() {
 		first := newLeader(1)
 		first.silent.Store(true)
--- a/internal/run/entry/leading.go
+++ b/internal/run/entry/leading.go
@@ -154,7 +154,10 @@
 		if !c.entry {
 			continue
 		}
-		p := &msgs.Ping{Epoch: e.epoch, Agents: agentCount, StoreWait: e.leader.StoreWait(now), Entries: e.entries, Leaving: e.stopping.Load()}
+		p := &msgs.Ping{Epoch: e.epoch, Agents: agentCount, StoreWait: e.leader.StoreWait(now), Leaving: e.stopping.Load()}
+		if c.entries != len(e.entries) {
+			p.Entries, c.entries = e.entries, len(e.entries)
+		}
 		if cfg != nil && cfg.Version > c.config {
 			p.Config, c.config = cfg, cfg.Version
 		}
