--- a/internal/jobs/exec/poll.go
+++ b/internal/jobs/exec/poll.go
@@ -143,7 +143,8 @@
 func (a *Agent) handlePollError(now time.Time, err error) {
 	switch {
 	case errors.Is(err, port.ErrNewConnection):
-		return // the next poll shows whether the worker has restarted
+		a.log.Info("polls again without lease and acknowledgements, as the worker may have restarted", "vm", a.vm.ID, "life", a.vm.Incarnation, "err", err)
+		return
 	case errors.Is(err, port.ErrNoWorker):
 		if a.noWorkerSince.IsZero() {
 			a.noWorkerSince = now
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -189,6 +189,8 @@
 	took := time.Duration(0)
 	if r != nil {
 		took = now.Sub(r.since)
+	} else if reason == "" {
+		reason = "the run was no longer expected"
 	}
 	l.log.Info("run ended", "req", ref.Job, "task", key.task, "run", key.number, "vm", v.info.ID, "outcome", outcome,
 		"took", took, "reason", reason, "state", e.State, "epoch", l.epoch)
