sched: replicas leave a draining VM at once, and spread over VMs that come later

Three faults, each with a test that failed first: - A VM that leaves now stops its replicas once no request is left and reports them. - Replicas that share a VM move to VMs that have none of their service, one running replica of a service at a time. - An attempt that was evicted before the VM had started it got no result, so its task waited for 10 s. The VM refuses it now, and refusals are reported at once.

--- a/internal/node/agent/beat.go
+++ b/internal/node/agent/beat.go
@@ -119,11 +119,14 @@
 	}
 }
 
-// performActions stops and starts attempts as the runner requests, and reports
-// whether it requested any.
+// performActions stops and starts attempts as the runner requests. It returns true if the
+// leader should be told the outcome: of a stop or start, or of an attempt that the runner
+// refused.
 func (a *Agent) performActions(ctx context.Context) bool {
 	a.mu.Lock()
+	refused := a.host.Runner.Stats().Refused
 	stops, starts := a.host.Runner.Actions(time.Now())
+	refused = a.host.Runner.Stats().Refused - refused
 	a.mu.Unlock()
 	for _, s := range stops {
 		a.stopAttempt(ctx, s)
@@ -131,7 +134,7 @@
 	for _, s := range starts {
 		a.startAttempt(ctx, s)
 	}
-	return len(stops)+len(starts) > 0
+	return len(stops)+len(starts) > 0 || refused > 0
 }
 
 func (a *Agent) stopAttempt(ctx context.Context, s runner.Stop) {
--- a/internal/node/host/host.go
+++ b/internal/node/host/host.go
@@ -80,7 +80,8 @@
 	}
 }
 
-// Leave makes the VM accept no more work and evict its batch attempts.
+// Leave makes the VM accept no more work and evict its batch attempts, and its replicas
+// once no request is left.
 func (h *Host) Leave() {
 	h.leaving = true
 	h.Runner.Leave()
@@ -107,6 +108,9 @@
 	h.listedAt = now
 	h.Runner.Listed(now, tasks)
 	h.updateGates()
+	if h.leaving && h.running+h.Queued() == 0 {
+		h.Runner.StopReplicas()
+	}
 }
 
 // NextHeartbeat returns the next heartbeat and the entry that it goes to. It
--- a/internal/node/host/host_test.go
+++ b/internal/node/host/host_test.go
@@ -71,6 +71,20 @@
 		Expect(granted).To(ConsistOf(third))
 	})
 
+	It("gives up its replicas after Leave once the last request has ended", func() {
+		running, _, _ := requestSlot("a")
+		_, err := running.Start(now)
+		Expect(err).NotTo(HaveOccurred())
+		h.Leave()
+		h.Listed(now, []*schema.WorkerTask{replica()})
+		stops, _ := h.Runner.Actions(now)
+		Expect(stops).To(BeEmpty(), "a request runs on the replica")
+		running.Done(now, time.Millisecond)
+		h.Listed(now, []*schema.WorkerTask{replica()})
+		stops, _ = h.Runner.Actions(now)
+		Expect(stops).To(HaveLen(1))
+	})
+
 	It("refuses requests after Leave with a code that says that they did not run", func() {
 		h.Leave()
 		_, _, err := requestSlot("a")
--- a/internal/sched/leader/eviction.go
+++ b/internal/sched/leader/eviction.go
@@ -12,8 +12,10 @@
 // for the task that it was evicted for.
 const reservationTimeout = 10 * time.Second
 
-// eviction is the eviction of an attempt for a replica or an urgent task.
+// eviction is the eviction of an attempt for a replica or an urgent task, or of a replica
+// that moves to another VM.
 type eviction struct {
+	// vm is the VM on which capacity is reserved: that of the attempt, or the other one.
 	vm string
 	// task is the task that gets the freed capacity, and size its resource request.
 	task ident.Task
--- a/internal/sched/leader/leader.go
+++ b/internal/sched/leader/leader.go
@@ -87,7 +87,9 @@
 	pokes []string
 	// pokedAt is when the VMs without a lease from this leader were last poked.
 	pokedAt time.Time
-	stats   Stats
+	// spreadAt is when replicas that share a VM were last searched for.
+	spreadAt time.Time
+	stats    Stats
 }
 
 // Stats counts the leader's decisions.
@@ -219,6 +221,7 @@
 		l.extension = extension{}
 	}
 	l.placeWaiting(now)
+	l.spreadReplicas(now)
 	l.proposeResults(now)
 	l.revokeSilent(now)
 	l.tickSnapshot(now)
--- a/internal/sched/leader/leader_test.go
+++ b/internal/sched/leader/leader_test.go
@@ -24,20 +24,21 @@
 
 // harness drives a leader whose log takes each append at once.
 type harness struct {
-	leader *leader.Leader
-	writer *writer.Writer
-	fold   *fold.Fold
-	now    time.Time
-	offset uint64
+	leader  *leader.Leader
+	members *member.Table
+	writer  *writer.Writer
+	fold    *fold.Fold
+	now     time.Time
+	offset  uint64
 }
 
 // newHarness returns the leader of term 2, which it has just read from the state.
 func newHarness(state *schema.State) *harness {
-	h := &harness{writer: writer.New(writerID), now: time.Unix(1000, 0), offset: 100}
+	h := &harness{writer: writer.New(writerID), members: &member.Table{}, now: time.Unix(1000, 0), offset: 100}
 	state.Offset = h.offset
 	state.Cells = []*schema.CellState{{Cell: cell, Term: 2, Leader: writerID, ClaimedAt: 90, RenewedAt: 90, Known: 80, PriorKnown: 50}}
 	h.fold = fold.Decode(state)
-	h.leader = leader.New(cell, h.fold, h.writer, &member.Table{}, nil, snapshotInterval, slog.New(slog.DiscardHandler))
+	h.leader = leader.New(cell, h.fold, h.writer, h.members, nil, snapshotInterval, slog.New(slog.DiscardHandler))
 	h.leader.Read(h.now)
 	return h
 }
--- a/internal/sched/place/spread.go
+++ b/internal/sched/place/spread.go
@@ -30,6 +30,17 @@
 	s.counts[spreadKey{service, "vm", v.Name}]++
 }
 
+// Move counts a replica of a service on another VM than before.
+func (s *Spread) Move(service string, from, to *VM) {
+	s.counts[spreadKey{service, "zone", from.Zone}]--
+	s.counts[spreadKey{service, "rack", from.Rack}]--
+	s.counts[spreadKey{service, "vm", from.Name}]--
+	s.Add(service, to)
+}
+
+// OnVM returns the number of replicas of a service on a VM.
+func (s *Spread) OnVM(service string, v *VM) int { return s.counts[spreadKey{service, "vm", v.Name}] }
+
 // cost returns the cost of placing one more replica of a service on a VM.
 func (s *Spread) cost(service string, v *VM) float64 {
 	if s == nil {
--- a/internal/sched/runner/action.go
+++ b/internal/sched/runner/action.go
@@ -68,7 +68,7 @@
 		switch {
 		case r.assigned != nil && !ok && !r.leaseExpired(now):
 			a.stop = stopDiscard
-		case r.leaving && !service, ok && as.GetEvict():
+		case r.leaving && (!service || r.stopReplicas), ok && as.GetEvict():
 			a.stop = stopEvict
 		case expiring && !service && !r.leaseUntil.IsZero():
 			r.stats.LeaseLapses++
@@ -90,12 +90,16 @@
 	var starts []Start
 	for _, as := range r.assigned {
 		id := ident.AttemptOf(as.GetTask())
-		if r.attempts[id] != nil || r.results[id] != nil || as.GetEvict() {
+		if r.attempts[id] != nil || r.results[id] != nil {
 			continue
 		}
-		if r.leaving {
+		switch {
+		case r.leaving:
 			r.refuse(id, "the VM is leaving")
 			continue
+		case as.GetEvict():
+			r.refuse(id, "evicted before it started")
+			continue
 		}
 		if !r.ledger.Reserve(id, as.GetSize()) {
 			if !r.ledger.Fits(as.GetSize()) || !r.stopping() {
--- a/internal/sched/runner/runner.go
+++ b/internal/sched/runner/runner.go
@@ -38,8 +38,10 @@
 	listed bool
 	// leaving is true once the VM starts no more attempts and stops its batch
 	// attempts.
-	leaving  bool
-	attempts map[ident.Attempt]*attempt
+	leaving bool
+	// stopReplicas is true once a leaving VM stops its replicas as well.
+	stopReplicas bool
+	attempts     map[ident.Attempt]*attempt
 	// results holds the results of attempts until the leader acknowledges them.
 	results map[ident.Attempt]*schema.Result
 	stats   Stats
@@ -115,15 +117,12 @@
 // Leave makes the VM stop its batch attempts and start no more attempts.
 func (r *Runner) Leave() { r.leaving = true }
 
-// Idle reports whether the VM has no batch attempt and no unacknowledged result.
-func (r *Runner) Idle() bool {
-	for _, a := range r.attempts {
-		if !a.assignment.GetService() {
-			return false
-		}
-	}
-	return len(r.results) == 0
-}
+// StopReplicas makes a leaving VM stop its replicas, so that they can be placed on other
+// VMs before its lease expires. It must be called once the VM handles no more requests.
+func (r *Runner) StopReplicas() { r.stopReplicas = true }
+
+// Idle reports whether the VM has no attempt and no unacknowledged result.
+func (r *Runner) Idle() bool { return len(r.attempts)+len(r.results) == 0 }
 
 // Fill adds the term, the hash of the assignments, and the attempts with their
 // measurements and results to a heartbeat.
--- a/internal/sched/runner/runner_test.go
+++ b/internal/sched/runner/runner_test.go
@@ -159,6 +159,38 @@
 		Expect(starts).To(HaveLen(1))
 	})
 
+	// An eviction may reach the VM together with the assignment. Without a result the leader
+	// would wait for it, and the task would run nowhere.
+	It("refuses an attempt that is evicted before it was started", func() {
+		a := assign(0, 1000)
+		a.Evict = true
+		r.Listed(now, nil)
+		r.Replied(now, reply(1, a))
+		stops, starts := r.Actions(now)
+		Expect(stops).To(BeEmpty())
+		Expect(starts).To(BeEmpty())
+		Expect(results()).To(HaveLen(1))
+		Expect(results()[0].GetOutcome()).To(Equal(schema.Outcome_OUTCOME_REFUSED))
+	})
+
+	// The leader waits for the lease to expire before it places what a VM does not report.
+	It("stops the replicas of a VM that leaves once told to, and reports them as evicted", func() {
+		a := assign(0, 1000)
+		a.Service = true
+		r.Listed(now, []*schema.WorkerTask{listed(a)})
+		r.Replied(now, reply(1, a))
+		r.Leave()
+		stops, _ := r.Actions(now)
+		Expect(stops).To(BeEmpty())
+		r.StopReplicas()
+		Expect(r.Idle()).To(BeFalse())
+		stops, _ = r.Actions(now)
+		Expect(stops).To(HaveLen(1))
+		r.Stopped(stops[0].Attempt, nil, nil)
+		Expect(results()).To(HaveLen(1))
+		Expect(results()[0].GetOutcome()).To(Equal(schema.Outcome_OUTCOME_EVICTED))
+	})
+
 	It("stops its batch attempts when the VM leaves, and refuses new ones", func() {
 		a := assign(0, 1000)
 		r.Listed(now, []*schema.WorkerTask{listed(a)})
--- a/internal/tool/trial/load.go
+++ b/internal/tool/trial/load.go
@@ -53,6 +53,7 @@
 // times.
 func (l *load) sendRequest(ctx context.Context, rnd *rand.Rand, i int) {
 	body := []byte(l.Workload.body(rnd, i))
+	var failure error
 	for try := range maxSends {
 		started := time.Now()
 		a, err := l.client(i+try).Do(ctx, http.MethodPost, l.Workload.requestPath(), l.Workload.header(), body)
@@ -60,8 +61,13 @@
 			l.checkResponse(time.Since(started), a, body)
 			return
 		}
+		failure = err
+		if err == nil {
+			failure = a.Problem()
+		}
 		wait(ctx, 50*time.Millisecond) // before the next try
 	}
+	l.logf("request %d is lost; the latest try: %v", i, failure)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lost++
