run/entry, platform: the state is read for as long as it makes progress

The logs: all six cannot read the latest claim ("context deadline exceeded", after 1 s), so each claims epoch 1 again and again and is refused, since later epochs were in use. The state of 200 jobs takes a little more than a second there; a claim had 1.5 s for its append and all of the state. Ruled out: the store (other calls take 8 ms), memory (no process ended), the claims' order. Now a page of the state may take as long as each next part arrives within a second (plat/stall), and all of it 20 s. While an entry loads, it says in surveys that its epoch has a leader that was heard, so that others do not claim over it; an entry that reads the latest claim stops as soon as a later leader announces itself. Conclusion: a fixed timeout on what grows with the fleet. Entries of the large site have up to 200, but also 20 Mbit/s, with five times the jobs.

--- a/internal/run/entry/claim.go
+++ b/internal/run/entry/claim.go
@@ -20,8 +20,11 @@
 	claimKey = "leader"
 	// leaderWriter is the writer name of all leaders' appends; the epoch tells them apart.
 	leaderWriter = "leader"
-	// claimTimeout bounds all store calls of one claim together.
+	// claimTimeout bounds the append of a claim, tries after refusals included.
 	claimTimeout = 1500 * time.Millisecond
+	// loadTimeout bounds the reading of all records of jobsTopic, which are megabytes in a
+	// large fleet. The store's client ends it earlier if it makes no progress.
+	loadTimeout = 20 * time.Second
 	// announceWait is how long an entry whose claim lost waits for the new leader's
 	// announcement before it asks the store.
 	announceWait = 60 * time.Millisecond
@@ -82,6 +85,16 @@
 	if err := e.appendWithRetry(ctx, w); err != nil {
 		return leadership{}, err
 	}
+	e.postAndWait(func() { e.loadingEpoch = c.Epoch })
+	defer e.postAndWait(func() { e.loadingEpoch = 0 })
+	return e.load(c, seq+1)
+}
+
+// load reads the state that the leader of a claim starts with. nextSeq is the sequence number
+// of its next append.
+func (e *Entry) load(c claim, nextSeq uint64) (leadership, error) {
+	ctx, cancel := context.WithTimeout(e.ctx, loadTimeout)
+	defer cancel()
 	records, _, err := e.store.Newest(ctx, jobsTopic)
 	if err != nil {
 		return leadership{}, err
@@ -97,7 +110,7 @@
 	for _, fault := range faults {
 		e.log.Error("skipped a stored record that cannot be decoded", "err", fault)
 	}
-	return leadership{c.Epoch, seq + 1, jobs, records}, nil
+	return leadership{c.Epoch, nextSeq, jobs, records}, nil
 }
 
 // tryClaim claims the leadership in the epoch after the given one and reports whether that
@@ -131,12 +144,24 @@
 	return false
 }
 
-// readClaim reads the latest claim from the store and adopts its epoch and leader.
+// readClaim reads the latest claim from the store and adopts its epoch and leader, unless a
+// later leader announces itself first.
 func (e *Entry) readClaim() {
-	ctx, cancel := context.WithTimeout(e.ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(e.ctx, loadTimeout)
 	defer cancel()
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-e.laterLeader:
+			cancel()
+		}
+	}()
 	records, _, err := e.store.Newest(ctx, jobsTopic)
-	if err != nil {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		e.log.Info("does not read the latest claim: a later leader has announced itself")
+		return
+	case err != nil:
 		e.log.Warn("cannot read the latest claim from the store", "err", err)
 		return
 	}
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -69,6 +69,8 @@
 	// if it is unknown.
 	epoch      uint64
 	leaderAddr netip.AddrPort
+	// loadingEpoch is the epoch that this entry has claimed while it loads the state, else 0.
+	loadingEpoch uint64
 	// leaderHeardAt is when the leader's latest message arrived, zero if none has.
 	leaderHeardAt time.Time
 	// leaderConn is the connection to the leader while this entry follows one, else nil.
--- a/internal/run/entry/serve.go
+++ b/internal/run/entry/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/elect"
@@ -81,6 +82,10 @@
 		Entries: append(e.entries, e.cfg.Peers), LeaderHeard: e.sinceLeaderHeard(),
 		Processors: e.cfg.Processors,
 	}
+	if e.loadingEpoch > e.epoch {
+		// Another claim would only make this entry's loading futile.
+		w.Epoch, w.Leader, w.LeaderHeard = e.loadingEpoch, netip.AddrPort{}, 0
+	}
 	if w.Leading {
 		e.conns[conn.ID] = &client{conn: conn, node: h.Node, entry: h.Entry, processors: h.Processors}
 		e.log.Info("peer connected", "peer", h.Node, "entry", h.Entry, "epoch", e.epoch)
