--- a/internal/jobs/lead/throttle_test.go
+++ b/internal/jobs/lead/throttle_test.go
@@ -81,9 +81,10 @@
 		Entry("if it is small and the work beside it will be late", int64(2000), 0.5, HaveLen(2)),
 	)
 
-	// A burst after which some jobs will be late: their runs hold processors beside those of
-	// jobs that can be on time, and one throttled run of 40 makes a whole step late.
-	It("are throttled first if their job will be late", func() {
+	// A burst: the runs of jobs that will be late hold processors beside the others, and each
+	// step is complete only when the last of its runs is. With equal shares of what the
+	// long-running task leaves, all jobs wait for their slowest run.
+	DescribeTable("are throttled first if their job", func(firstStretch float64) {
 		h := newHarness()
 		h.join(0)
 		s := longRunning
@@ -92,40 +93,20 @@
 		h.request(msgs.Submit, j, j.ID)
 		one := bestEffort
 		one.Tasks = 1
-		for n, stretch := range []float64{0.5, 2.0} {
+		for n, stretch := range []float64{firstStretch, 2.0} {
 			j := job(n+2, one)
 			j.Queue.Stretch = stretch
 			h.request(msgs.Submit, j, j.ID)
 		}
 		h.advance(3 * time.Second)
-		const late, onTime = "0000000000000002.0.0.0", "0000000000000003.0.0.0"
-		reportRuns(h, 40, 0, 2*time.Second, late, onTime)
-		speeds := reportRuns(h, 140, 3000, 800*time.Millisecond, late, onTime)
-		Expect(speeds).To(And(HaveLen(1), HaveKeyWithValue(late, BeNumerically("<", 100))))
-	})
-
-	// A flood of jobs that can all be on time if they are done one after the other: with equal
-	// shares of what the long-running task leaves, each step waits for its slowest run.
-	It("are throttled first if their job has more time left", func() {
-		h := newHarness()
-		h.join(0)
-		s := longRunning
-		s.Size.CPU = 8000
-		j := job(1, s)
-		h.request(msgs.Submit, j, j.ID)
-		one := bestEffort
-		one.Tasks = 1
-		for n, stretch := range []float64{6.0, 2.0} {
-			j := job(n+2, one)
-			j.Queue.Stretch = stretch
-			h.request(msgs.Submit, j, j.ID)
-		}
-		h.advance(3 * time.Second)
-		const later, sooner = "0000000000000002.0.0.0", "0000000000000003.0.0.0"
-		reportRuns(h, 40, 0, 2*time.Second, later, sooner)
-		speeds := reportRuns(h, 140, 3000, 800*time.Millisecond, later, sooner)
-		Expect(speeds).To(And(HaveLen(1), HaveKeyWithValue(later, BeNumerically("<", 100))))
-	})
+		const first, other = "0000000000000002.0.0.0", "0000000000000003.0.0.0"
+		reportRuns(h, 40, 0, 2*time.Second, first, other)
+		speeds := reportRuns(h, 140, 3000, 800*time.Millisecond, first, other)
+		Expect(speeds).To(And(HaveLen(1), HaveKeyWithValue(first, BeNumerically("<", 100))))
+	},
+		Entry("will be late", 0.5),
+		Entry("has more time left", 6.0),
+	)
 
 	It("are paused sooner if it is far over its target, since its queue takes long to drain", func() {
 		h := newHarness()
