--- a/internal/run/entry/claim.go
+++ b/internal/run/entry/claim.go
@@ -158,6 +158,8 @@
 	}()
 	records, _, err := e.store.Newest(ctx, jobsTopic)
 	switch {
+	case e.ctx.Err() != nil:
+		return // the entry was closed
 	case errors.Is(ctx.Err(), context.Canceled):
 		e.log.Info("does not read the latest claim: a later leader has announced itself")
 		return
