run, exec, check, relay: tests of four mechanisms that no test missed

run/entry: the test of an entry with a narrow link failed in 2 of 40 plays. Cause, in the test: its store held back every read of the state but the first, also if the entry had not claimed yet because the configuration came later. It now holds back the reads that follow a claim. Ruled out: the entry, which tries again as it should.

--- a/internal/fake/relay/relay.go
+++ b/internal/fake/relay/relay.go
@@ -17,10 +17,10 @@
 type Relay struct {
 	listener net.Listener
 
-	// mu guards to and pairs.
+	// mu guards dial and pairs.
 	mu sync.Mutex
-	// to is the target of new connections.
-	to netip.AddrPort
+	// dial connects to the target of new connections.
+	dial func() (net.Conn, error)
 	// pairs holds all connections accepted so far, closed ones included.
 	pairs []*pair
 	// impairments holds the impairments of all connections.
@@ -98,9 +98,14 @@
 
 // SetTarget sets the address that new connections are forwarded to.
 func (r *Relay) SetTarget(to netip.AddrPort) {
+	r.SetDial(func() (net.Conn, error) { return net.Dial("tcp", to.String()) })
+}
+
+// SetDial sets the function that connects to the target of a new connection.
+func (r *Relay) SetDial(dial func() (net.Conn, error)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.to = to
+	r.dial = dial
 }
 
 // Listen starts a relay from a free loopback address to a target, which SetTarget may set
@@ -110,7 +115,8 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{listener: listener, to: to}
+	r := &Relay{listener: listener}
+	r.SetTarget(to)
 	go r.accept()
 	return r, nil
 }
@@ -129,9 +135,9 @@
 			continue
 		}
 		r.mu.Lock()
-		to := r.to
+		dial := r.dial
 		r.mu.Unlock()
-		out, err := net.Dial("tcp", to.String())
+		out, err := dial()
 		if err != nil {
 			in.Close()
 			continue
--- a/internal/proof/check/check_test.go
+++ b/internal/proof/check/check_test.go
@@ -31,7 +31,7 @@
 
 var _ = DescribeTable("histories of configuration",
 	func(want bool, history ...check.Publish) {
-		Expect(check.Config(history)).To(Equal(want))
+		Expect(check.Checker{}.Config(history)).To(Equal(want))
 	},
 	Entry("one after the other", true, publish(0, 1, check.Done, 0, 1), publish(1, 2, check.Done, 2, 3)),
 	Entry("concurrent publishes of which one succeeds", true, publish(0, 1, check.Done, 0, 5), publish(0, 0, check.Refused, 0, 5)),
@@ -47,7 +47,7 @@
 
 var _ = DescribeTable("histories of jobs",
 	func(want bool, history ...check.JobCall) {
-		Expect(check.Jobs(history)).To(Equal(want))
+		Expect(check.Checker{}.Jobs(history)).To(Equal(want))
 	},
 	Entry("accepted and completed", true, call(check.Submit, check.Done, 0, 1), read(check.Completed, 2)),
 	Entry("accepted, but then absent", false, call(check.Submit, check.Done, 0, 1), read(check.Absent, 2)),
@@ -60,3 +60,15 @@
 		read(check.Cancelled, 6), read(check.Completed, 8)),
 	Entry("cancelled, but never accepted", false, call(check.Cancel, check.Done, 0, 1)),
 )
+
+var _ = Describe("a correct history", func() {
+	It("does not pass if that cannot be decided in time", func() {
+		const publishes = 5000
+		var history []check.Publish
+		for n := range publishes {
+			history = append(history, publish(uint64(n), uint64(n+1), check.Done, 2*n, 2*n+1))
+		}
+		Expect(check.Checker{}.Config(history)).To(BeTrue())
+		Expect(check.Checker{Timeout: time.Nanosecond}.Config(history)).To(BeFalse())
+	})
+})
--- a/internal/proof/check/config.go
+++ b/internal/proof/check/config.go
@@ -35,10 +35,6 @@
 	return p.From, p.To, p.Outcome == Unknown
 }
 
-// Config reports whether the history of each team is linearizable as that of a register with
-// compare-and-set.
-func Config(history []Publish) bool { return linearizable(history, 0, publishStep) }
-
 // publishStep returns the possible revisions after a publish; none if its outcome is impossible.
 func publishStep(revision uint64, p Publish) []uint64 {
 	baseMatches := revision == p.Base
--- a/internal/proof/check/jobs.go
+++ b/internal/proof/check/jobs.go
@@ -41,10 +41,6 @@
 	return c.From, c.To, c.Outcome == Unknown
 }
 
-// Jobs reports whether the history of each job is linearizable as that of a job that is created
-// at most once and ends at most once.
-func Jobs(history []JobCall) bool { return linearizable(history, Absent, jobStep) }
-
 // jobStep returns the possible states after a call; none if its outcome is impossible. An open
 // job may complete at any time before the call.
 func jobStep(state JobState, c JobCall) []JobState {
--- a/internal/proof/world/history.go
+++ b/internal/proof/world/history.go
@@ -153,13 +153,14 @@
 // checkLinearizable checks that the results of all publish calls, and those of all
 // job calls, can be explained by calls that take effect one after the other.
 func (w *World) checkLinearizable(add func(string, ...any)) {
+	var checker check.Checker
 	var publishes []check.Publish
 	for _, p := range w.History.Publishes {
 		publishes = append(publishes, check.Publish{
 			Team: p.Team, Base: p.Base, Revision: p.Revision, Outcome: outcomeOf(p.Code, p.Done), From: p.From, To: p.To,
 		})
 	}
-	if !check.Config(publishes) {
+	if !checker.Config(publishes) {
 		add("no order of the publish calls explains their results")
 	}
 	var calls []check.JobCall
@@ -181,7 +182,7 @@
 		}
 		calls = append(calls, check.JobCall{Key: s.Job, Action: check.Cancel, From: s.CancelFrom, To: s.CancelledAt})
 	}
-	if !check.Jobs(calls) {
+	if !checker.Jobs(calls) {
 		add("no order of the job calls explains their results")
 	}
 }
--- a/internal/run/agent/worker.go
+++ b/internal/run/agent/worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/exec"
@@ -13,8 +12,6 @@
 	// callTimeout bounds a call to the worker, in addition to the time that a poll asks
 	// the worker to wait.
 	callTimeout = 500 * time.Millisecond
-	// pollRetryDelay is the delay before the next poll after one has failed.
-	pollRetryDelay = 60 * time.Millisecond
 	// endsStoredTimeout is how long the agent waits for the leader to store new run ends
 	// before it polls the worker again.
 	endsStoredTimeout = 60 * time.Millisecond
@@ -50,7 +47,7 @@
 
 // pollLoop polls the worker for running and ended runs until the agent is closed.
 func (a *Agent) pollLoop() {
-	var lastNew time.Time // when a poll last had no connection to go over
+	var pause exec.PollPause
 	for a.ctx.Err() == nil {
 		poll, ctx, cancel, ok := a.nextPoll()
 		if !ok {
@@ -67,12 +64,9 @@
 			a.core.Polled(now, poll, result, err)
 			unstoredEnds = a.core.HasUnstoredEnds()
 		})
-		switch {
-		case errors.Is(err, port.ErrNewConnection) && time.Since(lastNew) > pollRetryDelay:
-			lastNew = time.Now()
-		case err != nil:
-			a.pause(pollRetryDelay)
-		case unstoredEnds:
+		if d := pause.After(time.Now(), err); d > 0 {
+			a.pause(d)
+		} else if err == nil && unstoredEnds {
 			a.waitForEndsStored()
 		}
 	}
--- a/internal/run/entry/claim_test.go
+++ b/internal/run/entry/claim_test.go
@@ -28,24 +28,37 @@
 	loaded chan struct{}
 
 	mu sync.Mutex
-	// reads is the number of reads of the state, timeLeft the least time that one may take.
-	reads    int
+	// claimed is set once an entry has claimed the leadership and reads the state. Until then
+	// entries only look for an earlier claim. timeLeft is the least time that a read may take.
+	claimed  bool
 	timeLeft time.Duration
 }
 
+func (s *narrowStore) Append(ctx context.Context, w port.Write) (port.Position, error) {
+	if w.Topic == "jobs" {
+		s.mu.Lock()
+		s.claimed = true
+		s.mu.Unlock()
+	}
+	return s.platformStore.Append(ctx, w)
+}
+
 func (s *narrowStore) Newest(ctx context.Context, topic string) ([]port.Record, port.Position, error) {
 	if topic != "jobs" {
 		return s.platformStore.Newest(ctx, topic)
 	}
 	s.mu.Lock()
-	s.reads++
-	first := s.reads == 1 // the entry looks for an earlier claim
+	claimed := s.claimed
 	if end, ok := ctx.Deadline(); ok {
 		s.timeLeft = min(s.timeLeft, time.Until(end))
 	}
 	s.mu.Unlock()
-	if !first {
-		<-s.loaded
+	if claimed {
+		select {
+		case <-s.loaded:
+		case <-ctx.Done():
+			return nil, port.Position{}, ctx.Err()
+		}
 	}
 	return s.platformStore.Newest(ctx, topic)
 }
--- a/internal/run/entry/follow_test.go
+++ b/internal/run/entry/follow_test.go
@@ -49,6 +49,14 @@
 	requests chan model.ID
 	// silent is set if the leader responds to no requests.
 	silent atomic.Bool
+	// stopped is closed by stop.
+	stopped chan struct{}
+}
+
+// stop ends the leader's process: its connections break, and nothing listens at its address.
+func (l *leader) stop() {
+	l.listener.Close()
+	close(l.stopped)
 }
 
 // newLeader returns a leader that welcomes all processes, sends them the pings, and responds
@@ -56,8 +64,8 @@
 func newLeader(epoch uint64, pings ...*msgs.Ping) *leader {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(ln.Close)
-	l := &leader{listener: ln, requests: make(chan model.ID, 64)}
+	DeferCleanup(func() { ln.Close() }) // stop may have closed it
+	l := &leader{listener: ln, requests: make(chan model.ID, 64), stopped: make(chan struct{})}
 	go func() {
 		for {
 			conn, err := ln.Accept()
@@ -74,6 +82,10 @@
 
 func (l *leader) serve(conn *peer.Conn, epoch uint64, pings []*msgs.Ping) {
 	defer conn.Close()
+	go func() {
+		<-l.stopped
+		conn.Close()
+	}()
 	for {
 		m, err := conn.Receive(time.Minute)
 		if err != nil {
