elect, run/entry: a leader that waits for the store is not replaced as soon as it returns

At 33.04 s front-mx-centro-a-9, an entry with 0.11 of a core, tested the store, reached it and claimed ("the leader has lost the store") before the leader, which tries again within 80 ms, had repeated its append. It took 0.81 s to load 712 jobs and led at 33.85 s; the others lost it again, and a strong entry led at 34.35 s, 0.08 s before the loss of all power: 1.3 s in which no job was accepted and no end stored. Ruled out: the store (8 ms for the claim), the leader (it was connected to all). An entry now tests the store while its leader waits for it, and replaces the leader only once it has itself reached the store for a second. If only the leader has lost the store, the tests succeed from the first and the takeover is as fast as before. Before: the new tests of elect and run/entry red.

--- a/internal/jobs/elect/elect.go
+++ b/internal/jobs/elect/elect.go
@@ -29,6 +29,10 @@
 	// StoreTestTimeout is the timeout of the call by which an entry tests whether it can
 	// reach the store. A store that is slow for all entries is no reason to take over.
 	StoreTestTimeout = 200 * time.Millisecond
+	// storeRecovery is how long an entry must have reached the store before it replaces a
+	// leader that waits for the store. The leader may be about to reach it again as well: it
+	// repeats an append that got no response after 0.7 s.
+	storeRecovery = time.Second
 	// searchWindow is how long an agent's search for a leader counts.
 	searchWindow = 700 * time.Millisecond
 	// settleTime is how long agents may take to find a new leader. Until then, their
@@ -154,18 +158,23 @@
 	return n
 }
 
+// WaitsForStore reports whether the leader that sent a ping seems to have lost the store, so
+// that other entries should test whether they reach it.
+func WaitsForStore(p *msgs.Ping) bool { return p.StoreWait > maxStoreWait }
+
 // ShouldReplace reports whether a connected leader should be replaced, and why: it is leaving
-// or yields, it has lost contact with the store, or more agents look for a leader than are
-// connected to it. p is the leader's latest ping, searches is the number of agents that have
-// looked for a leader recently, and followed is how long this entry has been connected to
-// the leader.
-func ShouldReplace(p *msgs.Ping, searches int, followed time.Duration) (reason string, replace bool) {
+// or yields, it has lost contact with the store although this entry has not, or more agents
+// look for a leader than are connected to it. p is the leader's latest ping, searches is the
+// number of agents that have looked for a leader recently, followed is how long this entry has
+// been connected to the leader, and sinceStoreFailed the time since its latest failure to
+// reach the store.
+func ShouldReplace(p *msgs.Ping, searches int, followed, sinceStoreFailed time.Duration) (reason string, replace bool) {
 	switch {
 	case p.Leaving:
 		return "the leader is leaving", true
 	case p.Yield:
 		return "the leader has fewer processors", true
-	case p.StoreWait > maxStoreWait:
+	case WaitsForStore(p) && sinceStoreFailed > storeRecovery:
 		return "the leader has lost the store", true
 	case followed > settleTime && searches > p.Agents && searches > 1:
 		return "agents cannot reach the leader", true
--- a/internal/jobs/elect/elect_test.go
+++ b/internal/jobs/elect/elect_test.go
@@ -70,7 +70,7 @@
 
 var _ = Describe("An entry that is connected to a leader", func() {
 	DescribeTable("replaces it", func(p msgs.Ping, searches int, followed time.Duration, want bool) {
-		_, replace := elect.ShouldReplace(&p, searches, followed)
+		_, replace := elect.ShouldReplace(&p, searches, followed, time.Hour)
 		Expect(replace).To(Equal(want))
 	},
 		Entry("not while it is healthy", msgs.Ping{Agents: 11}, 0, time.Minute, false),
@@ -81,6 +81,17 @@
 		Entry("not while it is new and agents still look for it", msgs.Ping{Agents: 4}, 7, time.Second, false),
 	)
 
+	DescribeTable("replaces it because it waits for the store", func(sinceStoreFailed time.Duration, want bool) {
+		waiting := msgs.Ping{StoreWait: 2 * time.Second}
+		Expect(elect.WaitsForStore(&waiting)).To(BeTrue())
+		_, replace := elect.ShouldReplace(&waiting, 0, time.Minute, sinceStoreFailed)
+		Expect(replace).To(Equal(want))
+	},
+		Entry("not while this entry does not reach it either", time.Duration(0), false),
+		Entry("not when the store has just returned for all", 300*time.Millisecond, false),
+		Entry("when this entry has reached it for longer than the leader takes to try again", 1100*time.Millisecond, true),
+	)
+
 	It("counts each agent that looks for a leader once, and for a limited time only", func() {
 		var tracker elect.LeaderSearches
 		now := time.Unix(5, 0)
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -96,6 +96,9 @@
 	// while the claim that results is under way.
 	takeover   elect.Takeover
 	takingOver bool
+	// storeFailedAt is when this entry last failed to reach the store in a test, zero if it
+	// never has.
+	storeFailedAt time.Time
 }
 
 // client is an agent or another entry that is connected to this leading entry.
--- a/internal/run/entry/follow.go
+++ b/internal/run/entry/follow.go
@@ -196,7 +196,10 @@
 		cfg := *m.Ping.Config
 		e.wg.Go(func() { e.applyConfig(cfg) }) // applyConfig posts, which would block the event loop if its queue is full
 	}
-	reason, replace := elect.ShouldReplace(m.Ping, e.leaderSearches.Count(now), now.Sub(e.connectedAt))
+	if elect.WaitsForStore(m.Ping) {
+		e.wg.Go(func() { e.testStore() })
+	}
+	reason, replace := elect.ShouldReplace(m.Ping, e.leaderSearches.Count(now), now.Sub(e.connectedAt), now.Sub(e.storeFailedAt))
 	if !replace || e.stopping.Load() {
 		e.takeover.Cancel()
 		return
--- a/internal/run/entry/follow_test.go
+++ b/internal/run/entry/follow_test.go
@@ -47,6 +47,8 @@
 	listener net.Listener
 	// requests gets the jobs of the requests that arrive.
 	requests chan model.ID
+	// pings holds further pings, for all processes together.
+	pings chan *msgs.Ping
 	// silent is set if the leader responds to no requests.
 	silent atomic.Bool
 	// stopped is closed by stop.
@@ -65,7 +67,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { ln.Close() }) // stop may have closed it
-	l := &leader{listener: ln, requests: make(chan model.ID, 64), stopped: make(chan struct{})}
+	l := &leader{listener: ln, requests: make(chan model.ID, 64), stopped: make(chan struct{}), pings: make(chan *msgs.Ping)}
 	go func() {
 		for {
 			conn, err := ln.Accept()
@@ -80,12 +82,22 @@
 
 func (l *leader) addr() netip.AddrPort { return l.listener.Addr().(*net.TCPAddr).AddrPort() }
 
+// ping sends the further pings until the leader stops.
+func (l *leader) ping(conn *peer.Conn) {
+	for {
+		select {
+		case p := <-l.pings:
+			conn.Send(&msgs.Message{Ping: p})
+		case <-l.stopped:
+			conn.Close()
+			return
+		}
+	}
+}
+
 func (l *leader) serve(conn *peer.Conn, epoch uint64, pings []*msgs.Ping) {
 	defer conn.Close()
-	go func() {
-		<-l.stopped
-		conn.Close()
-	}()
+	go l.ping(conn)
 	for {
 		m, err := conn.Receive(time.Minute)
 		if err != nil {
@@ -111,6 +123,12 @@
 // leader may be nil. It waits until the store has reported the versions of the configuration,
 // 1 if there are none.
 func startEntry(first *leader, versions ...int64) (*entry.Entry, netip.AddrPort) {
+	e, addr, _ := startEntryWithStore(first, versions...)
+	return e, addr
+}
+
+// startEntryWithStore is startEntry that also returns the store.
+func startEntryWithStore(first *leader, versions ...int64) (*entry.Entry, netip.AddrPort, *topics.Store) {
 	if len(versions) == 0 {
 		versions = []int64{1}
 	}
@@ -130,7 +148,7 @@
 	<-platform.reported
 	go e.Serve(ln)
 	DeferCleanup(e.Close)
-	return e, addr
+	return e, addr, store
 }
 
 // connect sends Hello to the entry at addr and returns its Welcome.
@@ -178,6 +196,38 @@
 	})
 })
 
+// The store was away for 2 s. When it returned, another entry claimed before the leader had
+// repeated its append, and no job was accepted until that entry had loaded the state.
+var _ = Describe("An entry whose leader waits for the store", func() {
+	waiting := &msgs.Ping{Epoch: 1, StoreWait: 2 * time.Second}
+
+	It("leaves it time to try again when the store returns, and then replaces it", func() {
+		first := newLeader(1)
+		e, addr, store := startEntryWithStore(first)
+		Expect(ask(e, "a").Code).To(Equal(codes.OK))
+		end := store.Disturb(topics.Faults{Refuse: true})
+		for range 3 {
+			calls := store.Calls()
+			first.pings <- waiting
+			Eventually(store.Calls, responseTimeout).Should(BeNumerically(">", calls), "it tests the store")
+			Expect(ask(e, "b").Code).To(Equal(codes.OK))
+		}
+		end()
+		leads := func() bool { return connect(addr, msgs.Hello{Node: "agent"}).Leading }
+		Consistently(func() bool {
+			first.pings <- waiting
+			return leads()
+		}, "500ms", "50ms").Should(BeFalse())
+		Eventually(func() bool {
+			select {
+			case first.pings <- waiting:
+			case <-time.After(50 * time.Millisecond): // the entry has closed the connection
+			}
+			return leads()
+		}, responseTimeout, "50ms").Should(BeTrue())
+	})
+})
+
 var _ = Describe("An entry", func() {
 	It("stops leading as soon as a process knows of a later epoch", func() {
 		e, addr := startEntry(nil)
--- a/internal/run/entry/takeover.go
+++ b/internal/run/entry/takeover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/elect"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
@@ -34,13 +35,22 @@
 	e.takingOver = true
 	epoch := e.epoch
 	e.wg.Go(func() {
-		if e.reachesStore() {
+		if e.testStore() {
 			e.tryClaim(epoch, reason)
 		}
 		e.post(func() { e.takingOver = false })
 	})
 }
 
+// testStore reports whether this entry reaches the store, and records a failure.
+func (e *Entry) testStore() bool {
+	reached := e.reachesStore()
+	if !reached {
+		e.postAndWait(func() { e.storeFailedAt = time.Now() })
+	}
+	return reached
+}
+
 // reachesStore reports whether the store answers this entry within
 // elect.StoreTestTimeout.
 func (e *Entry) reachesStore() bool {
