elect, run/entry: a leader that leaves names its successor; others wait until the store is back

With a log line for each test of the store, and one trial line for each ping (until 33.2 s, without processor time): front-mx-centro-a-2 had begun to leave at 31.80 s, so a change of leader was due in any case. Before: the new tests red. After: green.

--- a/internal/jobs/elect/takeover.go
+++ b/internal/jobs/elect/takeover.go
@@ -19,9 +19,15 @@
 	claimAt time.Time
 }
 
-// Plan plans a claim, unless one is planned. rank is the number of entries that should
-// claim before this one.
-func (t *Takeover) Plan(now time.Time, reason string, rank int) {
+// Plan plans a claim, unless one is planned. rank is the number of entries that should claim
+// before this one. storeFails is set if this entry does not reach the store: then only the
+// entry that should claim first keeps trying, so that the others wait for it when the store
+// returns.
+func (t *Takeover) Plan(now time.Time, reason string, rank int, storeFails bool) {
+	if storeFails && rank > 0 {
+		t.Cancel()
+		return
+	}
 	if t.claimAt.IsZero() {
 		*t = Takeover{reason, now.Add(takeoverDelay(rank))}
 	}
--- a/internal/jobs/elect/takeover_test.go
+++ b/internal/jobs/elect/takeover_test.go
@@ -16,7 +16,7 @@
 		var before time.Time
 		for rank := range 55 {
 			var t elect.Takeover
-			t.Plan(now, "lost", rank)
+			t.Plan(now, "lost", rank, false)
 			at := t.NextWakeup(now.Add(time.Hour))
 			Expect(at).To(BeTemporally(">", before))
 			Expect(at).To(BeTemporally("<=", now.Add(3100*time.Millisecond)))
@@ -31,19 +31,36 @@
 
 	It("is not delayed by further signs of the same failure", func() {
 		var t elect.Takeover
-		t.Plan(now, "lost", 2)
-		t.Plan(now.Add(300*time.Millisecond), "lost", 2)
+		t.Plan(now, "lost", 2, false)
+		t.Plan(now.Add(300*time.Millisecond), "lost", 2, false)
 		_, due := t.Due(now.Add(2 * elect.ClaimStagger))
 		Expect(due).To(BeTrue())
 	})
 
+	// A leader of 55 entries left while the store was away. When it returned, an entry with a
+	// seventh of the leader's processors happened to be due first.
+	It("lets the first entry claim as soon as the store returns, and the others after it", func() {
+		returned := now.Add(2 * time.Second)
+		for rank := range 55 {
+			var t elect.Takeover
+			for at := now; at.Before(returned); at = at.Add(elect.ClaimStagger) {
+				t.Plan(at, "leaving", rank, true)
+				_, due := t.Due(at.Add(elect.ClaimStagger - time.Nanosecond))
+				Expect(due).To(Equal(rank == 0), "rank %d", rank)
+			}
+			t.Plan(returned, "leaving", rank, false)
+			_, due := t.Due(returned.Add(elect.ClaimStagger - time.Nanosecond))
+			Expect(due).To(Equal(rank == 0), "rank %d", rank)
+		}
+	})
+
 	It("is dropped when the leader recovers, and when it was carried out", func() {
 		var t elect.Takeover
-		t.Plan(now, "lost", 1)
+		t.Plan(now, "lost", 1, false)
 		t.Cancel()
 		_, due := t.Due(now.Add(time.Hour))
 		Expect(due).To(BeFalse())
-		t.Plan(now, "lost", 0)
+		t.Plan(now, "lost", 0, false)
 		_, due = t.Due(now)
 		Expect(due).To(BeTrue())
 		_, due = t.Due(now.Add(time.Hour))
--- a/internal/jobs/msgs/member.go
+++ b/internal/jobs/msgs/member.go
@@ -67,6 +67,7 @@
 	Config *model.Config
 	// Leaving is set if the leader is about to stop.
 	Leaving bool
-	// Yield is set if the receiver should take over because it has more processors.
+	// Yield is set if the receiver should take over: it has more processors, or the most of
+	// all entries when the leader leaves.
 	Yield bool
 }
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -96,8 +96,9 @@
 	// while the claim that results is under way.
 	takeover   elect.Takeover
 	takingOver bool
-	// storeFailedAt is when this entry last failed to reach the store in a test, zero if it
-	// never has.
+	// storeFails is set if this entry did not reach the store in its latest test.
+	// storeFailedAt is when that last happened, zero if it never has.
+	storeFails    bool
 	storeFailedAt time.Time
 }
 
--- a/internal/run/entry/follow.go
+++ b/internal/run/entry/follow.go
@@ -204,7 +204,7 @@
 		e.takeover.Cancel()
 		return
 	}
-	e.takeover.Plan(now, reason, e.takeoverRank(m.Ping))
+	e.takeover.Plan(now, reason, e.takeoverRank(m.Ping), e.storeFails)
 }
 
 // findLeader asks the other entries for a leader and claims the leadership if there is none.
@@ -289,10 +289,7 @@
 		if e.leader == nil {
 			return
 		}
-		for _, c := range e.conns {
-			if c.entry {
-				c.conn.Send(&msgs.Message{Ping: &msgs.Ping{Epoch: e.epoch, Leaving: true}})
-			}
-		}
+		e.lastPing = time.Time{}
+		e.sendPings(time.Now())
 	})
 }
--- a/internal/run/entry/follow_test.go
+++ b/internal/run/entry/follow_test.go
@@ -186,6 +186,17 @@
 	})
 })
 
+var _ = Describe("An entry that its leader asks to lead", func() {
+	It("claims at once, although many entries should claim before it", func() {
+		var others []netip.AddrPort
+		for n := range 54 {
+			others = append(others, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 0}), uint16(n+1)))
+		}
+		_, addr := startEntry(newLeader(1, &msgs.Ping{Epoch: 1, Entries: others, Leaving: true, Yield: true}))
+		Eventually(func() bool { return connect(addr, msgs.Hello{Node: "agent"}).Leading }, time.Second, "20ms").Should(BeTrue())
+	})
+})
+
 var _ = Describe("An entry whose leader recovers", func() {
 	// The takeover was due 200 ms after the first ping.
 	It("does not replace it", func() {
@@ -196,6 +207,33 @@
 	})
 })
 
+var _ = Describe("A leader that stops", func() {
+	It("asks the entry with the most processors to lead", func() {
+		e, addr := startEntry(nil)
+		Expect(ask(e, "a").Code).To(Equal(codes.JobNotFound), "it leads")
+		asked := map[float64]func() bool{}
+		for _, processors := range []float64{0.11, 0.8, 0.4} {
+			conn, w, err := peer.Connect(context.Background(), addr, msgs.Hello{Node: "other", Entry: true, Processors: processors})
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(conn.Close)
+			Expect(w.Leading).To(BeTrue())
+			asked[processors] = func() bool {
+				for {
+					m, err := conn.Receive(responseTimeout)
+					Expect(err).NotTo(HaveOccurred())
+					if m.Ping != nil && m.Ping.Leaving {
+						return m.Ping.Yield
+					}
+				}
+			}
+		}
+		e.Shutdown()
+		for processors, yield := range asked {
+			Expect(yield()).To(Equal(processors == 0.8), "%g processors", processors)
+		}
+	})
+})
+
 // The store was away for 2 s. When it returned, another entry claimed before the leader had
 // repeated its append, and no job was accepted until that entry had loaded the state.
 var _ = Describe("An entry whose leader waits for the store", func() {
--- a/internal/run/entry/leading.go
+++ b/internal/run/entry/leading.go
@@ -161,20 +161,22 @@
 		if cfg != nil && cfg.Version > c.config {
 			p.Config, c.config = cfg, cfg.Version
 		}
-		if c == best && elect.ShouldYield(e.cfg.Processors, c.processors, now.Sub(e.leadingSince), e.leader.StoreWait(now)) {
+		if c == best && (p.Leaving || elect.ShouldYield(e.cfg.Processors, c.processors, now.Sub(e.leadingSince), e.leader.StoreWait(now))) {
 			p.Yield = true
-			e.log.Info("asked an entry with more processors to lead", "peer", c.node, "processors", e.cfg.Processors, "peerProcessors", c.processors, "epoch", e.epoch)
+			e.log.Info("asked another entry to lead", "peer", c.node, "leaving", p.Leaving, "processors", e.cfg.Processors, "peerProcessors", c.processors, "epoch", e.epoch)
 		}
 		c.conn.Send(&msgs.Message{Ping: p})
 	}
 	return true
 }
 
-// mostProcessors returns the connected entry with the most processors, nil if none is connected.
+// mostProcessors returns the connected entry with the most processors, nil if none is
+// connected. Of several it is the one whose name sorts first, so that successive pings ask the
+// same one.
 func (e *Entry) mostProcessors() *client {
 	var best *client
 	for _, c := range e.conns {
-		if c.entry && (best == nil || c.processors > best.processors) {
+		if c.entry && (best == nil || c.processors > best.processors || (c.processors == best.processors && c.node < best.node)) {
 			best = c
 		}
 	}
--- a/internal/run/entry/takeover.go
+++ b/internal/run/entry/takeover.go
@@ -11,12 +11,15 @@
 )
 
 // takeoverRank returns the number of entries that should claim before this one to replace
-// the leader. Entries with lower addresses go first, unless the leader asked this one alone.
+// the leader: the one that the leader asked, if it leaves, and those with lower addresses.
 func (e *Entry) takeoverRank(p *msgs.Ping) int {
 	if p.Yield {
 		return 0
 	}
 	rank := 0
+	if p.Leaving {
+		rank++
+	}
 	for _, addr := range e.entries {
 		if addr != e.leaderAddr && addr.Compare(e.cfg.Peers) < 0 {
 			rank++
@@ -42,20 +45,30 @@
 	})
 }
 
-// testStore reports whether this entry reaches the store, and records a failure.
+// testStore reports whether the store answers this entry within elect.StoreTestTimeout, and
+// records the outcome.
 func (e *Entry) testStore() bool {
-	reached := e.reachesStore()
-	if !reached {
-		e.postAndWait(func() { e.storeFailedAt = time.Now() })
-	}
-	return reached
-}
-
-// reachesStore reports whether the store answers this entry within
-// elect.StoreTestTimeout.
-func (e *Entry) reachesStore() bool {
 	ctx, cancel := context.WithTimeout(e.ctx, elect.StoreTestTimeout)
 	defer cancel()
 	_, _, err := e.store.Read(ctx, entriesTopic, 0, 0)
-	return err == nil || errors.Is(err, port.ErrStoreTrimmed)
+	if errors.Is(err, port.ErrStoreTrimmed) {
+		err = nil
+	}
+	e.postAndWait(func() { e.storeTested(err) })
+	return err == nil
+}
+
+// storeTested records the outcome of a test of the store.
+func (e *Entry) storeTested(err error) {
+	now := time.Now()
+	switch {
+	case err == nil && e.storeFails:
+		e.log.Info("reaches the store again", "sinceFailed", now.Sub(e.storeFailedAt))
+	case err != nil && !e.storeFails:
+		e.log.Warn("does not reach the store", "epoch", e.epoch, "leader", e.leaderAddr.String(), "err", err)
+	}
+	e.storeFails = err != nil
+	if e.storeFails {
+		e.storeFailedAt = now
+	}
 }
