lead: a new leader learns the speeds of the runs that it takes over

The new leader took every best-effort run for unlimited. A run that used 1.4 cores at a speed limit of 20 % counted as one that needs no more, so its limit was set to most of that, which raised it several times over. Runs that the earlier leader had paused stayed paused until the new one paused them itself, or moved them. - The speed of a run that a leader takes over follows from the processors that it uses. - Latencies of tasks that it takes over count from the first report, not 2 s later. - Run times that began under an earlier leader are not learned: a step's other runs seemed slow beside the time since the change, and were moved. Each has a test that is red without it. The test that estimates are restored ran at a load at which a heavy task does not overload the long-running one; it passed since the load was not learned for 2 s. It now runs at 0.4, where it does, and checks as before. Ruled out: the change of leader itself (20 ms from claim to leading).

--- a/internal/jobs/lead/interference.go
+++ b/internal/jobs/lead/interference.go
@@ -98,12 +98,15 @@
 	}
 	for _, status := range statuses {
 		r := v.runs[runKey{status.Task, status.Run}]
-		if r != nil && r.step.LatencyTarget > 0 && status.Measurement > 0 && now.Sub(r.since) > latencyWarmup {
+		if r != nil && r.step.LatencyTarget > 0 && status.Measurement > 0 && r.warmedUp(now) {
 			in.updateEstimates(now, r, float64(status.Measurement), shares)
 		}
 	}
 }
 
+// warmedUp reports whether the latency of a long-running run is that of normal operation.
+func (r *run) warmedUp(now time.Time) bool { return r.restored || now.Sub(r.since) > latencyWarmup }
+
 // coresUsed returns the processors that a best-effort run uses.
 func coresUsed(status msgs.RunStatus) float64 { return float64(status.Measurement) / 1000 }
 
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -127,7 +127,8 @@
 				}
 			}
 			v.info.Incarnation = max(v.info.Incarnation, p.Run.Incarnation)
-			v.add(e, p.Ref, p.Run, now)
+			r := v.add(e, p.Ref, p.Run, now)
+			r.restored, r.speedUnknown = true, r.step.BestEffort
 		}
 	}
 }
--- a/internal/jobs/lead/learned_test.go
+++ b/internal/jobs/lead/learned_test.go
@@ -14,9 +14,14 @@
 )
 
 var _ = Describe("The estimates of a leader", func() {
+	// baseLoad leaves long-running tasks too little headroom for a heavy best-effort task.
+	const baseLoad = 0.4
+	// lowLoad leaves them enough for one.
+	const lowLoad = 0.1
+
 	// takeOver replaces the leader by a new one that starts from the records, with or without
 	// the recorded estimates.
-	takeOver := func(c *colocation, restore bool) *colocation {
+	takeOver := func(c *colocation, restore bool, baseLoad float64) *colocation {
 		state, faults := table.Load(c.records)
 		Expect(faults).To(BeEmpty())
 		c.leader = lead.New(c.now, epoch+1, state, model.Config{}, slog.New(slog.DiscardHandler))
@@ -25,7 +30,7 @@
 			Expect(c.leader.RestoreEstimates(c.now, c.records)).To(Succeed())
 		}
 		for n := range c.vms {
-			c.requestLease(n, true, c.statuses(n, 0.3)...)
+			c.requestLease(n, true, c.statuses(n, baseLoad)...)
 		}
 		c.advance(time.Second)
 		c.applyOrders()
@@ -38,13 +43,13 @@
 		c := newColocation(4, highRequest)
 		c.applyOrders()
 		c.submit(2, "heavy", 2)
-		c.simulate(0.3, 8*time.Second)
+		c.simulate(baseLoad, 8*time.Second)
 		c.submit(5, "light", 1)
-		c.simulate(0.3, 4*time.Second)
-		c = takeOver(c, restore)
+		c.simulate(baseLoad, 4*time.Second)
+		c = takeOver(c, restore, baseLoad)
 		before := c.count("heavy")
 		c.submit(4, "heavy", 4)
-		c.simulate(0.3, belowMaxIdle)
+		c.simulate(baseLoad, belowMaxIdle)
 		return c.count("heavy") - before
 	}
 
@@ -53,6 +58,21 @@
 		Expect(heavyStartsAfter(false)).To(BeNumerically(">", 0))
 	})
 
+	// The new leader ignored the latencies of running tasks for 2 s, as if they had just started.
+	It("include those of the load of running tasks from its first report on", func() {
+		c := newColocation(4, highRequest)
+		c.applyOrders()
+		c.submit(2, "heavy", 2)
+		c.simulate(lowLoad, 8*time.Second)
+		c.submit(5, "light", 1) // estimates are recorded together with changes of jobs
+		c.simulate(lowLoad, 400*time.Millisecond)
+		takeOver(c, true, lowLoad)
+		before := c.count("heavy")
+		c.submit(4, "heavy", 2)
+		c.simulate(lowLoad, 400*time.Millisecond)
+		Expect(c.count("heavy")).To(BeNumerically(">", before))
+	})
+
 	DescribeTable("are rejected if the record is invalid", func(value string, err bool) {
 		h := newHarness()
 		got := h.leader.RestoreEstimates(h.now, []port.Record{{Key: "learned", Value: []byte(value)}})
--- a/internal/jobs/lead/move_test.go
+++ b/internal/jobs/lead/move_test.go
@@ -1,6 +1,9 @@
 package lead_test
 
 import (
+	"log/slog"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -8,11 +11,66 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/ebonyarch/ebonyarch/internal/jobs/lead"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/table"
 	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 )
 
+// A new leader took the time since it took a run over for the run time, so that the other runs
+// of the step seemed slow.
+var _ = Describe("Runs that were started under an earlier leader", func() {
+	It("are not moved because another one of their step ends soon after the change of leader", func() {
+		h := newHarness()
+		const vms = 3
+		for n := range vms {
+			h.join(n)
+		}
+		step := model.Step{Tasks: 2, Size: place.Resources{CPU: 2000, Memory: 1000}, Estimate: 10 * time.Second, MaxPerVM: 1}
+		j := job(1, step)
+		h.request(msgs.Submit, j, j.ID)
+		h.advance(100 * time.Millisecond)
+		runs := startedRuns(h)
+		Expect(runs).To(HaveLen(2))
+		state, faults := table.Load(h.records)
+		Expect(faults).To(BeEmpty())
+		h.leader = lead.New(h.now, epoch+1, state, model.Config{}, slog.New(slog.DiscardHandler))
+		first := slices.Min(slices.Collect(maps.Keys(runs)))
+		for n := range vms {
+			h.join(n, runs[n]...)
+		}
+		h.leader.Handle(h.now, uint64(firstAgentConn+first), &msgs.Message{Report: &msgs.Report{
+			VM: vmInfo(first).ID, Incarnation: vmInfo(first).Incarnation,
+			Ends: []msgs.RunEnd{{Number: 1, Task: runs[first][0].Task, Run: 1, Outcome: msgs.Done}},
+		}})
+		delete(runs, first)
+		for round := range 5 {
+			for n := range vms {
+				for i := range runs[n] {
+					runs[n][i].Percent = 40 + 4*round
+				}
+				h.requestLease(n, false, runs[n]...)
+			}
+			h.advance(400 * time.Millisecond)
+		}
+		Expect(h.stops()).To(BeEmpty())
+	})
+})
+
+// startedRuns returns the runs that were ordered, by the number of the VM.
+func startedRuns(h *harness) map[int][]msgs.RunStatus {
+	runs := map[int][]msgs.RunStatus{}
+	for _, o := range h.orders() {
+		n, err := strconv.Atoi(strings.TrimPrefix(o.VM, "vm-"))
+		Expect(err).NotTo(HaveOccurred())
+		for _, s := range o.Starts {
+			runs[n] = append(runs[n], msgs.RunStatus{Task: s.Task, Run: s.Run, Percent: 10})
+		}
+	}
+	return runs
+}
+
 var _ = Describe("Runs without progress", func() {
 	// In a large fleet many runs are slow at a time, and one of them makes a whole step late.
 	It("are moved in proportion to the fleet, those of jobs that can be on time first", func() {
@@ -29,14 +87,7 @@
 			h.request(msgs.Submit, j, j.ID)
 		}
 		h.advance(100 * time.Millisecond)
-		runs := map[int][]msgs.RunStatus{}
-		for _, o := range h.orders() {
-			n, err := strconv.Atoi(strings.TrimPrefix(o.VM, "vm-"))
-			Expect(err).NotTo(HaveOccurred())
-			for _, s := range o.Starts {
-				runs[n] = append(runs[n], msgs.RunStatus{Task: s.Task, Run: s.Run, Percent: 10})
-			}
-		}
+		runs := startedRuns(h)
 		Expect(runs).To(HaveLen(vms))
 		var stops []msgs.Stop
 		for round := 0; round < 8 && len(stops) == 0; round++ {
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -99,6 +99,7 @@
 		}
 		l.table.Checkpoint(r.ref, status.Run, status.Checkpoint)
 	}
+	v.estimateSpeeds(req.Runs)
 	l.interference.observe(now, v, req.Runs)
 	l.updateProgress(now, v, req.Runs)
 	orders := &msgs.Orders{Epoch: l.epoch, VM: v.info.ID, Incarnation: v.info.Incarnation, Stops: stops}
@@ -198,10 +199,16 @@
 		l.releaseGang(r)
 	}
 	if r != nil {
-		v.health.runEnded(now, r, outcome, l.durations.expect(r.entry, r.ref.Step))
+		expected := l.durations.expect(r.entry, r.ref.Step)
+		if r.restored {
+			expected = 0
+		}
+		v.health.runEnded(now, r, outcome, expected)
 		switch outcome {
 		case msgs.Done:
-			l.durations.noteDone(r.entry, r.ref.Step, now.Sub(r.since))
+			if !r.restored {
+				l.durations.noteDone(r.entry, r.ref.Step, now.Sub(r.since))
+			}
 		case msgs.Failed:
 			l.durations.noteFailed(r.ref, v.info.ID)
 		}
--- a/internal/jobs/lead/throttle.go
+++ b/internal/jobs/lead/throttle.go
@@ -115,6 +115,20 @@
 // requestedCores returns the processors that a run requests.
 func (r *run) requestedCores() float64 { return float64(r.step.Size.CPU) / 1000 }
 
+// estimateSpeeds estimates the speed limits that an earlier leader ordered for the VM's runs
+// from the processors that they use. Runs that it had paused would stay so otherwise.
+func (v *vm) estimateSpeeds(statuses []msgs.RunStatus) {
+	for _, status := range statuses {
+		if r := v.runs[runKey{status.Task, status.Run}]; r != nil && r.speedUnknown {
+			r.speedLimit = min(int(fullSpeed*coresUsed(status)/max(r.requestedCores(), minCores)), fullSpeed)
+			r.speedUnknown = false
+		}
+	}
+}
+
+// minCores is the least number of requested processors that a speed is related to.
+const minCores = 0.001
+
 // fullSpeedCores returns the processors that a best-effort run would use at full speed,
 // extrapolated from those that it uses at its present speed limit.
 func (r *run) fullSpeedCores(cores float64) float64 {
--- a/internal/jobs/lead/throttle_test.go
+++ b/internal/jobs/lead/throttle_test.go
@@ -1,6 +1,7 @@
 package lead_test
 
 import (
+	"log/slog"
 	"maps"
 	"time"
 
@@ -8,8 +9,10 @@
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/types"
 
+	"github.com/ebonyarch/ebonyarch/internal/jobs/lead"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/table"
 	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 )
 
@@ -44,6 +47,29 @@
 		return reportRuns(h, latency, cpu, d, "0000000000000002.0.0.0", "0000000000000002.0.0.1")
 	}
 
+	// A new leader took runs for unlimited that an earlier one had paused. They stayed so until
+	// the new leader paused them itself.
+	It("resume under a new leader if they were paused by an earlier one", func() {
+		h := newHarness()
+		h.join(0)
+		for n, s := range []model.Step{longRunning, bestEffort} {
+			j := job(n+1, s)
+			h.request(msgs.Submit, j, j.ID)
+		}
+		h.advance(3 * time.Second)
+		Expect(reportLatency(h, 400, 3000, 3200*time.Millisecond)).To(HaveEach(BeZero()))
+		state, faults := table.Load(h.records)
+		Expect(faults).To(BeEmpty())
+		h.leader, h.out = lead.New(h.now, epoch+1, state, model.Config{}, slog.New(slog.DiscardHandler)), nil
+		h.join(0,
+			msgs.RunStatus{Task: "0000000000000001.0.0.0", Run: 1, Percent: 100, Measurement: 30},
+			msgs.RunStatus{Task: "0000000000000002.0.0.0", Run: 1, Percent: 5},
+			msgs.RunStatus{Task: "0000000000000002.0.0.1", Run: 1, Percent: 5})
+		resumed := reportLatency(h, 30, 0, time.Second)
+		maps.Copy(resumed, reportLatency(h, 30, 3000, 3*time.Second))
+		Expect(resumed).To(And(HaveLen(2), HaveEach(Equal(100))))
+	})
+
 	It("are paused before it has been over its target for 4 s, and resume afterwards", func() {
 		h := newHarness()
 		h.join(0)
--- a/internal/jobs/lead/vm.go
+++ b/internal/jobs/lead/vm.go
@@ -48,13 +48,17 @@
 	number uint32
 	// incarnation is the worker incarnation that the run belongs to.
 	incarnation int64
-	// since is when this leader assigned the run or took it over.
-	since time.Time
-	step  *model.Step
+	// since is when this leader assigned the run or took it over. restored is set if it took
+	// the run over, so that the time of its start is unknown.
+	since    time.Time
+	restored bool
+	step     *model.Step
 	// stopped is set once the order to stop the run was given.
 	stopped bool
-	// speedLimit is the latest speed limit ordered for the run, in percent.
-	speedLimit int
+	// speedLimit is the latest speed limit ordered for the run, in percent. speedUnknown is
+	// set while an earlier leader may have ordered another one.
+	speedLimit   int
+	speedUnknown bool
 	// ticket is the advisor's permission to run on the VM, if the queue needs one.
 	ticket string
 	// drainingBacklog is set while a long-running run works through the queue that built
