--- a/internal/jobs/lead/harness_test.go
+++ b/internal/jobs/lead/harness_test.go
@@ -32,13 +32,19 @@
 }
 
 func newHarness(records ...port.Record) *harness {
-	h := &harness{now: time.Unix(1000, 0)}
-	state, faults := table.Load(records)
-	Expect(faults).To(BeEmpty())
-	h.leader = lead.New(h.now, epoch, state, model.Config{}, slog.New(slog.DiscardHandler))
+	h := &harness{now: time.Unix(1000, 0), records: records}
+	h.lead(epoch)
 	return h
 }
 
+// lead lets a new leader take over with the records in the store. Messages of the earlier one
+// that were not collected are lost.
+func (h *harness) lead(epoch uint64) {
+	state, faults := table.Load(h.records)
+	Expect(faults).To(BeEmpty())
+	h.leader, h.out = lead.New(h.now, epoch, state, model.Config{}, slog.New(slog.DiscardHandler)), nil
+}
+
 // join sends the first lease request of VM n's agent, which lists its runs.
 func (h *harness) join(n int, runs ...msgs.RunStatus) { h.requestLease(n, true, runs...) }
 
--- a/internal/jobs/lead/learned_test.go
+++ b/internal/jobs/lead/learned_test.go
@@ -1,15 +1,11 @@
 package lead_test
 
 import (
-	"log/slog"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/ebonyarch/ebonyarch/internal/jobs/lead"
-	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
-	"github.com/ebonyarch/ebonyarch/internal/jobs/table"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 )
 
@@ -22,10 +18,8 @@
 	// takeOver replaces the leader by a new one that starts from the records, with or without
 	// the recorded estimates.
 	takeOver := func(c *colocation, restore bool, baseLoad float64) *colocation {
-		state, faults := table.Load(c.records)
-		Expect(faults).To(BeEmpty())
-		c.leader = lead.New(c.now, epoch+1, state, model.Config{}, slog.New(slog.DiscardHandler))
-		c.out, c.overTarget = nil, 0
+		c.lead(epoch + 1)
+		c.overTarget = 0
 		if restore {
 			Expect(c.leader.RestoreEstimates(c.now, c.records)).To(Succeed())
 		}
--- a/internal/jobs/lead/move_test.go
+++ b/internal/jobs/lead/move_test.go
@@ -1,7 +1,6 @@
 package lead_test
 
 import (
-	"log/slog"
 	"maps"
 	"slices"
 	"strconv"
@@ -11,10 +10,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/ebonyarch/ebonyarch/internal/jobs/lead"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
-	"github.com/ebonyarch/ebonyarch/internal/jobs/table"
 	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 )
 
@@ -33,9 +30,7 @@
 		h.advance(100 * time.Millisecond)
 		runs := startedRuns(h)
 		Expect(runs).To(HaveLen(2))
-		state, faults := table.Load(h.records)
-		Expect(faults).To(BeEmpty())
-		h.leader = lead.New(h.now, epoch+1, state, model.Config{}, slog.New(slog.DiscardHandler))
+		h.lead(epoch + 1)
 		first := slices.Min(slices.Collect(maps.Keys(runs)))
 		for n := range vms {
 			h.join(n, runs[n]...)
--- a/internal/jobs/lead/throttle_test.go
+++ b/internal/jobs/lead/throttle_test.go
@@ -1,7 +1,6 @@
 package lead_test
 
 import (
-	"log/slog"
 	"maps"
 	"time"
 
@@ -9,10 +8,8 @@
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/types"
 
-	"github.com/ebonyarch/ebonyarch/internal/jobs/lead"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
-	"github.com/ebonyarch/ebonyarch/internal/jobs/table"
 	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 )
 
@@ -58,9 +55,7 @@
 		}
 		h.advance(3 * time.Second)
 		Expect(reportLatency(h, 400, 3000, 3200*time.Millisecond)).To(HaveEach(BeZero()))
-		state, faults := table.Load(h.records)
-		Expect(faults).To(BeEmpty())
-		h.leader, h.out = lead.New(h.now, epoch+1, state, model.Config{}, slog.New(slog.DiscardHandler)), nil
+		h.lead(epoch + 1)
 		h.join(0,
 			msgs.RunStatus{Task: "0000000000000001.0.0.0", Run: 1, Percent: 100, Measurement: 30},
 			msgs.RunStatus{Task: "0000000000000002.0.0.0", Run: 1, Percent: 5},
