lead: plans of a new leader do not count on the processors of the first reports

A plan counts on 0.85 of the processors that best-effort tasks used recently. After a change of leader VMs report one after the other, and after a loss of power all runs have just begun, so the first samples are near 0, and the mean of ten samples follows slowly: for about a second nearly all jobs were planned to be late. Their runs were throttled first, and others began instead. For the first 1.5 s a plan now counts on the free processors.

--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -56,6 +56,8 @@
 // concurrent use.
 type Leader struct {
 	epoch uint64
+	// since is when the leadership began.
+	since time.Time
 	table *table.Table
 	cfg   model.Config
 	// vms holds the VMs by id.
@@ -104,7 +106,7 @@
 // New returns the state of a leadership that begins at now with the jobs of the store.
 func New(now time.Time, epoch uint64, t *table.Table, cfg model.Config, log *slog.Logger) *Leader {
 	l := &Leader{
-		epoch: epoch, table: t, cfg: cfg, storeConfirmedAt: now, flushedAt: now, prunedAt: now, estimatesSavedAt: now, placementDue: true, log: log,
+		epoch: epoch, since: now, table: t, cfg: cfg, storeConfirmedAt: now, flushedAt: now, prunedAt: now, estimatesSavedAt: now, placementDue: true, log: log,
 		vms: map[string]*vm{}, vmByConn: map[uint64]string{}, vmsByNode: map[string][]*vm{}, pendingReplies: map[model.ID][]pendingReply{},
 		advice: map[plan.StageKey]*stageAdvice{}, idle: map[model.ID]time.Time{},
 	}
--- a/internal/jobs/lead/ontime.go
+++ b/internal/jobs/lead/ontime.go
@@ -16,6 +16,9 @@
 	// recentCoresShare is the share of the processors that best-effort tasks used recently on
 	// which a plan for them counts: a part is used by runs of jobs that will be late.
 	recentCoresShare = 0.85
+	// recentCoresDelay is how long after a change of leader plans count on all free processors
+	// instead: not all VMs have reported yet, and after a loss of power all runs have just begun.
+	recentCoresDelay = 1500 * time.Millisecond
 	// baseValue is the part of a job's value that does not grow with its work, maxValue an
 	// upper bound. Both are relative to a job with the mean work of its queue.
 	baseValue, maxValue = 0.3, 4.0
@@ -180,6 +183,9 @@
 // processors than are free, so plans rely on what they used recently.
 func (p *pass) noteRecentCores() {
 	o := &p.l.onTimePlan
+	if p.now.Sub(p.l.since) < recentCoresDelay {
+		return
+	}
 	if o.recentCores == nil {
 		o.recentCores = map[string]*movingAverage{}
 	}
