run/entry: an entry that did not reach the store tests it until it does

An entry tested the store while its leader waited for it, and kept the outcome when the leader recovered. When a leader left later, all entries but the one that it asked planned no claim, as if the store were still away. Before: the new test red. After: green.

--- a/internal/proof/check/judge.go
+++ b/internal/proof/check/judge.go
@@ -45,7 +45,8 @@
 }
 
 // linearizable reports whether the calls to each object have an order in which step allows each
-// of them, as far as that can be decided within the timeout for each object. step returns the possible states after a call; none if the call is impossible.
+// of them, as far as that can be decided within the timeout for each object. step returns the
+// possible states after a call; none if the call is impossible.
 func linearizable[C call, S comparable](timeout time.Duration, history []C, initial S, step func(state S, c C) []S) bool {
 	byKey := map[string][]porcupine.Operation{}
 	for i, c := range history {
--- a/internal/run/entry/follow.go
+++ b/internal/run/entry/follow.go
@@ -196,7 +196,7 @@
 		cfg := *m.Ping.Config
 		e.wg.Go(func() { e.applyConfig(cfg) }) // applyConfig posts, which would block the event loop if its queue is full
 	}
-	if elect.WaitsForStore(m.Ping) {
+	if elect.WaitsForStore(m.Ping) || e.storeFails {
 		e.wg.Go(func() { e.testStore() })
 	}
 	reason, replace := elect.ShouldReplace(m.Ping, e.leaderSearches.Count(now), now.Sub(e.connectedAt), now.Sub(e.storeFailedAt))
--- a/internal/run/entry/follow_test.go
+++ b/internal/run/entry/follow_test.go
@@ -82,6 +82,14 @@
 
 func (l *leader) addr() netip.AddrPort { return l.listener.Addr().(*net.TCPAddr).AddrPort() }
 
+// trySend sends a ping, unless no process is connected.
+func (l *leader) trySend(p *msgs.Ping) {
+	select {
+	case l.pings <- p:
+	case <-time.After(50 * time.Millisecond):
+	}
+}
+
 // ping sends the further pings until the leader stops.
 func (l *leader) ping(conn *peer.Conn) {
 	for {
@@ -239,7 +247,9 @@
 var _ = Describe("An entry whose leader waits for the store", func() {
 	waiting := &msgs.Ping{Epoch: 1, StoreWait: 2 * time.Second}
 
-	It("leaves it time to try again when the store returns, and then replaces it", func() {
+	// startWithoutStore returns the leader and the address of an entry that has failed to reach
+	// the store while its leader waits for it. The store is back when it returns.
+	startWithoutStore := func() (*leader, netip.AddrPort) {
 		first := newLeader(1)
 		e, addr, store := startEntryWithStore(first)
 		Expect(ask(e, "a").Code).To(Equal(codes.OK))
@@ -251,19 +261,31 @@
 			Expect(ask(e, "b").Code).To(Equal(codes.OK))
 		}
 		end()
+		return first, addr
+	}
+
+	It("leaves it time to try again when the store returns, and then replaces it", func() {
+		first, addr := startWithoutStore()
 		leads := func() bool { return connect(addr, msgs.Hello{Node: "agent"}).Leading }
 		Consistently(func() bool {
 			first.pings <- waiting
 			return leads()
 		}, "500ms", "50ms").Should(BeFalse())
 		Eventually(func() bool {
-			select {
-			case first.pings <- waiting:
-			case <-time.After(50 * time.Millisecond): // the entry has closed the connection
-			}
+			first.trySend(waiting)
 			return leads()
 		}, responseTimeout, "50ms").Should(BeTrue())
 	})
+
+	// It kept the outcome of its last test until it had another reason to test the store.
+	It("notices that the store is back, and may replace a leader that leaves later", func() {
+		first, addr := startWithoutStore()
+		leaving := &msgs.Ping{Epoch: 1, Leaving: true}
+		Eventually(func() bool {
+			first.trySend(leaving)
+			return connect(addr, msgs.Hello{Node: "agent"}).Leading
+		}, responseTimeout, "50ms").Should(BeTrue())
+	})
 })
 
 var _ = Describe("An entry", func() {
