run/entry: a leader that leaves asks no entry that leaves as well

Entries now say in their answers to pings that they are about to stop, by the field that the leader uses. Before: the test that the entry with the most processors is asked, with one more that stops, red. After: green.

--- a/internal/jobs/msgs/member.go
+++ b/internal/jobs/msgs/member.go
@@ -51,7 +51,7 @@
 }
 
 // Ping is the leader's periodic heartbeat to the other entries. They respond with a Ping
-// in which only Epoch is set.
+// in which only Epoch and Leaving are set.
 type Ping struct {
 	_     struct{} `cbor:",toarray"`
 	Epoch uint64
@@ -65,7 +65,7 @@
 	Entries []netip.AddrPort
 	// Config is set if the configuration changed since the last ping.
 	Config *model.Config
-	// Leaving is set if the leader is about to stop.
+	// Leaving is set if the sender is about to stop.
 	Leaving bool
 	// Yield is set if the receiver should take over: it has more processors, or the most of
 	// all entries when the leader leaves.
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -108,8 +108,9 @@
 	node  string
 	entry bool
 	// processors is the number of processors of an entry, possibly a fraction; 0 if
-	// unknown.
+	// unknown. leaving is set if the entry is about to stop.
 	processors float64
+	leaving    bool
 	// config is the version of the configuration that was last sent to it, entries the number
 	// of addresses of entries. Addresses are only added, so that the number tells whether
 	// there are new ones.
--- a/internal/run/entry/follow.go
+++ b/internal/run/entry/follow.go
@@ -189,7 +189,7 @@
 	}
 	e.leaderHeardAt = now
 	if e.leaderConn != nil {
-		e.leaderConn.Send(&msgs.Message{Ping: &msgs.Ping{Epoch: e.epoch}}) // a heartbeat
+		e.leaderConn.Send(&msgs.Message{Ping: &msgs.Ping{Epoch: e.epoch, Leaving: e.stopping.Load()}}) // a heartbeat
 	}
 	e.entries = elect.MergeAddrs(e.entries, e.cfg.Peers, m.Ping.Entries...)
 	if m.Ping.Config != nil {
--- a/internal/run/entry/follow_test.go
+++ b/internal/run/entry/follow_test.go
@@ -216,15 +216,23 @@
 })
 
 var _ = Describe("A leader that stops", func() {
-	It("asks the entry with the most processors to lead", func() {
+	It("asks the entry with the most processors to lead that does not stop as well", func() {
 		e, addr := startEntry(nil)
 		Expect(ask(e, "a").Code).To(Equal(codes.JobNotFound), "it leads")
 		asked := map[float64]func() bool{}
-		for _, processors := range []float64{0.11, 0.8, 0.4} {
+		const stopping = 1.0
+		for _, processors := range []float64{0.11, 0.8, 0.4, stopping} {
 			conn, w, err := peer.Connect(context.Background(), addr, msgs.Hello{Node: "other", Entry: true, Processors: processors})
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(conn.Close)
 			Expect(w.Leading).To(BeTrue())
+			conn.Send(&msgs.Message{Ping: &msgs.Ping{Epoch: w.Epoch, Leaving: processors == stopping}})
+			conn.Send(&msgs.Message{JobRequest: &msgs.JobRequest{Seq: 1, Verb: msgs.State, Job: "a"}})
+			Eventually(func() *msgs.JobResponse {
+				m, err := conn.Receive(responseTimeout)
+				Expect(err).NotTo(HaveOccurred())
+				return m.JobResponse
+			}).ShouldNot(BeNil(), "the messages are handled in order")
 			asked[processors] = func() bool {
 				for {
 					m, err := conn.Receive(responseTimeout)
--- a/internal/run/entry/leading.go
+++ b/internal/run/entry/leading.go
@@ -170,19 +170,28 @@
 	return true
 }
 
-// mostProcessors returns the connected entry with the most processors, nil if none is
-// connected. Of several it is the one whose name sorts first, so that successive pings ask the
-// same one.
+// mostProcessors returns the connected entry with the most processors that is not about to
+// stop, nil if there is none. Of several it is the one whose name sorts first, so that
+// successive pings ask the same one.
 func (e *Entry) mostProcessors() *client {
 	var best *client
 	for _, c := range e.conns {
-		if c.entry && (best == nil || c.processors > best.processors || (c.processors == best.processors && c.node < best.node)) {
+		if c.entry && !c.leaving && (best == nil || c.betterLeader(best)) {
 			best = c
 		}
 	}
 	return best
 }
 
+// betterLeader reports whether c has more processors than another entry, or the same number
+// and a name that sorts before.
+func (c *client) betterLeader(other *client) bool {
+	if c.processors != other.processors {
+		return c.processors > other.processors
+	}
+	return c.node < other.node
+}
+
 // agentCount returns the number of connected agents.
 func (e *Entry) agentCount() int {
 	n := 0
--- a/internal/run/entry/serve.go
+++ b/internal/run/entry/serve.go
@@ -53,15 +53,23 @@
 			return
 		}
 		if leading {
-			e.post(func() {
-				if e.leader != nil && e.conns[conn.ID] != nil {
-					e.leader.Handle(time.Now(), conn.ID, m)
-				}
-			})
+			e.post(func() { e.handlePeerMessage(conn.ID, m) })
 		}
 	}
 }
 
+// handlePeerMessage handles a message from an agent or another entry while this entry leads.
+func (e *Entry) handlePeerMessage(id uint64, m *msgs.Message) {
+	c := e.conns[id]
+	if e.leader == nil || c == nil {
+		return
+	}
+	if m.Ping != nil {
+		c.leaving = m.Ping.Leaving
+	}
+	e.leader.Handle(time.Now(), id, m)
+}
+
 // welcome answers the Hello of a peer and reports whether this entry leads, in which case
 // the connection is registered.
 func (e *Entry) welcome(conn *peer.Conn, h *msgs.Hello) bool {
