--- a/internal/jobs/lead/throttle_test.go
+++ b/internal/jobs/lead/throttle_test.go
@@ -18,6 +18,17 @@
 	longRunning := model.Step{Tasks: 1, LongRunning: true, Image: "s", LatencyTarget: target, Size: place.Resources{CPU: 4000, Memory: 1000}}
 	bestEffort := model.Step{Tasks: 2, BestEffort: true, Image: "f", Size: place.Resources{CPU: 3000, Memory: 1000}, Estimate: time.Minute}
 
+	// start returns a leader with one VM, 3 s after a job of each step was submitted.
+	start := func(steps ...model.Step) *harness {
+		h := newHarness()
+		h.join(0)
+		for n, s := range steps {
+			h.submit(job(n+1, s))
+		}
+		h.advance(3 * time.Second)
+		return h
+	}
+
 	// reportRuns lets the VM report a tail latency in milliseconds, and the processors that each
 	// of the best-effort tasks uses in thousandths, for a while. It returns the latest speed
 	// limits ordered in that time.
@@ -48,13 +59,7 @@
 	// only their own load kept them at 0.65 to 0.8 of these. Two fifths of the VMs took no
 	// best-effort tasks.
 	It("resume when it is clearly below its target, even if its own load stays high", func() {
-		h := newHarness()
-		h.join(0)
-		for n, s := range []model.Step{longRunning, bestEffort} {
-			j := job(n+1, s)
-			h.request(msgs.Submit, j, j.ID)
-		}
-		h.advance(3 * time.Second)
+		h := start(longRunning, bestEffort)
 		reportLatency(h, 40, 0, 2*time.Second)
 		Expect(reportLatency(h, 400, 3000, 3200*time.Millisecond)).To(HaveEach(BeZero()))
 		const highLoad = 105 // 0.7 of the target, in milliseconds
@@ -64,13 +69,7 @@
 	// A new leader took runs for unlimited that an earlier one had paused. They stayed so until
 	// the new leader paused them itself.
 	It("resume under a new leader if they were paused by an earlier one", func() {
-		h := newHarness()
-		h.join(0)
-		for n, s := range []model.Step{longRunning, bestEffort} {
-			j := job(n+1, s)
-			h.request(msgs.Submit, j, j.ID)
-		}
-		h.advance(3 * time.Second)
+		h := start(longRunning, bestEffort)
 		Expect(reportLatency(h, 400, 3000, 3200*time.Millisecond)).To(HaveEach(BeZero()))
 		h.lead(epoch + 1)
 		h.join(0,
@@ -83,13 +82,7 @@
 	})
 
 	It("are paused before it has been over its target for 4 s, and resume afterwards", func() {
-		h := newHarness()
-		h.join(0)
-		for n, s := range []model.Step{longRunning, bestEffort} {
-			j := job(n+1, s)
-			h.request(msgs.Submit, j, j.ID)
-		}
-		h.advance(3 * time.Second)
+		h := start(longRunning, bestEffort)
 		reportLatency(h, 40, 0, 2*time.Second)
 		Expect(reportLatency(h, 400, 3000, 3200*time.Millisecond)).To(And(HaveLen(2), HaveEach(BeZero())))
 		resumed := reportLatency(h, 30, 0, 3*time.Second)
@@ -98,6 +91,15 @@
 		Expect(resumed).To(And(HaveLen(2), HaveEach(Equal(100))), "they no longer interfere with it")
 	})
 
+	// The estimate may be wrong, and a task must not be over its target for longer than that.
+	It("are paused before it has been over its target for 4 s, even if they seem not to interfere", func() {
+		harmless := bestEffort
+		harmless.Size.CPU = 200
+		h := start(longRunning, harmless)
+		reportLatency(h, 40, 200, 2*time.Second)
+		Expect(reportLatency(h, 400, 200, 3200*time.Millisecond)).To(And(HaveLen(2), HaveEach(BeZero())))
+	})
+
 	// A flood of best-effort work beside tasks of which some come near their targets: the value
 	// of a long-running task is that of its size, and work that will be late is worth little.
 	DescribeTable("are throttled before it is over its target", func(cpu int64, stretch float64, want types.GomegaMatcher) {
@@ -147,25 +149,13 @@
 	)
 
 	It("are paused sooner if it is far over its target, since its queue takes long to drain", func() {
-		h := newHarness()
-		h.join(0)
-		for n, s := range []model.Step{longRunning, bestEffort} {
-			j := job(n+1, s)
-			h.request(msgs.Submit, j, j.ID)
-		}
-		h.advance(3 * time.Second)
+		h := start(longRunning, bestEffort)
 		reportLatency(h, 40, 0, 2*time.Second)
 		Expect(reportLatency(h, 1500, 3000, 1600*time.Millisecond)).To(And(HaveLen(2), HaveEach(BeZero())))
 	})
 
 	It("are paused, and no further ones start, even if one noisy measurement is just below the target", func() {
-		h := newHarness()
-		h.join(0)
-		for n, s := range []model.Step{longRunning, bestEffort} {
-			j := job(n+1, s)
-			h.request(msgs.Submit, j, j.ID)
-		}
-		h.advance(3 * time.Second)
+		h := start(longRunning, bestEffort)
 		reportLatency(h, 40, 0, 2*time.Second)
 		speeds := reportLatency(h, 400, 3000, 1600*time.Millisecond)
 		maps.Copy(speeds, reportLatency(h, 130, 3000, 400*time.Millisecond))
