jobs/exec: a restarted agent waits for the earlier process's lease

This is one path to it, found by reading with that question.

Cause: an agent takes a worker for gone when polls fail and the lease has expired. It knew only the deadlines that its own process had sent, so that after a restart the deadline was 0 and the first failed poll (no response within 0.5 s, or 429 or 503 of an unhealthy worker) reported the worker as gone. The leader ended its runs and started the tasks elsewhere at once, while they ran on for up to 4 s under the lease of the earlier process.

Ruled out: the leader's own expiry (4.36 s after its latest answer) holds in this case; the agent's report overrides it.

An agent now also waits for as long as a lease may go on that was extended before it learned of the worker. Workers whose address refuses connections are still given up after 150 ms.

Before: the new test fails with both errors, as the agent reports the worker as gone after the first failed poll. After: it passes.

--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -21,6 +21,9 @@
 	// leaseEndSlack is the time after the end of the worker's lease at which the worker
 	// has certainly stopped all runs.
 	leaseEndSlack = 100 * time.Millisecond
+	// maxEarlierLease is how long after an agent's first knowledge of a worker's incarnation a
+	// lease may go on that an earlier process of the agent extended.
+	maxEarlierLease = msgs.LeaseDuration
 	// noWorkerTimeout is how long connections to the worker's address must have been
 	// refused before the worker's incarnation counts as over.
 	noWorkerTimeout = 150 * time.Millisecond
@@ -46,7 +49,9 @@
 	// before.
 	workerClock   time.Duration
 	workerClockAt time.Time
-	// deadline is the latest end of the lease that was sent to the worker, on the
+	// knownSince is when this process learned of the worker's incarnation.
+	knownSince time.Time
+	// deadline is the latest end of the lease that this process sent to the worker, on the
 	// worker's clock.
 	deadline time.Duration
 	runs     map[runKey]*run
@@ -183,7 +188,7 @@
 	if !a.present {
 		a.present = true
 		a.noWorkerSince = time.Time{}
-		a.workerClock, a.workerClockAt = h.Clock, now
+		a.workerClock, a.workerClockAt, a.knownSince = h.Clock, now, now
 	}
 	if a.vm.Draining && h.VM.Incarnation == a.vm.Incarnation {
 		h.VM.Draining = true // draining is final for an incarnation
@@ -202,7 +207,7 @@
 	a.reset()
 	a.vm.Incarnation = incarnation
 	a.vm.Draining = false
-	a.workerClock, a.workerClockAt = 0, now
+	a.workerClock, a.workerClockAt, a.knownSince = 0, now, now
 	a.synced = false
 }
 
--- a/internal/jobs/exec/lease.go
+++ b/internal/jobs/exec/lease.go
@@ -86,10 +86,13 @@
 }
 
 // leaseExpired reports whether the worker's lease has ended on the worker's clock, even if
-// that clock is slow.
+// that clock is slow and an earlier process of the agent extended the lease.
 func (a *Agent) leaseExpired(now time.Time) bool {
-	passed := time.Duration(float64(now.Sub(a.workerClockAt)) * (1 - maxClockDrift))
-	return a.workerClock+passed > a.deadline+leaseEndSlack
+	passedSince := func(t time.Time) time.Duration {
+		return time.Duration(float64(now.Sub(t)) * (1 - maxClockDrift))
+	}
+	return a.workerClock+passedSince(a.workerClockAt) > a.deadline+leaseEndSlack &&
+		passedSince(a.knownSince) > maxEarlierLease+leaseEndSlack
 }
 
 // EndsStored processes the leader's message that it has stored run ends.
--- /dev/null
+++ b/internal/jobs/exec/restart_test.go
@@ -0,0 +1,49 @@
+package exec_test
+
+import (
+	"log/slog"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ebonyarch/ebonyarch/internal/jobs/exec"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+	"github.com/ebonyarch/ebonyarch/internal/plat/port"
+)
+
+// restart replaces the agent's process by a new one, which knows of the worker and is connected
+// to the leader.
+func (h *harness) restart() {
+	h.agent = exec.New("node-1", slog.New(slog.DiscardHandler))
+	h.heartbeat("vm-1", h.incarnation)
+	Expect(h.agent.LeaderConnected(epoch)).To(BeTrue())
+}
+
+var _ = Describe("A restarted agent", func() {
+	var h *harness
+	BeforeEach(func() { h = newHarness() })
+
+	// The worker's runs go on under the lease of the earlier process, so a leader that is told
+	// that the worker is gone would start their tasks a second time.
+	DescribeTable("does not report a worker as gone while a lease of the earlier process may go on", func(err error) {
+		h.poll(port.PollResult{Running: []msgs.RunStatus{{Task: task, Run: 1, Percent: 10}}})
+		h.restart()
+		for range 30 {
+			h.now = h.now.Add(msgs.LeaseDuration / 30)
+			p, ok := h.agent.Poll(h.now, false)
+			Expect(ok).To(BeTrue())
+			h.agent.Polled(h.now, p, port.PollResult{}, err)
+			for _, m := range h.agent.Messages() {
+				Expect(m.LeaseRequest.VM.Down).To(BeFalse())
+			}
+		}
+		h.now = h.now.Add(time.Second)
+		p, _ := h.agent.Poll(h.now, false)
+		h.agent.Polled(h.now, p, port.PollResult{}, err)
+		Expect(h.agent.VM().ID).To(BeEmpty())
+	},
+		Entry("no response", errNoResponse),
+		Entry("unhealthy worker", port.ErrWorkerUnhealthy),
+	)
+})
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -19,10 +19,8 @@
 )
 
 const (
-	// LeaseDuration is how long a VM's runs may continue after its agent sent a lease
-	// request that the leader granted. It is longer than a restart of the agent takes, so
-	// that the runs survive one.
-	LeaseDuration = 4 * time.Second
+	// LeaseDuration is as in package msgs.
+	LeaseDuration = msgs.LeaseDuration
 	// clockDriftMargin is the fraction by which a worker's clock may run slow, including a
 	// safety margin.
 	clockDriftMargin = 0.04
--- a/internal/jobs/msgs/agent.go
+++ b/internal/jobs/msgs/agent.go
@@ -48,6 +48,11 @@
 	Measurement int
 }
 
+// LeaseDuration is how long a VM's runs may continue after its agent sent a lease request
+// that the leader granted. It is longer than a restart of the agent takes, so that the runs
+// survive one.
+const LeaseDuration = 4 * time.Second
+
 // LeaseRequest asks the leader for a lease and reports what runs on the VM.
 type LeaseRequest struct {
 	_ struct{} `cbor:",toarray"`
