jobs/exec: a refusal says nothing of an earlier start without response

This is one path to it.

Cause: a start gets no response, the agent repeats it, and the worker refuses the second call (429 or 503 of an unhealthy worker, no capacity, ticket, late). The agent let the next poll decide and reported the run as lost if that did not list it. But a call without response may be carried out seconds later, after newer calls, under the same fencing token: the leader had started the task elsewhere by then. Neither a poll nor a refusal rules that out; only a stop that the worker has confirmed does, as after three starts without response.

After such a refusal the agent now stops the run and reports it as lost once the stop is confirmed. A refusal because the run is over is still decided by the next poll: the worker then refuses every start of it.

Before: the new test fails for all four refusals. After: it passes; internal/proof/fleet passes (58.9 s beside other work).

--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -93,6 +93,9 @@
 	// tries is the number of calls made to start the run. It is reset if the worker
 	// refused a call because its fencing token was out of date.
 	tries int
+	// unanswered is set once a call to start the run got no response. The worker may still
+	// carry it out until it has confirmed a stop.
+	unanswered bool
 	// stopping is set once the run is to be stopped.
 	stopping bool
 	// unconfirmedReason is not empty if it is unknown since unconfirmedAt whether the run
--- a/internal/jobs/exec/exec_test.go
+++ b/internal/jobs/exec/exec_test.go
@@ -163,6 +163,25 @@
 		Expect(h.ends()).To(ConsistOf(HaveField("Outcome", msgs.Lost)))
 	})
 
+	// The first start may be carried out after the refusal of the second, while a leader that is
+	// told that the run is lost starts the task elsewhere.
+	DescribeTable("does not report a run as lost if its first start got no response and its second was refused, until a stop is confirmed", func(err error) {
+		h.agent.Started(h.now, h.order(), errNoResponse)
+		h.agent.Started(h.now, h.call(), err)
+		c := h.call()
+		Expect(c.Stop).NotTo(BeNil())
+		h.poll(port.PollResult{})
+		Expect(h.ends()).To(BeEmpty(), "the first start may still be carried out")
+		h.agent.Stopped(h.now, c, nil)
+		h.poll(port.PollResult{})
+		Expect(h.ends()).To(ConsistOf(HaveField("Outcome", msgs.Lost)))
+	},
+		Entry("unhealthy worker", port.ErrWorkerUnhealthy),
+		Entry("no free capacity", port.ErrRunCapacity),
+		Entry("ticket not valid", port.ErrRunTicket),
+		Entry("late", port.ErrRunLate),
+	)
+
 	It("ignores orders of an earlier leader and for another incarnation", func() {
 		start := []msgs.Start{{Task: task, Run: 1}}
 		h.agent.Orders(h.now, &msgs.Orders{Epoch: epoch - 1, VM: "vm-1", Incarnation: h.incarnation, Starts: start})
--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -115,6 +115,9 @@
 	if r == nil || c.Incarnation != a.vm.Incarnation {
 		return
 	}
+	if err != nil && !errors.Is(err, port.ErrRunFenced) && !permanentRefusal(err) {
+		r.unanswered = true
+	}
 	switch {
 	case err == nil:
 		a.started(k, r)
@@ -127,26 +130,30 @@
 			return
 		}
 		a.reportLost(k, err.Error())
-	case permanentRefusal(err):
-		// An earlier try may have started the run, which may even have ended since.
-		if r.tries > 1 || errors.Is(err, port.ErrRunOver) {
-			r.markUnconfirmed(now, err.Error())
-			return
-		}
+	case errors.Is(err, port.ErrRunOver):
+		// An earlier try may have started the run, and it may have ended since.
+		r.markUnconfirmed(now, err.Error())
+	case permanentRefusal(err) && !r.unanswered:
 		a.reportLost(k, err.Error())
 	case r.present:
 	case r.stopping:
+	case permanentRefusal(err):
+		a.abandon(k, r)
 	case r.tries < maxStartTries && a.leaseDeadline(now) > 0:
 		a.log.Info("start was not answered", "task", k.task, "run", k.number, "vm", a.vm.ID, "try", r.tries, "err", err)
 		a.callStart(now, k, retryDelay)
 	default:
-		// The worker may still carry out the order. Once it has confirmed a stop, it will
-		// not.
-		r.stopping = true
-		a.callStop(k, retryDelay)
+		a.abandon(k, r)
 	}
 }
 
+// abandon stops a run of which the worker may still carry out an order to start. Once the
+// worker has confirmed the stop, it will not.
+func (a *Agent) abandon(k runKey, r *run) {
+	r.stopping = true
+	a.callStop(k, retryDelay)
+}
+
 // started records that the worker has confirmed the start of a run.
 func (a *Agent) started(k runKey, r *run) {
 	r.present = true
