jobs/exec: a stop that the worker refused for its fencing token is repeated

Cause: the worker refuses a stop whose fencing token is out of date because the agent has polled it for a later leader meanwhile. The agent dropped such a stop, but the run stayed marked as stopping, so that the later leader's order to stop it caused no call either.

The agent now repeats the stop with its present fencing token until the worker has confirmed it or the run is over. If the worker answers that the run is over, the next poll decides, as after a confirmed stop.

--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -186,10 +186,11 @@
 	}
 	r := a.runs[k]
 	switch {
-	case err == nil && r != nil:
+	case r == nil:
+	case err == nil, errors.Is(err, port.ErrRunOver):
 		r.markUnconfirmed(now, "stopped before it started")
-	case err == nil, errors.Is(err, port.ErrRunOver), errors.Is(err, port.ErrRunFenced), errors.Is(err, port.ErrNoWorker), errors.Is(err, port.ErrWorkerReplaced):
-	case r != nil:
+	default:
+		// If the fencing token was out of date, the next call carries the present one.
 		a.callStop(k, retryDelay)
 	}
 }
