jobs/exec: a start refused for its fencing token does not mean that its run is lost

An earlier start without response may have been carried out, so that the run was present.

The next poll decides now. It begins after the worker has seen the higher token, so a start that comes later is refused.

Before: the new test fails, as the run is reported as lost and listed afterwards. After: it passes.

--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -129,7 +129,7 @@
 			a.callStart(now, k, retryDelay)
 			return
 		}
-		a.reportLost(k, err.Error())
+		r.markUnconfirmed(now, err.Error())
 	case errors.Is(err, port.ErrRunOver):
 		// An earlier try may have started the run, and it may have ended since.
 		r.markUnconfirmed(now, err.Error())
--- a/internal/jobs/exec/stop_test.go
+++ b/internal/jobs/exec/stop_test.go
@@ -53,4 +53,16 @@
 		h.poll(port.PollResult{})
 		Expect(h.ends()).To(ConsistOf(HaveField("Outcome", msgs.Lost)))
 	})
+
+	// The first start was carried out, but its response and the first poll's were lost.
+	It("is not taken for a loss if the worker refused a later start for its fencing token", func() {
+		h.agent.Started(h.now, h.order(), errNoResponse)
+		c := h.call()
+		h.stop()
+		h.agent.LeaderDisconnected()
+		Expect(h.agent.LeaderConnected(h.agent.Epoch() + 1)).To(BeTrue())
+		h.agent.Started(h.now, c, port.ErrRunFenced)
+		h.poll(running)
+		Expect(h.ends()).To(BeEmpty())
+	})
 })
