jobs: a run that was to be stopped is lost only once its stop is confirmed

Its successor polls the worker, which does not list the run, and the leader took it for lost (endUnwanted) and started the task elsewhere. The worker carried out the first start seconds later; the fencing token was the same.

The leader now orders such stops again, and the agent keeps a run that it does not know but is to stop until the worker has confirmed the stop. The worker then rejects the start when it comes, and the agent reports the run as lost. A fencing token for each process of an agent was weighed: it needs a clock or a store that never repeats a value, while the confirmed stop needs neither.

Before: both new tests fail (the leader starts the long-running task in the place of the run, the agent never repeats the stop). After: they pass, and internal/proof/fleet.

--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
@@ -57,12 +58,9 @@
 		r.start = s
 		return
 	}
-	for _, e := range a.ends {
-		if e.Task == s.Task && e.Run == s.Run {
-			return // its end is being reported to the leader
-		}
-	}
 	switch {
+	case a.hasEnd(k):
+		return
 	case a.vm.Draining:
 		a.reportLost(k, "the VM is draining")
 		return
@@ -91,17 +89,28 @@
 	return port.Order{Worker: a.vm.ID, Task: k.task, Run: k.number, FencingToken: a.fencingToken()}
 }
 
-// stop processes an order to stop a run, which may be unknown to the agent.
+// stop processes an order to stop a run. The run may be unknown to this process: the worker may
+// still carry out a start that an earlier one sent, until it has confirmed the stop.
 func (a *Agent) stop(k runKey) {
-	if r := a.runs[k]; r != nil {
-		if r.stopping {
-			return
-		}
-		r.stopping = true
+	r := a.runs[k]
+	switch {
+	case r == nil && a.hasEnd(k):
+		return
+	case r == nil:
+		r = &run{start: msgs.Start{Task: k.task, Run: k.number}}
+		a.runs[k] = r
+	case r.stopping:
+		return
 	}
+	r.stopping = true
 	a.callStop(k, 0)
 }
 
+// hasEnd reports whether the end of a run is being reported to the leader.
+func (a *Agent) hasEnd(k runKey) bool {
+	return slices.ContainsFunc(a.ends, func(e msgs.RunEnd) bool { return e.Task == k.task && e.Run == k.number })
+}
+
 // callStop adds a call that stops a run.
 func (a *Agent) callStop(k runKey, after time.Duration) {
 	order := a.order(k)
--- a/internal/jobs/exec/restart_test.go
+++ b/internal/jobs/exec/restart_test.go
@@ -46,4 +46,18 @@
 		Entry("no response", errNoResponse),
 		Entry("unhealthy worker", port.ErrWorkerUnhealthy),
 	)
+
+	// The earlier process's start got no response and may still be carried out.
+	It("reports a run that it does not know as lost once the worker has confirmed its stop", func() {
+		h.restart()
+		h.grant()
+		h.poll(port.PollResult{})
+		c := h.stop()
+		h.agent.Stopped(h.now, c, errNoResponse)
+		h.poll(port.PollResult{})
+		Expect(h.ends()).To(BeEmpty())
+		h.agent.Stopped(h.now, h.call(), nil)
+		h.poll(port.PollResult{})
+		Expect(h.ends()).To(ConsistOf(And(HaveField("Task", task), HaveField("Outcome", msgs.Lost))))
+	})
 })
--- a/internal/jobs/lead/preempt_test.go
+++ b/internal/jobs/lead/preempt_test.go
@@ -43,4 +43,31 @@
 		h.advance(100 * time.Millisecond)
 		Expect(h.orders()).To(ContainElement(And(HaveField("VM", "vm-1"), HaveField("Stops", HaveLen(1)))))
 	})
+
+	// The worker may still carry out a start that the agent's earlier process sent.
+	It("does not count a run as ended when the restarted agent does not list it, until the agent reports that", func() {
+		h := newHarness()
+		h.join(0)
+		full := smallStep
+		full.Tasks = 8
+		j := job(1, full)
+		h.request(msgs.Submit, j, j.ID)
+		h.advance(100 * time.Millisecond)
+		h.out = nil
+		j = job(2, longRunning)
+		h.request(msgs.Submit, j, j.ID)
+		h.advance(100 * time.Millisecond)
+		stopped := h.orders()[0].Stops[0]
+		h.join(0)
+		h.advance(100 * time.Millisecond)
+		orders := h.orders()
+		Expect(orders).To(HaveLen(1))
+		Expect(orders[0].Stops).To(ConsistOf(stopped))
+		Expect(orders[0].Starts).To(HaveLen(7), "the other runs are to start")
+		h.leader.Handle(h.now, firstAgentConn, &msgs.Message{Report: &msgs.Report{VM: "vm-0", Incarnation: 5, Ends: []msgs.RunEnd{
+			{Task: stopped.Task, Run: stopped.Run, Outcome: msgs.Lost},
+		}}})
+		h.advance(100 * time.Millisecond)
+		Expect(h.starts()).To(ConsistOf(HaveField("Task", "0000000000000002.0.0.0")))
+	})
 })
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -110,7 +110,7 @@
 				orders.Starts = append(orders.Starts, startOf(r))
 			}
 		}
-		l.endUnwanted(now, v, present)
+		orders.Stops = append(orders.Stops, v.absentUnwanted(present)...)
 	}
 	l.send(v.conn, l.throttleBestEffort(now, v, req.Runs))
 	if len(orders.Starts)+len(orders.Stops) > 0 {
@@ -118,14 +118,17 @@
 	}
 }
 
-// endUnwanted ends runs that were to be stopped, or whose job has ended, and that are no
-// longer present.
-func (l *Leader) endUnwanted(now time.Time, v *vm, present map[runKey]bool) {
+// absentUnwanted returns stops for the runs that are not present and that were to be stopped, or
+// whose job has ended. The worker may still carry out a start that an earlier process of the
+// agent sent, so the agent reports such a run as lost once the worker has confirmed the stop.
+func (v *vm) absentUnwanted(present map[runKey]bool) []msgs.Stop {
+	var stops []msgs.Stop
 	for key, r := range v.runs {
 		if !present[key] && (r.stopped || r.entry.State.Ended()) {
-			l.endRun(now, v, key, msgs.Lost, "", "not present after the agent reconnected")
+			stops = append(stops, msgs.Stop{Task: key.task, Run: key.number})
 		}
 	}
+	return stops
 }
 
 // handleReport processes an agent's report of run ends.
