jobs: a restarted agent knows which starts an earlier process may have sent

The earlier process's start could still be carried out.

An order to start now says whether the same leader has given it before. An agent that cannot carry out such an order stops the run and reports it as lost once the worker has confirmed the stop. A later leader's orders need no such care, because the agent has polled the worker with a higher fencing token before.

Before: the new test of the agent fails in all four cases, that of the leader does not compile for want of the field. After: they pass.

--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -58,17 +58,28 @@
 		r.start = s
 		return
 	}
-	switch {
-	case a.hasEnd(k):
+	if a.hasEnd(k) {
 		return
+	}
+	reason := ""
+	switch {
 	case a.vm.Draining:
-		a.reportLost(k, "the VM is draining")
-		return
+		reason = "the VM is draining"
 	case a.leaseDeadline(now) == 0:
-		a.reportLost(k, "the VM has no lease")
+		reason = "the VM has no lease"
+	}
+	if reason != "" && !s.Repeated {
+		a.reportLost(k, reason)
+		return
+	}
+	// A start that an earlier process sent with the same fencing token may have got no response.
+	r := &run{start: s, unanswered: s.Repeated}
+	a.runs[k] = r
+	if reason != "" {
+		a.log.Info("run is not started again", "task", k.task, "run", k.number, "vm", a.vm.ID, "reason", reason)
+		a.abandon(k, r)
 		return
 	}
-	a.runs[k] = &run{start: s}
 	a.callStart(now, k, 0)
 }
 
--- a/internal/jobs/exec/restart_test.go
+++ b/internal/jobs/exec/restart_test.go
@@ -60,4 +60,38 @@
 		h.poll(port.PollResult{})
 		Expect(h.ends()).To(ConsistOf(And(HaveField("Task", task), HaveField("Outcome", msgs.Lost))))
 	})
+
+	// startAgain makes the leader order the start of the run that the earlier process had been
+	// ordered to start.
+	startAgain := func() exec.Call {
+		h.agent.Orders(h.now, &msgs.Orders{Epoch: epoch, VM: "vm-1", Incarnation: h.incarnation, Starts: []msgs.Start{
+			{Task: task, Run: 1, Percent: 100, Repeated: true},
+		}})
+		return h.call()
+	}
+
+	DescribeTable("does not report a run as lost that it cannot start, until the worker has confirmed a stop", func(prepare func(), err error) {
+		h.restart()
+		h.grant()
+		h.poll(port.PollResult{})
+		prepare()
+		c := startAgain()
+		if err != nil {
+			h.agent.Started(h.now, c, err)
+			c = h.call()
+		}
+		Expect(c.Stop).NotTo(BeNil())
+		h.poll(port.PollResult{})
+		Expect(h.ends()).To(BeEmpty(), "the earlier process's start may still be carried out")
+		h.agent.Stopped(h.now, c, nil)
+		h.poll(port.PollResult{})
+		Expect(h.ends()).To(ConsistOf(HaveField("Outcome", msgs.Lost)))
+	},
+		Entry("unhealthy worker", func() {}, port.ErrWorkerUnhealthy),
+		Entry("no free capacity", func() {}, port.ErrRunCapacity),
+		Entry("lease ended", func() { h.now = h.now.Add(2 * lease) }, nil),
+		Entry("draining", func() {
+			h.agent.Heartbeat(h.now, port.Heartbeat{VM: msgs.VM{ID: "vm-1", Incarnation: h.incarnation, Service: "registry", Draining: true}})
+		}, nil),
+	)
 })
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -254,12 +254,14 @@
 		"heard", p.now.Sub(v.lastContact), "epoch", p.l.epoch)
 }
 
-// startOf returns the order to start a run.
+// startOf returns the order to start a run, which the caller gives.
 func startOf(r *run) msgs.Start {
 	t := r.entry.Task(r.ref)
+	repeated := r.ordered
+	r.ordered = true
 	return msgs.Start{
 		Task: r.ref.String(), Run: r.number, Payload: r.entry.Job.Payload, Percent: r.speedLimit,
-		Checkpoint: checkpointOf(r, t), Ticket: r.ticket,
+		Checkpoint: checkpointOf(r, t), Ticket: r.ticket, Repeated: repeated,
 	}
 }
 
--- a/internal/jobs/lead/restart_test.go
+++ b/internal/jobs/lead/restart_test.go
@@ -9,6 +9,23 @@
 	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 )
 
+var _ = Describe("A restarted agent", func() {
+	It("is told which orders to start a run the same leader has given before", func() {
+		h := newHarness()
+		h.join(0)
+		h.submit(job(1, smallStep))
+		h.advance(flushTime)
+		Expect(h.starts()).To(ConsistOf(HaveField("Repeated", false)))
+		h.join(0)
+		h.advance(flushTime)
+		Expect(h.starts()).To(ConsistOf(HaveField("Repeated", true)))
+		h.lead(epoch + 1)
+		h.join(0)
+		h.advance(flushTime)
+		Expect(h.starts()).To(ConsistOf(HaveField("Repeated", false)), "the worker refuses the earlier leader's orders")
+	})
+})
+
 // A restarted worker has no fencing token yet, so it executes orders that were in transit to
 // its earlier incarnation. The leader must keep such a run and not start it a second time.
 // Found by a soak run with seed 304.
--- a/internal/jobs/lead/vm.go
+++ b/internal/jobs/lead/vm.go
@@ -53,6 +53,8 @@
 	since    time.Time
 	restored bool
 	step     *model.Step
+	// ordered is set once this leader has given the order to start the run.
+	ordered bool
 	// stopped is set once the order to stop the run was given.
 	stopped bool
 	// speedLimit is the latest speed limit ordered for the run, in percent. speedUnknown is
--- a/internal/jobs/msgs/agent.go
+++ b/internal/jobs/msgs/agent.go
@@ -159,6 +159,9 @@
 	Ticket string
 	// Percent is the initial speed limit in percent of full speed.
 	Percent int
+	// Repeated is set if the same leader has given the order before, perhaps to an earlier
+	// process of the agent.
+	Repeated bool
 }
 
 // Stop orders the agent to stop a run. A run that has not started never will.
