proof/fleet: orders carried out late while agents restart, workers refuse orders or polls fail

The new list combines late orders with refusals of an unhealthy worker, agents that restart one after the other, polls without response, changes of leader and crashes of workers. In the last, an order that is carried out late ends with the incarnation that received it, as docs/design/platform.md assumes.

--- a/internal/proof/fleet/agent.go
+++ b/internal/proof/fleet/agent.go
@@ -27,12 +27,13 @@
 // Agent is an agent with its worker.
 type Agent struct {
 	// Cut is set while no messages pass between the agent and the entries, Dead while the
-	// agent's process does not run, Silent while the worker does not respond.
-	Cut, Dead, Silent bool
-	Worker            *tasks.Worker
-	world             *World
-	node              string
-	core              *exec.Agent
+	// agent's process does not run, Silent while the worker does not respond, PollsFail while it
+	// sends heartbeats and carries out orders but does not respond to polls.
+	Cut, Dead, Silent, PollsFail bool
+	Worker                       *tasks.Worker
+	world                        *World
+	node                         string
+	core                         *exec.Agent
 	// conn is the number of the connection to entry, 0 if there is none.
 	conn         uint64
 	entry        *Entry
@@ -150,7 +151,7 @@
 		w.After(pollInterval, func() { a.poll(incarnation) })
 		return
 	}
-	if a.Silent {
+	if a.Silent || a.PollsFail {
 		w.After(callTimeout, func() { a.polled(incarnation, p, port.PollResult{}, errCallTimeout) })
 		return
 	}
@@ -186,7 +187,7 @@
 }
 
 // call makes a call to the worker. A random part of the calls, by World.DelayedShare, gets no
-// response and is executed late.
+// response and is executed late, and a part, by World.RefusedShare, is refused.
 func (a *Agent) call(incarnation int, c exec.Call) {
 	w := a.world
 	execute := func() error {
@@ -205,7 +206,14 @@
 		err, delay = errCallTimeout, callTimeout
 	case w.rng.Float64() < w.DelayedShare:
 		err, delay = errCallTimeout, callTimeout
-		w.After(2*time.Second+time.Duration(w.rng.Int64N(int64(10*time.Second))), func() { _ = execute() })
+		worker := a.Worker.Incarnation()
+		w.After(2*time.Second+time.Duration(w.rng.Int64N(int64(10*time.Second))), func() {
+			if !w.OrdersEndWithWorker || worker == a.Worker.Incarnation() {
+				_ = execute()
+			}
+		})
+	case w.RefusedShare > 0 && w.rng.Float64() < w.RefusedShare:
+		err = port.ErrWorkerUnhealthy
 	default:
 		err = execute()
 	}
--- a/internal/proof/fleet/fault.go
+++ b/internal/proof/fleet/fault.go
@@ -64,6 +64,62 @@
 	}},
 }
 
+// LateOrders lists faults that act together with orders that workers carry out late. They are
+// kept apart from Faults because each is a combination by itself.
+var LateOrders = []Fault{
+	{"workers refuse orders", func(w *World) {
+		w.lateOrders(6 * time.Second)
+		w.RefusedShare = 0.4
+		w.After(6*time.Second, func() { w.RefusedShare = 0 })
+	}},
+	{"agents restart", func(w *World) {
+		w.lateOrders(6 * time.Second)
+		w.killAgents(6 * time.Second)
+	}},
+	{"agents restart and workers refuse orders", func(w *World) {
+		w.lateOrders(6 * time.Second)
+		w.killAgents(6 * time.Second)
+		w.RefusedShare = 0.4
+		w.After(6*time.Second, func() { w.RefusedShare = 0 })
+	}},
+	{"agents restart and polls fail", func(w *World) {
+		w.killAgents(6 * time.Second)
+		for i, a := range w.Agents {
+			w.After(time.Duration(i)*700*time.Millisecond, func() { a.PollsFail = true })
+			w.After(time.Duration(i)*700*time.Millisecond+2500*time.Millisecond, func() { a.PollsFail = false })
+		}
+	}},
+	{"leaders and agents restart", func(w *World) {
+		w.lateOrders(6 * time.Second)
+		w.killAgents(6 * time.Second)
+		for i := range 4 {
+			w.After(time.Duration(i)*1300*time.Millisecond, func() { w.Leader().Kill(time.Second) })
+		}
+	}},
+	{"workers crash and agents restart", func(w *World) {
+		w.OrdersEndWithWorker = true
+		w.lateOrders(6 * time.Second)
+		w.killAgents(6 * time.Second)
+		for i, a := range w.Agents {
+			w.After(time.Duration(i)*900*time.Millisecond, func() { a.Crash(400 * time.Millisecond) })
+		}
+	}},
+}
+
+// lateOrders makes a part of the orders go without response and be carried out late, for d.
+func (w *World) lateOrders(d time.Duration) {
+	w.DelayedShare = 0.3
+	w.After(d, func() { w.DelayedShare = 0 })
+}
+
+// killAgents kills one agent after the other for a short time each, for d.
+func (w *World) killAgents(d time.Duration) {
+	const interval, downtime = 310 * time.Millisecond, 200 * time.Millisecond
+	for i := range int(d / interval) {
+		w.After(time.Duration(i)*interval, func() { w.Agents[i%len(w.Agents)].Kill(downtime) })
+	}
+}
+
 // ScheduleWorkload schedules the jobs of a world. Together they need more than the VMs'
 // capacity, and some are cancelled.
 func (w *World) ScheduleWorkload() {
--- a/internal/proof/fleet/fleet_test.go
+++ b/internal/proof/fleet/fleet_test.go
@@ -55,6 +55,16 @@
 		})
 	}
 
+	for _, f := range fleet.LateOrders {
+		It("survive orders that are carried out late while "+f.Name, func() {
+			for i := range 12 {
+				t := time.Second + time.Duration(i)*477*time.Millisecond
+				w := run(uint64(i+1), at(t, f))
+				Expect(w.Check()).To(BeEmpty(), "seed %d, at %s", i+1, t)
+			}
+		})
+	}
+
 	It("survive pairs of overlapping faults", func() {
 		for i, a := range fleet.Faults {
 			for j, b := range fleet.Faults {
--- a/internal/proof/fleet/world.go
+++ b/internal/proof/fleet/world.go
@@ -40,6 +40,11 @@
 	// DelayedShare is the fraction of orders to workers that get no response and are executed
 	// 2 to 12 s later.
 	DelayedShare float64
+	// OrdersEndWithWorker is set if an order that is executed late is dropped when the worker's
+	// incarnation that received it has ended.
+	OrdersEndWithWorker bool
+	// RefusedShare is the fraction of the other orders that workers refuse as unhealthy.
+	RefusedShare float64
 	Entries      []*Entry
 	Agents       []*Agent
 	Callers      Callers
