base/codec: an array of an earlier version, which lacks its last fields, is decoded

New fields are added at the end of the types that are encoded as arrays so that old records and the messages of other versions stay readable. The CBOR library refuses an array of another length than the struct, however ("cannot decode CBOR array to struct with different number of elements"), so the field that orders to start a run have got could not be left out.

UnmarshalArray fills up a shorter array with absent values. Types that got fields call it; longer arrays are still refused.

--- a/internal/base/codec/codec.go
+++ b/internal/base/codec/codec.go
@@ -3,7 +3,9 @@
 package codec
 
 import (
+	"errors"
 	"io"
+	"reflect"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -22,6 +24,32 @@
 // Unmarshal decodes one value.
 func Unmarshal(data []byte, v any) error { return cbor.Unmarshal(data, v) }
 
+// UnmarshalArray decodes a value of a struct type that is encoded as an array. The array may be
+// shorter than the struct, because an earlier version encoded it: the fields at the end that it
+// lacks get their zero values. v must be a pointer to a type that does not call UnmarshalArray
+// itself, such as one that is defined as the caller's.
+func UnmarshalArray(data []byte, v any) error {
+	err := cbor.Unmarshal(data, v)
+	if typeErr := (*cbor.UnmarshalTypeError)(nil); !errors.As(err, &typeErr) {
+		return err
+	}
+	var fields []cbor.RawMessage
+	if cbor.Unmarshal(data, &fields) != nil {
+		return err
+	}
+	for want := reflect.TypeOf(v).Elem().NumField() - 1; len(fields) < want; { // the first one holds the tag
+		fields = append(fields, null)
+	}
+	longer, encodeErr := encoding.Marshal(fields)
+	if encodeErr != nil {
+		return err
+	}
+	return cbor.Unmarshal(longer, v)
+}
+
+// null is the encoding of an absent value.
+var null = cbor.RawMessage{0xf6}
+
 // Encoder writes a sequence of values.
 type Encoder = cbor.Encoder
 
--- a/internal/jobs/msgs/agent.go
+++ b/internal/jobs/msgs/agent.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/ebonyarch/ebonyarch/internal/base/codec"
 	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 )
 
@@ -164,6 +165,12 @@
 	Repeated bool
 }
 
+// UnmarshalCBOR implements cbor.Unmarshaler. It also decodes orders of earlier versions.
+func (s *Start) UnmarshalCBOR(data []byte) error {
+	type start Start
+	return codec.UnmarshalArray(data, (*start)(s))
+}
+
 // Stop orders the agent to stop a run. A run that has not started never will.
 type Stop struct {
 	_    struct{} `cbor:",toarray"`
