jobs/table: the failure of a run that was given up counts

The table now keeps the numbers of the latest 16 runs of a task that were given up, in its record, so that also a later leader counts the failure of one, once.

Before: the new test fails. After: it passes, as does the decoding of a record without the new field.

--- /dev/null
+++ b/internal/jobs/table/late_test.go
@@ -0,0 +1,63 @@
+package table_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ebonyarch/ebonyarch/internal/base/codec"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/table"
+)
+
+var _ = Describe("The failure of a run that was given up", func() {
+	It("counts once, and also for a later leader", func() {
+		tbl := &table.Table{}
+		e := tbl.Add(job(model.Step{Tasks: 1}))
+		end := func(n uint32, o msgs.Outcome) bool {
+			_, found := tbl.EndRun(now, ref(0, 0), n, o, "")
+			return found
+		}
+		assign := func() uint32 { return tbl.Assign(e, ref(0, 0), table.Run{VM: "vm-1", Incarnation: 7}).Number }
+		first := assign()
+		Expect(end(first, msgs.Lost)).To(BeTrue())
+		batch, err := tbl.NextBatch(1 << 20)
+		Expect(err).NotTo(HaveOccurred())
+		loaded, errs := table.Load(batch.Records)
+		Expect(errs).To(BeEmpty())
+		tbl, e = loaded, loaded.Get(id)
+		Expect(end(first, msgs.Failed)).To(BeTrue())
+		Expect(end(first, msgs.Failed)).To(BeFalse(), "an end may be reported again")
+		Expect(e.State.Ended()).To(BeFalse())
+		second := assign()
+		Expect(end(second, msgs.Failed)).To(BeTrue())
+		Expect(e.State).To(Equal(table.Failed), "both attempts failed")
+	})
+})
+
+var _ = Describe("A record of an earlier version", func() {
+	It("is loaded, without the runs that were given up", func() {
+		type task struct {
+			_          struct{} `cbor:",toarray"`
+			Done       bool
+			LastRun    uint32
+			Runs       []table.Run
+			Failures   uint16
+			Checkpoint string
+		}
+		type progress struct {
+			_      struct{} `cbor:",toarray"`
+			State  table.State
+			Reason string
+			Tasks  []task
+			Ended  time.Time
+		}
+		data, err := codec.Marshal(&progress{State: table.Running, Tasks: []task{{LastRun: 3, Failures: 1, Checkpoint: "c"}}})
+		Expect(err).NotTo(HaveOccurred())
+		var p table.Progress
+		Expect(codec.Unmarshal(data, &p)).To(Succeed())
+		Expect(p.Tasks).To(ConsistOf(table.Task{LastRun: 3, Failures: 1, Checkpoint: "c"}))
+	})
+})
--- a/internal/jobs/table/runs.go
+++ b/internal/jobs/table/runs.go
@@ -28,9 +28,12 @@
 	return run
 }
 
+// maxGivenUp is the maximum length of Task.GivenUp.
+const maxGivenUp = 16
+
 // EndRun records the end of a run and returns the run. If the table has no such run because
-// it was given up as lost, the end only completes its task. EndRun changes nothing and
-// returns false if the task needs no such end.
+// it was given up as lost, the end only completes its task or counts as its failure. EndRun
+// changes nothing and returns false if the task needs no such end.
 func (tbl *Table) EndRun(now time.Time, ref model.TaskRef, number uint32, outcome msgs.Outcome, checkpoint string) (Run, bool) {
 	e := tbl.entries[ref.Job]
 	if e == nil {
@@ -41,6 +44,9 @@
 		return Run{}, false
 	}
 	i := slices.IndexFunc(t.Runs, func(r Run) bool { return r.Number == number })
+	if i < 0 && outcome == msgs.Failed {
+		return Run{}, tbl.countLateFailure(now, e, ref, number)
+	}
 	if i < 0 {
 		return Run{}, outcome == msgs.Done && tbl.completeLate(now, e, ref, number)
 	}
@@ -50,11 +56,29 @@
 	if checkpoint != "" {
 		t.Checkpoint = checkpoint
 	}
+	if outcome == msgs.Lost {
+		t.GivenUp = append(t.GivenUp, number)
+		t.GivenUp = t.GivenUp[max(0, len(t.GivenUp)-maxGivenUp):]
+	}
 	tbl.markDirty(e)
 	tbl.applyOutcome(now, e, ref, t, outcome)
 	return run, true
 }
 
+// countLateFailure counts the failure of a run that was given up as lost, once. It reports
+// whether it changed the task.
+func (tbl *Table) countLateFailure(now time.Time, e *Entry, ref model.TaskRef, number uint32) bool {
+	t := e.Task(ref)
+	i := slices.Index(t.GivenUp, number)
+	if i < 0 || t.Done || e.State.Ended() {
+		return false
+	}
+	t.GivenUp = slices.Delete(t.GivenUp, i, i+1)
+	tbl.markDirty(e)
+	tbl.countFailure(now, e, e.Stage(ref), t)
+	return true
+}
+
 // completeLate completes a task with a run that was given up as lost and turns out to be done,
 // so that the task does not run again. It reports whether it changed the task.
 func (tbl *Table) completeLate(now time.Time, e *Entry, ref model.TaskRef, number uint32) bool {
--- a/internal/jobs/table/state.go
+++ b/internal/jobs/table/state.go
@@ -1,6 +1,10 @@
 package table
 
-import "time"
+import (
+	"time"
+
+	"github.com/ebonyarch/ebonyarch/internal/base/codec"
+)
 
 // State is a job's state.
 type State uint8
@@ -54,6 +58,15 @@
 	Failures uint16
 	// Checkpoint is the latest one that is known, empty if there is none.
 	Checkpoint string
+	// GivenUp holds the numbers of the latest runs that were given up as lost and whose
+	// failure would still have to be counted.
+	GivenUp []uint32
+}
+
+// UnmarshalCBOR implements cbor.Unmarshaler. It also decodes records of earlier versions.
+func (t *Task) UnmarshalCBOR(data []byte) error {
+	type task Task
+	return codec.UnmarshalArray(data, (*task)(t))
 }
 
 // Run is one start of a task.
