base/logs: lines that are logged while the process stops cause no panic

A call to the worker that was in flight ended after the log writer was closed, and logged that.

Cause: Close closed the channel that Write sends to. Processes do not wait for calls in flight, on purpose, so goroutines may log after Close. Now the channel stays open and later lines are dropped.

Elsewhere: no other channel that several goroutines send to is closed.

--- a/internal/base/logs/logs.go
+++ b/internal/base/logs/logs.go
@@ -18,15 +18,17 @@
 
 // Writer queues lines for another writer. Create it with NewWriter.
 type Writer struct {
+	// queue is never closed, since goroutines that outlive Close may still log.
 	queue   chan []byte
 	dropped atomic.Uint64
-	done    chan struct{}
-	once    sync.Once
+	// closing is closed by Close, done once the queued lines are written after that.
+	closing, done chan struct{}
+	once          sync.Once
 }
 
 // NewWriter returns a writer that queues lines for w.
 func NewWriter(w io.Writer) *Writer {
-	l := &Writer{queue: make(chan []byte, queueLength), done: make(chan struct{})}
+	l := &Writer{queue: make(chan []byte, queueLength), closing: make(chan struct{}), done: make(chan struct{})}
 	go l.run(w)
 	return l
 }
@@ -41,26 +43,41 @@
 	return len(line), nil
 }
 
-// Close writes the queued lines and waits until that is done. Write must not be called
-// after Close.
+// Close writes the queued lines and waits until that is done. Later lines are dropped.
 func (l *Writer) Close() {
-	l.once.Do(func() {
-		close(l.queue)
-		<-l.done
-	})
+	l.once.Do(func() { close(l.closing) })
+	<-l.done
 }
 
-// run writes queued lines to w until Close is called.
+// run writes queued lines to w until Close is called and the queue is empty.
 func (l *Writer) run(w io.Writer) {
 	defer close(l.done)
-	for line := range l.queue {
-		w.Write(line)
-		if n := l.dropped.Swap(0); n > 0 {
-			fmt.Fprintf(w, `{"time":%q,"level":"WARN","msg":"log lines dropped","count":%d}`+"\n", time.Now().Format(time.RFC3339Nano), n)
+	for {
+		select {
+		case line := <-l.queue:
+			l.writeLine(w, line)
+		case <-l.closing:
+			l.drain(w)
+			return
 		}
 	}
 }
 
+// drain writes the lines that are in the queue.
+func (l *Writer) drain(w io.Writer) {
+	for range len(l.queue) {
+		l.writeLine(w, <-l.queue)
+	}
+}
+
+// writeLine writes a line and, if lines were dropped before, their number.
+func (l *Writer) writeLine(w io.Writer, line []byte) {
+	w.Write(line)
+	if n := l.dropped.Swap(0); n > 0 {
+		fmt.Fprintf(w, `{"time":%q,"level":"WARN","msg":"log lines dropped","count":%d}`+"\n", time.Now().Format(time.RFC3339Nano), n)
+	}
+}
+
 // New returns a logger that writes JSON lines to w, with the rate of each message
 // limited.
 func New(w io.Writer, level slog.Level) *slog.Logger {
