proof/fleet: starts before an end is acknowledged are found, and polls that fail after restarts

The witness found only starts after the end of a done run had been acknowledged.

The world with failing polls now has tasks of 2.5 s and restarts of all entries and agents at once: an agent that knows its worker before it has a leader is the case in which an earlier lease was forgotten.

--- a/internal/fake/tasks/witness.go
+++ b/internal/fake/tasks/witness.go
@@ -21,6 +21,8 @@
 	// acknowledged holds the tasks with an acknowledged run end whose outcome is Done.
 	acknowledged map[string]bool
 	starts       map[string]int
+	// lastStart holds the time of the latest start of each task.
+	lastStart map[string]time.Time
 	// Dependencies returns the tasks that must be done before a task starts; if it is nil,
 	// no task depends on another. It must be set before the first run starts.
 	Dependencies func(task string) []string
@@ -71,6 +73,7 @@
 	if x.running == nil {
 		x.running, x.acknowledged = map[string]map[string]uint32{}, map[string]bool{}
 		x.starts, x.finished = map[string]int{}, map[string]bool{}
+		x.lastStart = map[string]time.Time{}
 	}
 }
 
@@ -81,6 +84,7 @@
 	defer x.mu.Unlock()
 	x.init()
 	x.starts[r.task]++
+	x.lastStart[r.task] = now
 	at := now.Format("05.000")
 	if len(x.running[r.task]) > 0 {
 		x.addFault("%s: %s run %d starts on %s while it runs on %v", at, r.task, r.number, w.id, x.running[r.task])
@@ -118,7 +122,8 @@
 	}
 }
 
-// recordAck records that the run ends of a worker up to a number were acknowledged.
+// recordAck records that the run ends of a worker up to a number were acknowledged, and checks
+// that no task with an end whose outcome is Done has started since that end.
 func (x *Witness) recordAck(w *Worker, number int64) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -126,6 +131,10 @@
 	for _, e := range w.ended {
 		if e.Number > w.lastExpiredEnd && e.Number <= number && e.Outcome == msgs.Done {
 			x.acknowledged[e.Task] = true
+			if at := w.endedAt[e.Number]; x.lastStart[e.Task].After(at) {
+				x.addFault("%s run %d was done on %s at %s, but the task started at %s, and the end is acknowledged",
+					e.Task, e.Run, w.id, at.Format("05.000"), x.lastStart[e.Task].Format("05.000"))
+			}
 		}
 	}
 }
--- a/internal/fake/tasks/worker.go
+++ b/internal/fake/tasks/worker.go
@@ -47,6 +47,8 @@
 	lastOver map[string]uint32
 	// ended holds the run ends that were not acknowledged yet, by number.
 	ended []msgs.RunEnd
+	// endedAt holds the times of the incarnation's run ends, by number.
+	endedAt map[int64]time.Time
 	// endCount is the number of run ends of the incarnation.
 	endCount int64
 	// lastExpiredEnd is the number of the last run end before the latest expiry of the lease.
@@ -79,7 +81,7 @@
 		w.witness.ended(now, w.id, r.task, r.number, msgs.Lost)
 	}
 	w.startedAt, w.fencingToken, w.deadline, w.runs, w.ended, w.endCount, w.lastExpiredEnd = now, 0, 0, nil, nil, 0, 0
-	w.lastOver = map[string]uint32{}
+	w.lastOver, w.endedAt = map[string]uint32{}, map[int64]time.Time{}
 	w.Dead = false
 }
 
@@ -128,6 +130,7 @@
 
 func (w *Worker) endRun(now time.Time, r *run, o msgs.Outcome) {
 	w.endCount++
+	w.endedAt[w.endCount] = now
 	w.ended = append(w.ended, msgs.RunEnd{Number: w.endCount, Task: r.task, Run: r.number, Outcome: o})
 	w.lastOver[r.task] = max(w.lastOver[r.task], r.number)
 	w.witness.ended(now, w.id, r.task, r.number, o)
--- a/internal/proof/fleet/callers.go
+++ b/internal/proof/fleet/callers.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"time"
@@ -14,6 +15,9 @@
 // retryInterval is the time after which a caller that found no leader tries again.
 const retryInterval = 200 * time.Millisecond
 
+// defaultTaskTime is the run time of a task unless the world sets another.
+const defaultTaskTime = 700 * time.Millisecond
+
 // Callers submits jobs, cancels some of them and records the responses.
 type Callers struct {
 	world *World
@@ -48,7 +52,7 @@
 		c.jobs, c.bySeq = map[model.ID]*submission{}, map[uint64]*submission{}
 	}
 	q := model.Queue{Name: "assign", Service: "registry", Priority: n % 3, MaxAttempts: 4, Stretch: 2, TargetLatency: time.Second}
-	firstStep := model.Step{Tasks: 4, Size: place.Resources{CPU: 3000, Memory: 8000}, Estimate: 700 * time.Millisecond, Checkpoints: n%2 == 0}
+	firstStep := model.Step{Tasks: 4, Size: place.Resources{CPU: 3000, Memory: 8000}, Estimate: cmp.Or(c.world.TaskTime, defaultTaskTime), Checkpoints: n%2 == 0}
 	secondStep := firstStep
 	secondStep.After, secondStep.MaxPerVM = []int{0}, 2
 	id := model.ID(fmt.Sprintf("%016x", n+1))
--- a/internal/proof/fleet/fault.go
+++ b/internal/proof/fleet/fault.go
@@ -82,12 +82,23 @@
 		w.RefusedShare = 0.4
 		w.After(6*time.Second, func() { w.RefusedShare = 0 })
 	}},
-	{"agents restart and polls fail", func(w *World) {
-		w.killAgents(6 * time.Second)
-		for i, a := range w.Agents {
-			w.After(time.Duration(i)*700*time.Millisecond, func() { a.PollsFail = true })
-			w.After(time.Duration(i)*700*time.Millisecond+2500*time.Millisecond, func() { a.PollsFail = false })
+	{"agents and leaders restart and polls fail", func(w *World) {
+		w.TaskTime = 2500 * time.Millisecond
+		for i := range 10 {
+			a := w.Agents[i%len(w.Agents)]
+			w.After(time.Duration(i)*900*time.Millisecond, func() { a.PollsFail = true; a.Kill(100 * time.Millisecond) })
+			w.After(time.Duration(i)*900*time.Millisecond+1800*time.Millisecond, func() { a.PollsFail = false })
 		}
+		w.After(3*time.Second, func() {
+			for _, e := range w.Entries {
+				e.Kill(1500 * time.Millisecond)
+			}
+			for _, a := range w.Agents {
+				a.PollsFail = true
+				a.Kill(100 * time.Millisecond)
+				w.After(2500*time.Millisecond, func() { a.PollsFail = false })
+			}
+		})
 	}},
 	{"leaders and agents restart", func(w *World) {
 		w.lateOrders(6 * time.Second)
--- a/internal/proof/fleet/world.go
+++ b/internal/proof/fleet/world.go
@@ -45,11 +45,14 @@
 	OrdersEndWithWorker bool
 	// RefusedShare is the fraction of the other orders that workers refuse as unhealthy.
 	RefusedShare float64
-	Entries      []*Entry
-	Agents       []*Agent
-	Callers      Callers
-	rng          *rand.Rand
-	log          *slog.Logger
+	// TaskTime is the run time of the tasks of jobs that are submitted from now on; 0 means
+	// defaultTaskTime.
+	TaskTime time.Duration
+	Entries  []*Entry
+	Agents   []*Agent
+	Callers  Callers
+	rng      *rand.Rand
+	log      *slog.Logger
 	// epoch is the latest epoch that an entry has claimed, perhaps without success.
 	epoch uint64
 	// conns is the number of connections opened so far.
