run/agent: leases count time during which the machine is suspended

A machine may be suspended for seconds, which the monotonic clock of package time does not count. An agent that went on after that took a lease for valid that had ended: it could carry out an order to start a run that it had before, or extend the worker's lease, while the leader had given the VM up 4.36 s after its last answer and started the tasks elsewhere.

The tests of package exec ("starts nothing under a lease that ended while the process was suspended") assume a time that goes on meanwhile; the process did not give them that. It now passes the time by CLOCK_BOOTTIME. The agent compares only times of that clock with each other and uses no time of day.

--- a/internal/run/agent/agent.go
+++ b/internal/run/agent/agent.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/ebonyarch/ebonyarch/internal/base/clock"
 	"github.com/ebonyarch/ebonyarch/internal/conf/proc"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/elect"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/exec"
@@ -92,7 +93,7 @@
 func (a *Agent) update(fn func(now time.Time)) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	fn(time.Now())
+	fn(clock.Now())
 	for _, c := range a.core.Calls() {
 		a.wg.Go(func() { a.call(c) })
 	}
--- a/internal/run/agent/worker.go
+++ b/internal/run/agent/worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/ebonyarch/ebonyarch/internal/base/clock"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/exec"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 )
@@ -64,7 +65,7 @@
 			a.core.Polled(now, poll, result, err)
 			unstoredEnds = a.core.HasUnstoredEnds()
 		})
-		if d := pause.After(time.Now(), err); d > 0 {
+		if d := pause.After(clock.Now(), err); d > 0 {
 			a.pause(d)
 		} else if err == nil && unstoredEnds {
 			a.waitForEndsStored()
@@ -76,7 +77,7 @@
 func (a *Agent) nextPoll() (poll port.Poll, ctx context.Context, cancel context.CancelFunc, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if poll, ok = a.core.Poll(time.Now(), true); !ok {
+	if poll, ok = a.core.Poll(clock.Now(), true); !ok {
 		return poll, nil, nil, false
 	}
 	ctx, cancel = context.WithTimeout(a.ctx, poll.Wait+callTimeout)
