jobs/lead: a new leader's lease of the store counts from before it loads the state

But the first confirmation counted from the end of loading the state, which may take up to 20 s over a narrow link. If another entry claimed meanwhile, the first one granted leases for longer than the other waited.

The confirmation now counts from before the store is asked for the state, which shows the claim.

Before: the new test gets a lease if the earlier time is ignored. After: it passes. The wiring in run/entry has no test of its own.

--- a/internal/jobs/lead/lead_test.go
+++ b/internal/jobs/lead/lead_test.go
@@ -72,6 +72,20 @@
 		Expect(next.starts()).To(And(Not(BeEmpty()), HaveEach(HaveField("Run", uint32(2)))))
 	})
 
+	// Another entry may have claimed meanwhile. It does not wait for leases of a leader that the
+	// store has not confirmed for so long.
+	It("grants no lease after it took long to load the state, until the store has confirmed it", func() {
+		h.leader.SetConfirmed(h.now.Add(-lead.StoreTimeout - time.Second))
+		h.now = h.now.Add(20 * time.Millisecond)
+		h.requestLease(0, true)
+		Expect(h.nextBatch()).To(BeTrue())
+		Expect(h.leases()).To(BeEmpty())
+		h.confirmBatch()
+		h.requestLease(0, false)
+		h.nextBatch()
+		Expect(h.leases()).To(HaveLen(1))
+	})
+
 	It("removes a VM that has not contacted a new leader for 9 s, and starts its tasks elsewhere", func() {
 		h.join(0)
 		h.submit(job(1, smallStep))
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -211,6 +211,10 @@
 	return now.Sub(l.inFlight.sentAt)
 }
 
+// SetConfirmed sets when the store last confirmed the leadership, if that was before New was
+// called: another entry may have claimed since.
+func (l *Leader) SetConfirmed(at time.Time) { l.storeConfirmedAt = at }
+
 // StoreAge returns the time since the latest append that the store confirmed was sent.
 func (l *Leader) StoreAge(now time.Time) time.Duration { return now.Sub(l.storeConfirmedAt) }
 
--- a/internal/run/entry/claim.go
+++ b/internal/run/entry/claim.go
@@ -67,6 +67,9 @@
 	// records are the newest records of jobsTopic, with the jobs and the estimates of
 	// earlier leaders.
 	records []port.Record
+	// confirmedAt is a time before the store was asked for the records, which show that no
+	// later leader had claimed.
+	confirmedAt time.Time
 }
 
 // claim claims the leadership in the epoch after the given one and loads the state. The
@@ -95,6 +98,7 @@
 func (e *Entry) load(c claim, nextSeq uint64) (leadership, error) {
 	ctx, cancel := context.WithTimeout(e.ctx, loadTimeout)
 	defer cancel()
+	confirmedAt := time.Now()
 	records, _, err := e.store.Newest(ctx, jobsTopic)
 	if err != nil {
 		return leadership{}, err
@@ -110,7 +114,7 @@
 	for _, fault := range faults {
 		e.log.Error("skipped a stored record that cannot be decoded", "err", fault)
 	}
-	return leadership{c.Epoch, nextSeq, jobs, records}, nil
+	return leadership{c.Epoch, nextSeq, jobs, records, confirmedAt}, nil
 }
 
 // tryClaim claims the leadership in the epoch after the given one and reports whether that
--- a/internal/run/entry/leading.go
+++ b/internal/run/entry/leading.go
@@ -58,6 +58,7 @@
 		cfg = *p
 	}
 	e.leader = lead.New(now, won.epoch, won.table, cfg, e.log)
+	e.leader.SetConfirmed(won.confirmedAt)
 	if err := e.leader.RestoreEstimates(now, won.records); err != nil {
 		e.log.Warn("cannot restore the estimates of the earlier leader", "err", err)
 	}
