run/entry: a leader whose machine was suspended grants no lease before the store has confirmed it

A leader that wakes after seconds took the store's last confirmation for fresh, as its clock had stopped, and granted a lease to an agent that was still connected to it. A new leader does not wait for leases granted so late.

The entry now compares CLOCK_BOOTTIME with the clock of package time before it handles a message or a step, and the leader moves the store's confirmation back by what that clock left out, also that of an append under way. The entry keeps the clock of package time otherwise, because due times of jobs need the time of day.

Before: the new test gets a lease if either time is not moved. After: it passes. The detection itself is tested only for showing nothing while nothing is suspended.

--- a/internal/base/clock/clock.go
+++ b/internal/base/clock/clock.go
@@ -18,6 +18,18 @@
 // day does not follow adjustments of the machine's clock.
 func Now() time.Time { return startedAt.Add(bootClock() - startReading) }
 
+// Suspended returns for how long the machine has been suspended since the process started, up to
+// a constant.
+func Suspended() time.Duration {
+	for {
+		before := bootClock()
+		running := time.Since(startedAt)
+		if bootClock()-before < time.Millisecond {
+			return before - startReading - running
+		}
+	}
+}
+
 // bootClock returns the time since the machine was started.
 func bootClock() time.Duration {
 	var ts unix.Timespec
--- a/internal/base/clock/clock_test.go
+++ b/internal/base/clock/clock_test.go
@@ -18,7 +18,9 @@
 var _ = Describe("The clock", func() {
 	It("advances with the monotonic clock while the machine is not suspended", func() {
 		first, began := clock.Now(), time.Now()
+		suspended := clock.Suspended()
 		time.Sleep(20 * time.Millisecond)
+		Expect(clock.Suspended() - suspended).To(BeNumerically("~", 0, 2*time.Millisecond))
 		passed, want := clock.Now().Sub(first), time.Since(began)
 		Expect(passed).To(BeNumerically("~", want, 10*time.Millisecond))
 	})
--- a/internal/jobs/lead/lead_test.go
+++ b/internal/jobs/lead/lead_test.go
@@ -86,6 +86,26 @@
 		Expect(h.leases()).To(HaveLen(1))
 	})
 
+	It("grants no lease after it was suspended, until the store has confirmed an append made since", func() {
+		h.join(0)
+		h.submit(job(1, smallStep))
+		h.advance(100 * time.Millisecond)
+		h.submit(job(2, smallStep))
+		Expect(h.nextBatch()).To(BeTrue())
+		h.leases()
+		h.leader.Suspended(lead.StoreTimeout + time.Second)
+		h.requestLease(0, false)
+		h.confirmBatch()
+		h.requestLease(0, false)
+		Expect(h.leases()).To(BeEmpty(), "the append in flight was sent before")
+		h.now = h.now.Add(20 * time.Millisecond)
+		Expect(h.nextBatch()).To(BeTrue())
+		h.confirmBatch()
+		h.requestLease(0, false)
+		h.nextBatch()
+		Expect(h.leases()).To(HaveLen(1))
+	})
+
 	It("removes a VM that has not contacted a new leader for 9 s, and starts its tasks elsewhere", func() {
 		h.join(0)
 		h.submit(job(1, smallStep))
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -215,6 +215,15 @@
 // called: another entry may have claimed since.
 func (l *Leader) SetConfirmed(at time.Time) { l.storeConfirmedAt = at }
 
+// Suspended must be called when the machine was suspended for d, which the caller's clock does
+// not count: what the store confirmed is older by that time.
+func (l *Leader) Suspended(d time.Duration) {
+	l.storeConfirmedAt = l.storeConfirmedAt.Add(-d)
+	if l.inFlight != nil {
+		l.inFlight.sentAt = l.inFlight.sentAt.Add(-d)
+	}
+}
+
 // StoreAge returns the time since the latest append that the store confirmed was sent.
 func (l *Leader) StoreAge(now time.Time) time.Duration { return now.Sub(l.storeConfirmedAt) }
 
--- a/internal/run/entry/claim.go
+++ b/internal/run/entry/claim.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/ebonyarch/ebonyarch/internal/base/clock"
 	"github.com/ebonyarch/ebonyarch/internal/base/codec"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/table"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
@@ -70,6 +71,8 @@
 	// confirmedAt is a time before the store was asked for the records, which show that no
 	// later leader had claimed.
 	confirmedAt time.Time
+	// suspended is the result of clock.Suspended at confirmedAt.
+	suspended time.Duration
 }
 
 // claim claims the leadership in the epoch after the given one and loads the state. The
@@ -98,7 +101,7 @@
 func (e *Entry) load(c claim, nextSeq uint64) (leadership, error) {
 	ctx, cancel := context.WithTimeout(e.ctx, loadTimeout)
 	defer cancel()
-	confirmedAt := time.Now()
+	suspended, confirmedAt := clock.Suspended(), time.Now()
 	records, _, err := e.store.Newest(ctx, jobsTopic)
 	if err != nil {
 		return leadership{}, err
@@ -114,7 +117,7 @@
 	for _, fault := range faults {
 		e.log.Error("skipped a stored record that cannot be decoded", "err", fault)
 	}
-	return leadership{c.Epoch, nextSeq, jobs, records, confirmedAt}, nil
+	return leadership{c.Epoch, nextSeq, jobs, records, confirmedAt, suspended}, nil
 }
 
 // tryClaim claims the leadership in the epoch after the given one and reports whether that
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -92,6 +92,8 @@
 	lastPing time.Time
 	// leadingSince is when this entry became the leader.
 	leadingSince time.Time
+	// suspended is the result of clock.Suspended that the leader knows of.
+	suspended time.Duration
 	// takeover is the plan to replace the leader that this entry follows; takingOver is set
 	// while the claim that results is under way.
 	takeover   elect.Takeover
@@ -222,6 +224,7 @@
 		}
 		return e.takeover.NextWakeup(now.Add(idleInterval))
 	}
+	e.noteSuspended()
 	e.leader.Tick(now)
 	batch, err := e.leader.NextBatch(now)
 	if err != nil {
--- a/internal/run/entry/leading.go
+++ b/internal/run/entry/leading.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/ebonyarch/ebonyarch/internal/base/clock"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/elect"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/lead"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
@@ -57,6 +58,7 @@
 	if p := e.config.Load(); p != nil {
 		cfg = *p
 	}
+	e.suspended = won.suspended
 	e.leader = lead.New(now, won.epoch, won.table, cfg, e.log)
 	e.leader.SetConfirmed(won.confirmedAt)
 	if err := e.leader.RestoreEstimates(now, won.records); err != nil {
@@ -75,6 +77,22 @@
 	e.wg.Go(func() { peer.Announce(e.ctx, entries, h) })
 }
 
+// minSuspended is the least time of a suspension that is noted.
+const minSuspended = 5 * time.Millisecond
+
+// noteSuspended tells the leader if the machine was suspended since the last call. Another entry
+// may lead since then.
+func (e *Entry) noteSuspended() {
+	suspended := clock.Suspended()
+	d := suspended - e.suspended
+	if d < minSuspended {
+		return
+	}
+	e.suspended = suspended
+	e.log.Warn("the machine was suspended", "epoch", e.epoch, "suspended", d, "storeAge", e.leader.StoreAge(time.Now()))
+	e.leader.Suspended(d)
+}
+
 // stopLeading gives up the leadership and closes all connections, so that agents and
 // entries look for the next leader. It does nothing if this entry does not lead.
 func (e *Entry) stopLeading(reason string) {
--- a/internal/run/entry/serve.go
+++ b/internal/run/entry/serve.go
@@ -67,6 +67,7 @@
 	if m.Ping != nil {
 		c.leaving = m.Ping.Leaving
 	}
+	e.noteSuspended()
 	e.leader.Handle(time.Now(), id, m)
 }
 
