jobs/lead: messages on an agent's earlier connection are ignored once it uses a later one

If the agent had reported a run as lost there, the leader had meanwhile ordered the run again, and it ran; the late report let the leader start the task elsewhere as well. A late lease request made the leader send the VM's orders to the earlier connection, where they were lost.

The leader now ignores reports and lease requests on a connection if the VM's agent uses a later one that is open. Connections are numbered in the order in which they were accepted.

--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -17,6 +17,9 @@
 	case req.VM.ID == "":
 		l.sendLease(now, conn, nil, req)
 		return
+	case l.replaced(v, conn):
+		l.log.Info("ignored a lease request on an earlier connection", "vm", req.VM.ID, "life", req.VM.Incarnation)
+		return
 	case v != nil && req.VM.Incarnation < v.info.Incarnation:
 		l.log.Info("ignored a lease request of an earlier incarnation", "vm", req.VM.ID, "life", req.VM.Incarnation, "latest", v.info.Incarnation)
 		return
@@ -51,6 +54,13 @@
 	l.sendLease(now, conn, v, req)
 }
 
+// replaced reports whether the VM's agent has contacted the leader on a later connection that is
+// open. What arrives on the earlier one after that may be out of date: a run that is reported as
+// lost there may have been ordered again since.
+func (l *Leader) replaced(v *vm, conn uint64) bool {
+	return v != nil && conn < v.conn && l.vmByConn[v.conn] == v.info.ID
+}
+
 // adoptRuns assigns the runs that a new incarnation of the worker lists to it: their orders
 // were in transit to the earlier incarnation when the worker was restarted.
 func (v *vm) adoptRuns(req *msgs.LeaseRequest) {
@@ -138,6 +148,10 @@
 		l.log.Info("ignored run ends of another incarnation", "vm", r.VM, "life", r.Incarnation, "ends", len(r.Ends))
 		return
 	}
+	if l.replaced(v, conn) {
+		l.log.Info("ignored run ends on an earlier connection", "vm", r.VM, "life", r.Incarnation, "ends", len(r.Ends))
+		return
+	}
 	var last int64
 	for _, e := range r.Ends {
 		l.noteRefusal(now, v, e)
--- a/internal/jobs/lead/restart_test.go
+++ b/internal/jobs/lead/restart_test.go
@@ -26,6 +26,45 @@
 	})
 })
 
+// The network may deliver what an agent sent on an earlier connection after it has listed its
+// runs on the next one.
+var _ = Describe("A reconnected agent", func() {
+	const task = "0000000000000001.0.0.0"
+	lost := &msgs.Message{Report: &msgs.Report{VM: "vm-0", Incarnation: 5, Ends: []msgs.RunEnd{{Task: task, Run: 1, Outcome: msgs.Lost}}}}
+	var h *harness
+	BeforeEach(func() {
+		h = newHarness()
+		h.join(0)
+		h.submit(job(1, smallStep))
+		h.advance(flushTime)
+		h.seq++
+		h.leader.Handle(h.now, firstAgentConn+1, &msgs.Message{LeaseRequest: &msgs.LeaseRequest{Seq: h.seq, Synced: true, RunsListed: true, VM: vmInfo(0)}})
+		h.advance(flushTime)
+		Expect(h.starts()).To(HaveLen(2))
+	})
+
+	It("loses no run by a report on its earlier connection", func() {
+		h.leader.Handle(h.now, firstAgentConn, lost)
+		h.advance(flushTime)
+		Expect(h.starts()).To(BeEmpty())
+	})
+
+	It("gets its orders on the later connection", func() {
+		h.requestLease(0, false)
+		h.submit(job(2, smallStep))
+		h.advance(flushTime)
+		Expect(h.out).To(ContainElement(And(HaveField("Conn", uint64(firstAgentConn+1)), HaveField("Message.Orders.Starts", HaveLen(1)))))
+	})
+
+	It("is heard on the earlier connection if the later one has ended", func() {
+		h.leader.Disconnected(h.now, firstAgentConn+1)
+		h.leader.Handle(h.now, firstAgentConn, lost)
+		h.join(0)
+		h.advance(flushTime)
+		Expect(h.starts()).To(ConsistOf(HaveField("Run", uint32(2))))
+	})
+})
+
 // A restarted worker has no fencing token yet, so it executes orders that were in transit to
 // its earlier incarnation. The leader must keep such a run and not start it a second time.
 // Found by a soak run with seed 304.
--- a/internal/jobs/lead/vm.go
+++ b/internal/jobs/lead/vm.go
@@ -13,7 +13,7 @@
 type vm struct {
 	// info is the agent's latest description of the VM.
 	info msgs.VM
-	// conn is the agent's connection.
+	// conn is the agent's connection. Later connections have higher numbers.
 	conn uint64
 	// synced is set while the agent is connected and has listed all present runs.
 	synced bool
