jobs/lead: a job whose orders to start are held is not refused any more

Placement assigns the tasks of new jobs before their records are in a batch, and holds the orders until then. If the batch has no room for a job (512 KB) and the store then takes longer than 0.7 s, the leader refused the job and dropped it; the orders counted as stored and left with the next batch.

Such a job now waits for the next batch. Jobs without runs are refused as before.

--- a/internal/jobs/lead/callers.go
+++ b/internal/jobs/lead/callers.go
@@ -87,9 +87,13 @@
 }
 
 // refuseUnrecorded refuses the jobs that no batch contains yet. They have certainly not run,
-// and the store is too slow to accept them in time.
+// and the store is too slow to accept them in time. It keeps those with orders to start runs,
+// which leave with the next batch.
 func (l *Leader) refuseUnrecorded(now time.Time) {
 	for _, e := range l.table.Unrecorded() {
+		if e.RunCount > 0 {
+			continue
+		}
 		id := e.Job.ID
 		pending := l.pendingReplies[id]
 		delete(l.pendingReplies, id)
