jobs: a task that crashes the workers that start it is given up

Callers saw: one task of a job crashed the worker that started it about 10 ms after the start, was lost with it, started elsewhere and crashed the next one, dozens of times.

Cause: the end of a worker's incarnation made all its runs msgs.Lost, which counts nowhere: the leader could not tell a crash at a start from a planned end, a loss of power or a lease that ran out, and no record outlived the run. Ruled out: the agent sees the crash (no process listens, 184 ms later) and the leader hears of it at once.

Now the agent, which alone can witness a crash, reports which unproven runs (less than 0.5 s of work) it had, with each lease request until the leader has stored it. The leader counts by run number, so that repeats, late reports and a new leader change nothing, in the same append as the end of the run. A crash with one possible cause is attributed to it; with several, to the only one that is a suspect already, and the others are excused. A suspect next starts in quarantine: on a VM without other unproven runs, which gets nothing else until the run is proven; at most a quarter of a service's VMs, and a suspect waits for 2 s at most. Two crashes, one of them attributed, or three, or four of any kind fail the job.

Crashes are records of their own (crashes/ID) and own keys of Message: the codec refuses arrays of another length, so new fields of Task or RunStatus would have made the records and messages of the version before undecodable, and the other way round.

Evidence: with the counting switched off in lead.Handle, proof/fleet is red ("start 3 after 3 workers have crashed under it" and more) and so are nine of the specs of lead/crash_test.go; with it, both are green. proof/fleet has the crash as a fault: 24 moments, in pairs with each of the others, 4 further moments with each, 24 with workers that come back under their ids. An innocent job of which two workers crashed may be given up; its witness counts crashes itself.

The fuzz target of table.Load got the new record as a third argument.

--- a/internal/fake/tasks/witness.go
+++ b/internal/fake/tasks/witness.go
@@ -23,6 +23,9 @@
 	starts       map[string]int
 	// lastStart holds the time of the latest start of each task.
 	lastStart map[string]time.Time
+	// crashes counts the crashes of workers that ran a task, startsAfter the starts of a task
+	// that crashes workers after maxCrashes of them.
+	crashes, startsAfter map[string]int
 	// Dependencies returns the tasks that must be done before a task starts; if it is nil,
 	// no task depends on another. It must be set before the first run starts.
 	Dependencies func(task string) []string
@@ -74,6 +77,7 @@
 		x.running, x.acknowledged = map[string]map[string]uint32{}, map[string]bool{}
 		x.starts, x.finished = map[string]int{}, map[string]bool{}
 		x.lastStart = map[string]time.Time{}
+		x.crashes, x.startsAfter = map[string]int{}, map[string]int{}
 	}
 }
 
@@ -99,6 +103,11 @@
 			}
 		}
 	}
+	if r.plan.Crashes && x.crashes[r.task] >= maxCrashes {
+		if x.startsAfter[r.task]++; x.startsAfter[r.task] > maxStartsAfter {
+			x.addFault("%s: %s run %d starts on %s, start %d after %d workers have crashed under it", at, r.task, r.number, w.id, x.startsAfter[r.task], maxCrashes)
+		}
+	}
 	var used place.Resources
 	for _, other := range w.runs {
 		used = used.Plus(other.plan.Size)
@@ -122,6 +131,26 @@
 	}
 }
 
+// A task that crashes the workers that start it may start maxStartsAfter times once maxCrashes
+// workers have crashed under it.
+const maxCrashes, maxStartsAfter = 3, 2
+
+// crashed records that a task crashed the worker of a run.
+func (x *Witness) crashed(r *run) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.init()
+	x.crashes[r.task]++
+}
+
+// Crashes returns the number of workers that crashed under a task because of one beside it, or
+// because of itself.
+func (x *Witness) Crashes(task string) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.crashes[task]
+}
+
 // recordAck records that the run ends of a worker up to a number were acknowledged, and checks
 // that no task with an end whose outcome is Done has started since that end.
 func (x *Witness) recordAck(w *Worker, number int64) {
--- a/internal/fake/tasks/worker.go
+++ b/internal/fake/tasks/worker.go
@@ -15,8 +15,12 @@
 	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 )
 
-// stopDuration is how long a run takes to stop.
-const stopDuration = 100 * time.Millisecond
+const (
+	// stopDuration is how long a run takes to stop.
+	stopDuration = 100 * time.Millisecond
+	// crashDelay is the time from the start of a run that crashes the worker to the crash.
+	crashDelay = 10 * time.Millisecond
+)
 
 // Plan describes how a run of a task behaves.
 type Plan struct {
@@ -27,6 +31,8 @@
 	Work time.Duration
 	// Fails is set if the run fails at the end of its run time.
 	Fails bool
+	// Crashes is set if the run crashes the worker crashDelay after its start.
+	Crashes bool
 }
 
 // Worker is a simulated worker with its successive incarnations. Create it with New.
@@ -85,12 +91,31 @@
 	w.Dead = false
 }
 
+// Replace starts another worker, with its own id, in place of one that has ended.
+func (w *Worker) Replace(now time.Time, id string) {
+	w.Restart(now)
+	w.id = id
+}
+
 // Kill ends the incarnation. No process listens until the next Restart.
 func (w *Worker) Kill(now time.Time) {
 	w.Restart(now)
 	w.Dead = true
 }
 
+// Crash ends the incarnation if a run that crashes the worker has started crashDelay ago, and
+// reports whether it has. No process listens until the next Restart.
+func (w *Worker) Crash(now time.Time) bool {
+	if !slices.ContainsFunc(w.runs, func(r *run) bool { return r.plan.Crashes && now.Sub(r.startedAt) >= crashDelay }) {
+		return false
+	}
+	for _, r := range w.runs {
+		w.witness.crashed(r)
+	}
+	w.Kill(now)
+	return true
+}
+
 // Incarnation returns the number of the incarnation: its start time in Unix milliseconds.
 func (w *Worker) Incarnation() int64 { return w.startedAt.UnixMilli() }
 
--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -59,6 +59,10 @@
 	// number of an end that it has.
 	ends      []msgs.RunEnd
 	storedEnd int64
+	// crashes holds the crashes of workers that the leader has not stored, lastCrash the
+	// number of the latest one. Neither belongs to an incarnation of the worker.
+	crashes   []msgs.Crash
+	lastCrash uint64
 	// pendingRequests holds the send times of lease requests without a response, by
 	// sequence number.
 	pendingRequests map[uint64]time.Time
@@ -72,6 +76,9 @@
 	// pollFailed is set if the latest poll failed. The worker may then have restarted and
 	// numbered its run ends from the start again.
 	pollFailed bool
+	// silentSince is when the first of the latest consecutive failed polls failed, zero if the
+	// latest poll did not fail.
+	silentSince time.Time
 	// calls holds the calls to make, out the messages to send to the leader.
 	calls []Call
 	out   []*msgs.Message
@@ -87,6 +94,13 @@
 type run struct {
 	start  msgs.Start
 	status msgs.RunStatus
+	// orderedAt is when the leader ordered the run, presentSince when the worker first
+	// confirmed it. proven is set once the worker has run it for provenAfter.
+	orderedAt, presentSince time.Time
+	proven                  bool
+	// brokenOff is set if a call to start the run ended with its connection. The worker may have
+	// crashed during the call.
+	brokenOff bool
 	// present is set once the worker has confirmed the start or listed the run, listed
 	// if the result of the latest poll lists it.
 	present, listed bool
@@ -176,6 +190,7 @@
 		a.log.Info("ignored a heartbeat of an earlier incarnation", "vm", h.VM.ID, "life", h.VM.Incarnation, "latest", a.vm.Incarnation)
 		return
 	case known && h.VM.ID != a.vm.ID:
+		a.noteCrash(now)
 		a.workerGone(now, "another worker sent a heartbeat")
 	case known && h.VM.Incarnation > a.vm.Incarnation:
 		a.newIncarnation(now, h.VM.Incarnation)
@@ -206,6 +221,7 @@
 // newIncarnation discards the state of the worker's previous incarnation, of which
 // nothing runs any more.
 func (a *Agent) newIncarnation(now time.Time, incarnation int64) {
+	a.noteCrash(now)
 	a.log.Info("the worker has restarted", "vm", a.vm.ID, "life", incarnation, "before", a.vm.Incarnation, "runs", len(a.runs))
 	a.reset()
 	a.vm.Incarnation = incarnation
@@ -218,7 +234,7 @@
 func (a *Agent) reset() {
 	a.runs = map[runKey]*run{}
 	a.ends, a.storedEnd, a.deadline = nil, 0, 0
-	a.noWorkerSince = time.Time{}
+	a.noWorkerSince, a.silentSince = time.Time{}, time.Time{}
 }
 
 // workerGone reports the worker's incarnation as over and discards its state. The caller
--- a/internal/jobs/exec/lease.go
+++ b/internal/jobs/exec/lease.go
@@ -1,6 +1,7 @@
 package exec
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
@@ -58,7 +59,11 @@
 	a.seq++
 	req.Seq = a.seq
 	a.pendingRequests[req.Seq] = now
-	a.send(&msgs.Message{LeaseRequest: req})
+	m := &msgs.Message{LeaseRequest: req, Crashes: slices.Clone(a.crashes)}
+	if req.RunsListed {
+		m.Unproven = a.unproven()
+	}
+	a.send(m)
 }
 
 // Lease processes the leader's response to a lease request.
--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -1,6 +1,7 @@
 package exec
 
 import (
+	"context"
 	"errors"
 	"slices"
 	"time"
@@ -73,7 +74,7 @@
 		return
 	}
 	// A start that an earlier process sent with the same fencing token may have got no response.
-	r := &run{start: s, unanswered: s.Repeated}
+	r := &run{start: s, orderedAt: now, unanswered: s.Repeated}
 	a.runs[k] = r
 	if reason != "" {
 		a.log.Info("run is not started again", "task", k.task, "run", k.number, "vm", a.vm.ID, "reason", reason)
@@ -140,7 +141,7 @@
 	}
 	switch {
 	case err == nil:
-		a.started(k, r)
+		a.started(now, k, r)
 	case errors.Is(err, port.ErrRunFenced):
 		// Since the call, the agent has connected to a later leader, which expects the run
 		// to start.
@@ -155,6 +156,15 @@
 		r.markUnconfirmed(now, err.Error())
 	case permanentRefusal(err) && !r.unanswered:
 		a.reportLost(k, err.Error())
+	default:
+		r.brokenOff = r.brokenOff || !permanentRefusal(err) && !errors.Is(err, context.DeadlineExceeded)
+		a.retryStart(now, k, r, err)
+	}
+}
+
+// retryStart repeats a start that was not answered, or stops the run after too many tries.
+func (a *Agent) retryStart(now time.Time, k runKey, r *run, err error) {
+	switch {
 	case r.present:
 	case r.stopping:
 	case permanentRefusal(err):
@@ -175,8 +185,11 @@
 }
 
 // started records that the worker has confirmed the start of a run.
-func (a *Agent) started(k runKey, r *run) {
+func (a *Agent) started(now time.Time, k runKey, r *run) {
 	r.present = true
+	if r.presentSince.IsZero() {
+		r.presentSince = now
+	}
 	a.log.Info("run started", "task", k.task, "run", k.number, "vm", a.vm.ID, "tries", r.tries, "epoch", a.epoch)
 	if r.start.Percent < fullSpeed {
 		a.callThrottle(k, r.start.Percent)
--- a/internal/jobs/exec/poll.go
+++ b/internal/jobs/exec/poll.go
@@ -47,9 +47,13 @@
 	}
 	a.pollFailed = err != nil && res.Clock == 0
 	if a.pollFailed {
+		if a.silentSince.IsZero() {
+			a.silentSince = now
+		}
 		a.handlePollError(now, err)
 		return
 	}
+	a.silentSince = time.Time{}
 	if err != nil {
 		a.log.Warn("left out runs that could not be decoded from the worker's response", "vm", a.vm.ID, "err", err)
 	}
@@ -66,6 +70,7 @@
 		a.workerClock, a.workerClockAt = res.Clock, now
 	}
 	a.updateRuns(res.Running, res.Ended)
+	a.proveRuns(now)
 	added := a.addEnds(res.Ended)
 	a.resolveUnconfirmed(p.StartedAt)
 	if a.NeedsSync() && p.FencingToken == a.fencingToken() {
@@ -101,7 +106,7 @@
 		}
 		r := a.runs[k]
 		if r == nil {
-			r = &run{start: msgs.Start{Task: status.Task, Run: status.Run}}
+			r = &run{start: msgs.Start{Task: status.Task, Run: status.Run}, proven: true}
 			a.runs[k] = r
 		}
 		r.status, r.present, r.listed = status, true, true
@@ -151,10 +156,12 @@
 			a.log.Info("no worker listens", "vm", a.vm.ID, "err", err)
 		}
 		if now.Sub(a.noWorkerSince) >= noWorkerTimeout {
+			a.noteCrash(now)
 			a.workerGone(now, "no process listens at the worker's address")
 		}
 		return
 	case errors.Is(err, port.ErrWorkerReplaced):
+		a.noteCrash(now)
 		a.workerGone(now, "another worker answers at the worker's address")
 		return
 	}
--- a/internal/jobs/exec/state.go
+++ b/internal/jobs/exec/state.go
@@ -11,9 +11,14 @@
 	Runs    int     `json:"runs"`
 	// UnstoredEnds is the number of run ends that the leader has not stored.
 	UnstoredEnds int `json:"unstoredEnds"`
+	// UnstoredCrashes is the number of crashes of workers that the leader has not stored.
+	UnstoredCrashes int `json:"unstoredCrashes"`
 }
 
 // State returns the agent's current state.
 func (a *Agent) State() State {
-	return State{VM: a.vm, Present: a.present, Epoch: a.epoch, Synced: a.synced, Runs: len(a.runs), UnstoredEnds: len(a.ends)}
+	return State{
+		VM: a.vm, Present: a.present, Epoch: a.epoch, Synced: a.synced, Runs: len(a.runs),
+		UnstoredEnds: len(a.ends), UnstoredCrashes: len(a.crashes),
+	}
 }
--- a/internal/jobs/lead/gang.go
+++ b/internal/jobs/lead/gang.go
@@ -14,15 +14,11 @@
 		return // members of an earlier run have not ended yet
 	}
 	var chosen []*vm
-	if task.Step.LocalitySensitive {
-		for _, rack := range p.vmLabels() {
-			if chosen = p.chooseGangVMs(task, len(st.Waiting), rack); chosen != nil {
-				break
-			}
-		}
+	if e.Suspect(e.Ref(st, 0), 0) {
+		chosen = p.chooseGangRacks(task, len(st.Waiting), func(v *vm) bool { return v.unproven == 0 })
 	}
 	if chosen == nil {
-		chosen = p.chooseGangVMs(task, len(st.Waiting), "")
+		chosen = p.chooseGangRacks(task, len(st.Waiting), func(*vm) bool { return true })
 	}
 	if chosen == nil && task.NeedsTicket {
 		p.requestAdvice(task)
@@ -37,13 +33,28 @@
 	}
 }
 
+// chooseGangRacks returns a VM for each of n tasks, or nil if there is not enough capacity for
+// all of them. It prefers VMs of one rack if the tasks are slower otherwise. Only VMs for which
+// allowed returns true are used.
+func (p *pass) chooseGangRacks(task *plan.Task, n int, allowed func(*vm) bool) []*vm {
+	if task.Step.LocalitySensitive {
+		for _, rack := range p.vmLabels() {
+			if chosen := p.chooseGangVMs(task, n, rack, allowed); chosen != nil {
+				return chosen
+			}
+		}
+	}
+	return p.chooseGangVMs(task, n, "", allowed)
+}
+
 // chooseGangVMs returns a VM for each of n tasks, or nil if there is not enough capacity for
-// all of them. Only VMs of the given rack are used, unless it is empty.
-func (p *pass) chooseGangVMs(task *plan.Task, n int, rack string) []*vm {
+// all of them. Only VMs of the given rack are used, unless it is empty, and only those for
+// which allowed returns true.
+func (p *pass) chooseGangVMs(task *plan.Task, n int, rack string, allowed func(*vm) bool) []*vm {
 	var placement []*plan.VM
 	var vms []*vm
 	for _, v := range p.vms {
-		if (rack == "" || slices.Contains(v.info.Labels, rack)) && !v.reservedForOther(p.now, task.Key) {
+		if (rack == "" || slices.Contains(v.info.Labels, rack)) && !v.reservedForOther(p.now, task.Key) && allowed(v) {
 			placement, vms = append(placement, &v.placement), append(vms, v)
 		}
 	}
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -71,6 +71,9 @@
 	onTimePlan   onTimePlan
 	// idle holds, for each active job without a run, the time since which it has none.
 	idle map[model.ID]time.Time
+	// suspectSince holds, for each waiting task that may have crashed a worker, since when it
+	// could start.
+	suspectSince map[model.TaskRef]time.Time
 	// advice holds the advisor's tickets for stages. adviceRequest is the request that is
 	// due or in flight; adviceInFlight is set once AdviceRequest has returned it.
 	advice         map[plan.StageKey]*stageAdvice
@@ -107,6 +110,7 @@
 		epoch: epoch, since: now, table: t, cfg: cfg, storeConfirmedAt: now, flushedAt: now, prunedAt: now, estimatesSavedAt: now, placementDue: true, log: log,
 		vms: map[string]*vm{}, vmByConn: map[uint64]string{}, vmsByNode: map[string][]*vm{}, pendingReplies: map[model.ID][]pendingReply{},
 		advice: map[plan.StageKey]*stageAdvice{}, idle: map[model.ID]time.Time{},
+		suspectSince: map[model.TaskRef]time.Time{},
 	}
 	l.restoreRuns(now)
 	return l
@@ -129,6 +133,9 @@
 			v.info.Incarnation = max(v.info.Incarnation, p.Run.Incarnation)
 			r := v.add(e, p.Ref, p.Run, now)
 			r.restored, r.speedUnknown = true, r.step.BestEffort
+			if e.Suspect(p.Ref, 0) {
+				v.quarantine(r)
+			}
 		}
 	}
 }
@@ -152,11 +159,15 @@
 
 // Handle processes a message from a connection.
 func (l *Leader) Handle(now time.Time, conn uint64, m *msgs.Message) {
+	if len(m.Crashes) > 0 {
+		l.handleCrashes(now, conn, m.Crashes)
+	}
 	if m.Report != nil {
 		l.handleReport(now, conn, m.Report)
 	}
 	if m.LeaseRequest != nil {
 		l.handleLeaseRequest(now, conn, m.LeaseRequest)
+		l.noteProven(m.LeaseRequest, m.Unproven)
 	}
 	if m.JobRequest != nil {
 		l.handleRequest(now, conn, m.JobRequest)
@@ -184,6 +195,10 @@
 		l.prunedAt = now
 		l.table.Purge(now.Add(-endedRetention))
 		maps.DeleteFunc(l.idle, func(id model.ID, _ time.Time) bool { e := l.table.Get(id); return e == nil || e.State.Ended() })
+		maps.DeleteFunc(l.suspectSince, func(ref model.TaskRef, _ time.Time) bool {
+			e := l.table.Get(ref.Job)
+			return e == nil || e.State.Ended()
+		})
 		maps.DeleteFunc(l.advice, func(k plan.StageKey, _ *stageAdvice) bool {
 			e := l.table.Get(k.Job)
 			return e == nil || e.State.Ended()
--- a/internal/jobs/lead/move.go
+++ b/internal/jobs/lead/move.go
@@ -151,6 +151,9 @@
 	if len(r.entry.Task(r.ref).Runs) > 1 {
 		return 0 // the task has a speculative copy
 	}
+	if r.step.Speculative && r.entry.Suspect(r.ref, 0) {
+		return 0 // a copy would start outside of quarantine
+	}
 	remaining, runTime, known := r.progress.remaining(r.since, now)
 	if !known {
 		return 0
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -49,6 +49,7 @@
 		}
 		v.placement.Suspicion, v.placement.Probing = v.health.suspicion(now), v.health.probing(now)
 		v.placement.Overloaded = v.overloaded(now)
+		v.placement.Quarantined = v.quarantined(now)
 		v.placement.InterferenceCost = func(bestEffort *model.Step) float64 { return l.interference.cost(v, bestEffort) }
 		// If the VMs are underused, throttled work is better than none.
 		v.placement.WouldOverload = func(bestEffort *model.Step) bool { return !p.underused && l.interference.overloads(v, bestEffort) }
@@ -59,6 +60,7 @@
 	p.plan()
 	stages := l.waitingStages(now)
 	plan.SortStages(now, stages)
+	p.placeSuspects(stages)
 	for i := range stages {
 		p.placeStage(&stages[i])
 	}
@@ -138,19 +140,17 @@
 	e := p.l.table.Get(w.Key.Job)
 	st := stageOf(e, w.Key)
 	step := e.StepOf(st)
-	task := &plan.Task{
-		Key: w.Key, Step: step, Service: p.serviceOf(e), Urgent: w.LongRunning || (w.Priority == 0 && !step.BestEffort),
-	}
-	if p.l.needsAdvice(e) {
-		task.NeedsTicket, task.Tickets = true, p.l.tickets(p.now, w.Key)
-	}
+	task := p.taskOf(w, e, st)
 	if step.Gang {
 		p.placeGang(e, st, task)
 		return
 	}
 	ranking := plan.NewRanking(task, p.placement)
 	for len(st.Waiting) > 0 && p.starts < maxStarts {
-		index := st.Waiting[0]
+		index := p.nextWaiting(e, st)
+		if index < 0 {
+			return
+		}
 		t := *task
 		t.Avoid = p.l.failedVMs(e, st, index)
 		if step.BestEffort {
@@ -170,11 +170,24 @@
 			}
 			return
 		}
+		delete(p.l.suspectSince, e.Ref(st, index))
 		p.assign(e, st, index, p.vms[i], 0)
 		ranking.Update(i)
 	}
 }
 
+// taskOf describes the tasks of a stage for package plan.
+func (p *pass) taskOf(w *plan.WaitingStage, e *table.Entry, st *table.Stage) *plan.Task {
+	step := e.StepOf(st)
+	task := &plan.Task{
+		Key: w.Key, Step: step, Service: p.serviceOf(e), Urgent: w.LongRunning || (w.Priority == 0 && !step.BestEffort),
+	}
+	if p.l.needsAdvice(e) {
+		task.NeedsTicket, task.Tickets = true, p.l.tickets(p.now, w.Key)
+	}
+	return task
+}
+
 // chooseRanked is chooseVM with the ranking of VMs for the task ranked, which applies to t if
 // nothing distinguishes the two.
 func (p *pass) chooseRanked(t, ranked *plan.Task, ranking *plan.Ranking) int {
@@ -233,7 +246,7 @@
 
 // assign assigns a task to a VM and adds the order to start it. number is the lowest
 // allowed run number, 0 for no bound.
-func (p *pass) assign(e *table.Entry, st *table.Stage, index int, v *vm, number uint32) {
+func (p *pass) assign(e *table.Entry, st *table.Stage, index int, v *vm, number uint32) *run {
 	ref := e.Ref(st, index)
 	assigned := p.l.table.Assign(e, ref, table.Run{Number: number, VM: v.info.ID, Incarnation: v.info.Incarnation, Node: v.info.Node})
 	r := v.add(e, ref, assigned, p.now)
@@ -252,6 +265,7 @@
 	p.l.log.Info("task placed", "req", ref.Job, "task", ref.String(), "run", assigned.Number, "vm", v.info.ID,
 		"sinceAccepted", p.now.Sub(e.Job.Accepted), "freeCPU", v.placement.Free().CPU, "doubt", v.placement.Suspicion, "pace", r.speedLimit,
 		"heard", p.now.Sub(v.lastContact), "epoch", p.l.epoch)
+	return r
 }
 
 // startOf returns the order to start a run, which the caller gives.
--- a/internal/jobs/lead/stats.go
+++ b/internal/jobs/lead/stats.go
@@ -16,6 +16,9 @@
 	Moved, Copied                  uint64
 	Done, Failed, Lost, OtherEnds  uint64
 	Batches, Records, BytesWritten uint64
+	// Crashes counts the runs that may be the cause of a worker's crash, GivenUp the jobs that
+	// failed because of such crashes.
+	Crashes, GivenUp uint64
 }
 
 // Stats returns the counts so far.
--- a/internal/jobs/lead/vm.go
+++ b/internal/jobs/lead/vm.go
@@ -25,6 +25,11 @@
 	runs map[runKey]*run
 	// placement is the VM's state for package plan.
 	placement plan.VM
+	// unproven is the number of runs that are not proven, inQuarantine that of those among them
+	// which keep other work away.
+	unproven, inQuarantine int
+	// heldUntil is until when the VM gets no work because a suspect waits for it.
+	heldUntil time.Time
 	health    health
 	// bestEffortUse is the number of processors that best-effort runs used according to
 	// the latest report.
@@ -61,6 +66,9 @@
 	// set while an earlier leader may have ordered another one.
 	speedLimit   int
 	speedUnknown bool
+	// proven is set once the run has certainly not crashed the worker at its start. Until then,
+	// a run with inQuarantine set keeps other work away from the VM.
+	proven, inQuarantine bool
 	// ticket is the advisor's permission to run on the VM, if the queue needs one.
 	ticket string
 	// drainingBacklog is set while a long-running run works through the queue that built
@@ -89,6 +97,7 @@
 	r := &run{entry: e, ref: ref, number: assigned.Number, incarnation: assigned.Incarnation, since: now, step: &e.Job.Steps[ref.Step], speedLimit: fullSpeed}
 	v.runs[runKey{ref.String(), assigned.Number}] = r
 	v.placement.Add(stageKey(ref), r.step)
+	v.unproven++
 	return r
 }
 
@@ -96,6 +105,7 @@
 func (v *vm) remove(key runKey) {
 	if r := v.runs[key]; r != nil {
 		delete(v.runs, key)
+		v.prove(r)
 		v.placement.Remove(stageKey(r.ref), r.step)
 	}
 }
--- a/internal/jobs/msgs/message.go
+++ b/internal/jobs/msgs/message.go
@@ -13,4 +13,8 @@
 	JobResponse  *JobResponse  `cbor:"8,keyasint,omitempty"`
 	Ping         *Ping         `cbor:"9,keyasint,omitempty"`
 	EndsStored   *EndsStored   `cbor:"10,keyasint,omitempty"`
+	// Unproven and Crashes accompany a LeaseRequest.
+	Unproven      *Unproven      `cbor:"11,keyasint,omitempty"`
+	Crashes       []Crash        `cbor:"12,keyasint,omitempty"`
+	CrashesStored *CrashesStored `cbor:"13,keyasint,omitempty"`
 }
--- a/internal/jobs/plan/vm.go
+++ b/internal/jobs/plan/vm.go
@@ -44,6 +44,8 @@
 	Suspicion float64
 	// Probing is set if the VM gets one task at a time as a test of its health.
 	Probing bool
+	// Quarantined is set while the VM gets no task because of one that may crash the worker.
+	Quarantined bool
 	// Runs is the number of runs that may be present.
 	Runs int
 	// Overloaded is set if a long-running task on the VM has been over its latency
@@ -132,7 +134,7 @@
 // fits reports whether the VM has enough free capacity for the task and accepts new
 // tasks of its kind.
 func (v *VM) fits(t *Task) bool {
-	if (v.Probing && v.Runs > 0) || (v.Overloaded && t.Step.BestEffort && !t.Urgent) {
+	if v.Quarantined || (v.Probing && v.Runs > 0) || (v.Overloaded && t.Step.BestEffort && !t.Urgent) {
 		return false
 	}
 	if !v.Free().Covers(t.Step.ResourceRequest()) {
--- a/internal/jobs/table/entry.go
+++ b/internal/jobs/table/entry.go
@@ -21,6 +21,9 @@
 	InStore bool
 	// RunCount is the number of runs that may be present at workers.
 	RunCount int
+	// crashes holds the crashes for which each task may be the cause, by its index in
+	// Progress.Tasks. It is stored as a record of its own.
+	crashes map[int][]Crash
 	// dirty is set while the latest change is in no batch, unrecorded while the job as
 	// submitted is in none.
 	dirty, unrecorded bool
--- a/internal/jobs/table/record.go
+++ b/internal/jobs/table/record.go
@@ -13,6 +13,7 @@
 const (
 	jobPrefix      = "job/"
 	progressPrefix = "progress/"
+	crashesPrefix  = "crashes/"
 )
 
 // Batch is a set of records that must be appended to the store together.
@@ -98,7 +99,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("progress of job %s: %w", e.Job.ID, err)
 	}
-	return append(list, port.Record{Key: progressPrefix + string(e.Job.ID), Value: data}), nil
+	list = append(list, port.Record{Key: progressPrefix + string(e.Job.ID), Value: data})
+	if e.HasCrashes() {
+		record, err := e.crashesRecord(over)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, record)
+	}
+	return list, nil
 }
 
 // Load returns the table that is described by records of the store, and an error for each
@@ -106,19 +115,10 @@
 func Load(records []port.Record) (*Table, []error) {
 	var errs []error
 	tbl := &Table{}
-	progress := map[string]Progress{}
-	for _, r := range records {
-		id, ok := strings.CutPrefix(r.Key, progressPrefix)
-		if !ok {
-			continue
-		}
-		var p Progress
-		if err := codec.Unmarshal(r.Value, &p); err != nil {
-			errs = append(errs, fmt.Errorf("record %q: %w", r.Key, err))
-			continue
-		}
-		progress[id] = p
-	}
+	progress, faults := decodeRecords[Progress](records, progressPrefix)
+	errs = append(errs, faults...)
+	crashes, faults := decodeRecords[[]taskCrashes](records, crashesPrefix)
+	errs = append(errs, faults...)
 	for _, r := range records {
 		id, ok := strings.CutPrefix(r.Key, jobPrefix)
 		if !ok {
@@ -137,8 +137,33 @@
 			continue
 		}
 		e := newEntry(job, progress[id])
+		e.restoreCrashes(crashes[id])
 		e.Stored, e.InStore = e.State, true
 		tbl.insert(e)
 	}
 	return tbl, errs
 }
+
+// decodeRecords decodes the records whose keys have a prefix. The keys of the result are
+// without it.
+func decodeRecords[T any](records []port.Record, prefix string) (map[string]T, []error) {
+	var errs []error
+	values := map[string]T{}
+	for _, r := range records {
+		id, ok := strings.CutPrefix(r.Key, prefix)
+		if !ok {
+			continue
+		}
+		if len(r.Value) == 0 && prefix == crashesPrefix {
+			delete(values, id)
+			continue
+		}
+		var value T
+		if err := codec.Unmarshal(r.Value, &value); err != nil {
+			errs = append(errs, fmt.Errorf("record %q: %w", r.Key, err))
+			continue
+		}
+		values[id] = value
+	}
+	return values, errs
+}
--- a/internal/jobs/table/table_test.go
+++ b/internal/jobs/table/table_test.go
@@ -242,9 +242,11 @@
 	if err != nil {
 		f.Fatal(err)
 	}
-	f.Add(batch.Records[0].Value, batch.Records[1].Value)
-	f.Fuzz(func(t *testing.T, jobRecord, progressRecord []byte) {
-		tbl, _ := table.Load([]port.Record{{Key: "job/" + id, Value: jobRecord}, {Key: "progress/" + id, Value: progressRecord}})
+	f.Add(batch.Records[0].Value, batch.Records[1].Value, []byte{0x81, 0x82, 0x01, 0x81, 0x84, 0x01, 0xf5, 0xf4, 0xf4})
+	f.Fuzz(func(t *testing.T, jobRecord, progressRecord, crashesRecord []byte) {
+		tbl, _ := table.Load([]port.Record{
+			{Key: "job/" + id, Value: jobRecord}, {Key: "progress/" + id, Value: progressRecord}, {Key: "crashes/" + id, Value: crashesRecord},
+		})
 		for _, e := range tbl.All() {
 			if len(e.Tasks) < 1 || len(e.Stages) < 1 {
 				t.Errorf("loaded a job without tasks: %+v", e.Job)
--- a/internal/proof/fleet/agent.go
+++ b/internal/proof/fleet/agent.go
@@ -1,7 +1,7 @@
 package fleet
 
 import (
-	"errors"
+	"context"
 	"fmt"
 	"time"
 
@@ -20,9 +20,11 @@
 	pollInterval = 50 * time.Millisecond
 	// callTimeout is the time after which a call without a response fails.
 	callTimeout = 500 * time.Millisecond
+	// crashDowntime is the time from a crash of a worker, by a task, to its next start.
+	crashDowntime = 2 * time.Second
 )
 
-var errCallTimeout = errors.New("worker did not respond")
+var errCallTimeout = fmt.Errorf("worker did not respond: %w", context.DeadlineExceeded)
 
 // Agent is an agent with its worker.
 type Agent struct {
@@ -77,13 +79,30 @@
 
 // Crash ends the worker's incarnation and starts another after the downtime.
 func (a *Agent) Crash(downtime time.Duration) {
+	a.crash(downtime, func() { a.Worker.Restart(a.world.Now) })
+}
+
+// crash ends the worker's incarnation and calls restart after the downtime.
+func (a *Agent) crash(downtime time.Duration, restart func()) {
 	a.Worker.Kill(a.world.Now)
 	a.crashes++
 	crashes := a.crashes
 	a.world.After(downtime, func() {
 		if crashes == a.crashes {
+			restart()
+		}
+	})
+}
+
+// crashByTask ends the worker's incarnation because of a task. Another worker takes its place,
+// or the worker starts again under its id if World.KeepIDs is set.
+func (a *Agent) crashByTask() {
+	a.crash(crashDowntime, func() {
+		if a.world.KeepIDs {
 			a.Worker.Restart(a.world.Now)
+			return
 		}
+		a.Worker.Replace(a.world.Now, fmt.Sprintf("vm-%s-%d", a.node, a.crashes))
 	})
 }
 
@@ -105,6 +124,9 @@
 // advance ends the worker's runs that are due, at each step.
 func (a *Agent) advance() {
 	a.Worker.Advance(a.world.Now)
+	if !a.Worker.Dead && a.Worker.Crash(a.world.Now) {
+		a.crashByTask()
+	}
 	a.world.After(stepInterval, a.advance)
 }
 
@@ -248,5 +270,8 @@
 	if m.EndsStored != nil {
 		a.core.EndsStored(m.EndsStored)
 	}
+	if m.CrashesStored != nil {
+		a.core.CrashesStored(m.CrashesStored)
+	}
 	a.act()
 }
--- a/internal/proof/fleet/callers.go
+++ b/internal/proof/fleet/callers.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
@@ -39,6 +40,8 @@
 	// cancelAfter is the time from the acceptance to the request to cancel; 0 is never.
 	cancelAfter time.Duration
 	cancelled   bool
+	// deadly is set if a task of each step crashes the workers that start it.
+	deadly bool
 }
 
 func (c *Callers) addFault(format string, args ...any) {
@@ -47,7 +50,16 @@
 
 // Submit submits a job of two steps with four tasks each. While there is no leader, it tries
 // again.
-func (c *Callers) Submit(n int, cancelAfter time.Duration) {
+func (c *Callers) Submit(n int, cancelAfter time.Duration) { c.submit(n, cancelAfter, false) }
+
+// SubmitDeadly submits such a job of which a task crashes the workers that start it.
+func (c *Callers) SubmitDeadly() { c.submit(len(c.jobs)+firstDeadly, 0, true) }
+
+// firstDeadly is the lowest number of a deadly job, above those of other jobs.
+const firstDeadly = 1000
+
+// submit submits a job.
+func (c *Callers) submit(n int, cancelAfter time.Duration, deadly bool) {
 	if c.jobs == nil {
 		c.jobs, c.bySeq = map[model.ID]*submission{}, map[uint64]*submission{}
 	}
@@ -56,7 +68,7 @@
 	secondStep := firstStep
 	secondStep.After, secondStep.MaxPerVM = []int{0}, 2
 	id := model.ID(fmt.Sprintf("%016x", n+1))
-	j := &submission{pending: true, cancelAfter: cancelAfter, spec: model.Job{ID: id, Queue: q, Payload: "work", Steps: []model.Step{firstStep, secondStep}}}
+	j := &submission{pending: true, cancelAfter: cancelAfter, deadly: deadly, spec: model.Job{ID: id, Queue: q, Payload: "work", Steps: []model.Step{firstStep, secondStep}}}
 	c.jobs[id] = j
 	c.request(j)
 }
@@ -86,8 +98,8 @@
 
 // resend sends all pending requests to a new leader.
 func (c *Callers) resend() {
-	for n := range len(c.jobs) {
-		if j := c.jobs[model.ID(fmt.Sprintf("%016x", n+1))]; j != nil && j.pending {
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		if j := c.jobs[id]; j.pending {
 			c.world.After(messageDelay, func() { c.request(j) })
 		}
 	}
@@ -131,7 +143,7 @@
 	faults := append([]string(nil), w.Callers.faults...)
 	faults = append(faults, w.Witness.Faults()...)
 	for id, j := range w.Callers.jobs {
-		started, done := 0, 0
+		started, done, crashed := 0, 0, 0
 		for s := range j.spec.Steps {
 			for i := range j.spec.Steps[s].Tasks {
 				task := model.TaskRef{Job: id, Step: s, Index: i}.String()
@@ -141,6 +153,7 @@
 				if w.Witness.Done(task) {
 					done++
 				}
+				crashed = max(crashed, w.Witness.Crashes(task))
 			}
 		}
 		switch {
@@ -148,9 +161,29 @@
 			faults = append(faults, fmt.Sprintf("job %s was refused, but %d of its tasks ran", id, started))
 		case j.pending:
 			faults = append(faults, fmt.Sprintf("job %s has a request without a response", id))
+		case j.accepted && j.deadly && w.stateOf(id) != "failed":
+			faults = append(faults, fmt.Sprintf("job %s crashes workers and is %s", id, w.stateOf(id)))
+		case j.deadly || (crashed >= 2 && w.stateOf(id) == "failed"):
+			// A task under which two workers have crashed may be given up.
 		case j.accepted && j.cancelAfter == 0 && done < 8:
 			faults = append(faults, fmt.Sprintf("job %s was accepted, but only %d of its 8 tasks are done", id, done))
 		}
 	}
 	return faults
 }
+
+// stateOf returns the state of a job as the present leader shows it to callers.
+func (w *World) stateOf(id model.ID) string {
+	e := w.leading()
+	if e == nil {
+		return "unknown"
+	}
+	e.leader.Handle(w.Now, 0, &msgs.Message{JobRequest: &msgs.JobRequest{Verb: msgs.State, Job: id}})
+	state := "unknown"
+	for _, out := range e.leader.TakeOutbound() {
+		if out.Conn == 0 && out.Message.JobResponse != nil && out.Message.JobResponse.Seq == 0 {
+			state = out.Message.JobResponse.State
+		}
+	}
+	return state
+}
--- a/internal/proof/fleet/fault.go
+++ b/internal/proof/fleet/fault.go
@@ -62,6 +62,11 @@
 		w.DelayedShare = 0.2
 		w.After(5*time.Second, func() { w.DelayedShare = 0 })
 	}},
+	{"a task crashes its workers", func(w *World) {
+		for range 3 {
+			w.Callers.SubmitDeadly()
+		}
+	}},
 }
 
 // LateOrders lists faults that act together with orders that workers carry out late. They are
--- a/internal/proof/fleet/fleet_test.go
+++ b/internal/proof/fleet/fleet_test.go
@@ -64,6 +64,25 @@
 			}
 		})
 	}
+	It("give up a task that crashes its workers, whatever else happens then", func() {
+		deadly := fleet.Faults[len(fleet.Faults)-1]
+		for i, f := range fleet.Faults {
+			for j := range 4 {
+				seed := uint64(1000 + 10*i + j)
+				first := 2*time.Second + time.Duration(seed%7)*330*time.Millisecond
+				second := first + 50*time.Millisecond + time.Duration(seed%29)*110*time.Millisecond
+				w := run(seed, at(first, deadly), at(second, f))
+				Expect(w.Check()).To(BeEmpty(), fmt.Sprintf("seed %d: %s at %s", seed, f.Name, second))
+			}
+		}
+	})
+
+	It("give up a task that crashes its workers, which start again under their ids", func() {
+		for seed := range uint64(24) {
+			w := run(seed, func(w *fleet.World) { w.KeepIDs = true }, at(2*time.Second+time.Duration(seed)*97*time.Millisecond, fleet.Faults[len(fleet.Faults)-1]))
+			Expect(w.Check()).To(BeEmpty(), fmt.Sprintf("seed %d", seed))
+		}
+	})
 
 	It("survive pairs of overlapping faults", func() {
 		for i, a := range fleet.Faults {
--- a/internal/proof/fleet/world.go
+++ b/internal/proof/fleet/world.go
@@ -40,6 +40,9 @@
 	// DelayedShare is the fraction of orders to workers that get no response and are executed
 	// 2 to 12 s later.
 	DelayedShare float64
+	// KeepIDs is set if a worker that a task crashed starts again under its id. Otherwise another
+	// worker takes its place.
+	KeepIDs bool
 	// OrdersEndWithWorker is set if an order that is executed late is dropped when the worker's
 	// incarnation that received it has ended.
 	OrdersEndWithWorker bool
@@ -79,7 +82,7 @@
 var capacity = place.Resources{CPU: 16000, Memory: 64000}
 
 // plan returns the behavior of a run of a task. The first run of the last task of each step
-// fails.
+// fails. The third task of each step of a deadly job crashes its worker.
 func (w *World) plan(task string, run uint32) tasks.Plan {
 	ref, err := model.ParseTaskRef(task)
 	if err != nil {
@@ -90,7 +93,7 @@
 		return tasks.Plan{Work: time.Second}
 	}
 	step := job.spec.Steps[ref.Step]
-	return tasks.Plan{Size: step.ResourceRequest(), Work: step.Estimate, Fails: run == 1 && ref.Index == 3}
+	return tasks.Plan{Size: step.ResourceRequest(), Work: step.Estimate, Fails: run == 1 && ref.Index == 3, Crashes: job.deadly && ref.Index == 2}
 }
 
 // electLeader lets the first entry that can lead claim the leadership, unless such an entry
--- a/internal/run/agent/leader.go
+++ b/internal/run/agent/leader.go
@@ -120,6 +120,9 @@
 	if m.Orders != nil {
 		a.core.Orders(now, m.Orders)
 	}
+	if m.CrashesStored != nil {
+		a.core.CrashesStored(m.CrashesStored)
+	}
 	if m.EndsStored != nil {
 		a.core.EndsStored(m.EndsStored)
 		select {
--- a/internal/run/entry/metrics.go
+++ b/internal/run/entry/metrics.go
@@ -67,6 +67,7 @@
 		"accepted": s.Accepted, "refused": s.Refused, "cancelled": s.Cancelled, "started": s.Started,
 		"preempted": s.Preempted, "moved": s.Moved, "copied": s.Copied, "done": s.Done, "failed": s.Failed, "lost": s.Lost,
 		"otherEnds": s.OtherEnds, "batches": s.Batches, "records": s.Records, "bytesWritten": s.BytesWritten,
+		"crashes": s.Crashes, "givenUp": s.GivenUp,
 	} {
 		m.stats.WithLabelValues(kind).Set(float64(n))
 	}
