lead: suspects of workers that crash at the same time do not wait for quarantine

Callers saw: when many workers crashed at once for a reason of their own, the short tasks that had just started there waited for quarantine, up to 2 s.

Cause: each crash makes suspects, and a few VMs take one suspect at a time. A task crashes one worker, so crashes of two workers within 50 ms have another cause. They still count, as BUDGET counts them, but their suspects are placed at once.

The new spec failed before: of 24 tasks, not all were placed in the first 200 ms. The spec of the quarter of the VMs now lets the workers crash 60 ms apart; it asks for the same.

--- a/internal/jobs/lead/crash.go
+++ b/internal/jobs/lead/crash.go
@@ -24,6 +24,7 @@
 func (l *Leader) countCrash(now time.Time, c *msgs.Crash) {
 	runs := slices.Concat(c.Runs, c.Unanswered)
 	cause := l.attribute(runs)
+	var counted []model.TaskRef
 	for i, run := range runs {
 		ref, err := model.ParseTaskRef(run.Task)
 		if err != nil {
@@ -35,6 +36,7 @@
 		if !l.table.AddCrash(now, ref, table.Crash{Run: run.Run, Attributed: attributed, Excused: excused, Doubtful: i >= len(c.Runs)}) {
 			continue
 		}
+		counted = append(counted, ref)
 		l.placementDue = true
 		l.stats.Crashes++
 		e := l.table.Get(ref.Job)
@@ -46,6 +48,7 @@
 			l.stopSurplus(now, e)
 		}
 	}
+	l.noteCrash(now, c.VM, counted)
 }
 
 // attribute returns the cause of a crash: the only possible one, or else the only one that is a
--- a/internal/jobs/lead/crash_test.go
+++ b/internal/jobs/lead/crash_test.go
@@ -312,12 +312,24 @@
 		Expect(c.state(id)).To(Equal("failed"))
 	})
 
+	// Short tasks waited for quarantine when many workers crashed at once for another reason.
+	It("is not looked for among the tasks of workers that crash at the same time", func() {
+		c := newCrashes(8)
+		c.submit(job(1, step(24)))
+		c.wait(300 * time.Millisecond)
+		for _, n := range slices.Sorted(maps.Keys(c.running)) {
+			c.crash(n)
+		}
+		Expect(c.wait(200 * time.Millisecond)).To(HaveLen(24))
+	})
+
 	It("keeps no more than a quarter of the VMs from other work, and waits for quarantine for 2 s at most", func() {
 		c := newCrashes(8)
 		c.submit(job(1, step(24)))
 		c.wait(300 * time.Millisecond)
 		for _, n := range slices.Sorted(maps.Keys(c.running)) {
 			c.crash(n)
+			c.now = c.now.Add(60 * time.Millisecond)
 		}
 		c.submit(job(2, step(24)))
 		begin := c.now
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -74,6 +74,7 @@
 	// suspectSince holds, for each waiting task that may have crashed a worker, since when it
 	// could start.
 	suspectSince map[model.TaskRef]time.Time
+	latestCrash  latestCrash
 	// advice holds the advisor's tickets for stages. adviceRequest is the request that is
 	// due or in flight; adviceInFlight is set once AdviceRequest has returned it.
 	advice         map[plan.StageKey]*stageAdvice
--- a/internal/jobs/lead/quarantine.go
+++ b/internal/jobs/lead/quarantine.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/plan"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/table"
 )
@@ -19,8 +20,32 @@
 	// maxQuarantineWait is how long a suspect waits for quarantine. After that, it is placed
 	// like other tasks.
 	maxQuarantineWait = 2 * time.Second
+	// sameCauseWithin is the time between crashes of different workers up to which these are
+	// expected to have a common cause, which no task is.
+	sameCauseWithin = 50 * time.Millisecond
 )
 
+// latestCrash is the latest crash of a worker that was counted at a task.
+type latestCrash struct {
+	at   time.Time
+	vm   string
+	runs []model.TaskRef
+}
+
+// noteCrash records a crash. If another worker crashed just before, the suspects of both need
+// not wait for quarantine.
+func (l *Leader) noteCrash(now time.Time, vm string, runs []model.TaskRef) {
+	if len(runs) == 0 {
+		return
+	}
+	if l.latestCrash.vm != vm && now.Sub(l.latestCrash.at) <= sameCauseWithin {
+		for _, ref := range slices.Concat(l.latestCrash.runs, runs) {
+			l.suspectSince[ref] = time.Time{}
+		}
+	}
+	l.latestCrash = latestCrash{now, vm, runs}
+}
+
 // quarantined reports whether the VM gets no work because of a suspect.
 func (v *vm) quarantined(now time.Time) bool {
 	return v.inQuarantine > 0 || now.Before(v.heldUntil)
