jobs/table: earlier versions can decode the tasks of which no run was given up

While processes are updated one by one, an entry of the earlier version that leads would have dropped every job that a newer one stored.

The field is now left out while it is empty, which it is unless a run of the task was lost. Such a task still cannot be decoded by earlier versions (docs/design/platform.md).

--- a/internal/jobs/table/state.go
+++ b/internal/jobs/table/state.go
@@ -63,6 +63,28 @@
 	GivenUp []uint32
 }
 
+// taskWithoutGivenUp is the encoding of a Task in earlier versions.
+type taskWithoutGivenUp struct {
+	_          struct{} `cbor:",toarray"`
+	Done       bool
+	LastRun    uint32
+	Runs       []Run
+	Failures   uint16
+	Checkpoint string
+}
+
+// MarshalCBOR implements cbor.Marshaler. Earlier versions can decode the record of a task of
+// which no run was given up, so that their processes may lead while others are updated.
+func (t Task) MarshalCBOR() ([]byte, error) {
+	if len(t.GivenUp) == 0 {
+		return codec.Marshal(&taskWithoutGivenUp{
+			Done: t.Done, LastRun: t.LastRun, Runs: t.Runs, Failures: t.Failures, Checkpoint: t.Checkpoint,
+		})
+	}
+	type task Task
+	return codec.Marshal((*task)(&t))
+}
+
 // UnmarshalCBOR implements cbor.Unmarshaler. It also decodes records of earlier versions.
 func (t *Task) UnmarshalCBOR(data []byte) error {
 	type task Task
