lead: a test that the neighbours of the likely cause of a crash are excused

The mutation that makes them suspects was not caught by any test. The new spec is red with it: of three tasks, not all start again within 200 ms.

--- a/internal/jobs/lead/crash_test.go
+++ b/internal/jobs/lead/crash_test.go
@@ -312,6 +312,20 @@
 		Expect(c.state(id)).To(Equal("failed"))
 	})
 
+	It("excuses its neighbours, which start again at once and together", func() {
+		c := newCrashes(1)
+		c.submit(job(1, step(1)))
+		c.wait(300 * time.Millisecond)
+		c.crash(0)
+		Expect(c.wait(300 * time.Millisecond)).To(HaveLen(1))
+		c.settle(-1)
+		c.submit(job(2, step(3)))
+		Expect(c.wait(300 * time.Millisecond)).To(HaveLen(3))
+		c.crash(1)
+		Expect(c.wait(200 * time.Millisecond)).To(HaveLen(3))
+		Expect(c.state(id)).To(Equal("failed"))
+	})
+
 	// Short tasks waited for quarantine when many workers crashed at once for another reason.
 	It("is not looked for among the tasks of workers that crash at the same time", func() {
 		c := newCrashes(8)
