exec: a heartbeat that arrives after a later one changes nothing

A heartbeat that was held up and arrived after a later one of the same incarnation brought back the earlier capacity (and labels), so that tasks were placed on what the worker had given up.

Cause: Agent.Heartbeat compared incarnations only, never seq.

A lower seq alone must not decide: one odd heartbeat with a seq of 2^63-1 would shut out all later ones. So a heartbeat is earlier if its seq is lower and its clock reading is not later; the reading of the latest is capped at the worker's clock as the polls show it, so an odd reading far ahead shuts out nothing either. Heartbeats that the agent makes up (a deregistration) have neither.

Before (the comparison switched off): "ignores a heartbeat that arrives after a later one" failed. With seq alone the three entries of "goes on following the worker after one heartbeat with an odd number" failed.

--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -46,6 +46,9 @@
 	// before.
 	workerClock   time.Duration
 	workerClockAt time.Time
+	// heartbeat is the number and the clock reading of the latest heartbeat of the worker's
+	// incarnation. The clock reading is no later than the worker's clock was.
+	heartbeat heartbeat
 	// deadline is the latest end of the lease that was sent to the worker, on the
 	// worker's clock.
 	deadline time.Duration
@@ -167,6 +170,9 @@
 	case known && h.VM.Incarnation < a.vm.Incarnation:
 		a.log.Info("ignored a heartbeat of an earlier incarnation", "vm", h.VM.ID, "life", h.VM.Incarnation, "latest", a.vm.Incarnation)
 		return
+	case known && h.VM.ID == a.vm.ID && h.VM.Incarnation == a.vm.Incarnation && a.heartbeat.after(h):
+		a.log.Info("ignored an earlier heartbeat", "vm", h.VM.ID, "life", h.VM.Incarnation, "seq", h.Seq, "latest", a.heartbeat.seq)
+		return
 	case known && h.VM.ID != a.vm.ID:
 		a.workerGone(now, "another worker sent a heartbeat")
 	case known && h.VM.Incarnation > a.vm.Incarnation:
@@ -188,6 +194,7 @@
 	if a.vm.Draining && h.VM.Incarnation == a.vm.Incarnation {
 		h.VM.Draining = true // draining is final for an incarnation
 	}
+	a.noteHeartbeat(now, h)
 	a.vm = h.VM
 	a.vm.Node = a.node
 	if changed && a.synced {
@@ -210,6 +217,7 @@
 func (a *Agent) reset() {
 	a.runs = map[runKey]*run{}
 	a.ends, a.storedEnd, a.deadline = nil, 0, 0
+	a.heartbeat = heartbeat{}
 	a.noWorkerSince = time.Time{}
 }
 
