exec: the leader learns a new capacity at once

After a worker had shrunk, its leader placed tasks by the earlier capacity until the next lease request, up to 0.6 s later, and used a grown one as late.

Cause: Agent.Heartbeat requested a lease early only if the worker began to drain. The log line of the change now has both capacities.

Before: the four entries of "tells the leader at once" failed (processors, memory and accelerators).

--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -181,10 +181,10 @@
 		a.log.Info("the worker has sent a heartbeat again", "vm", h.VM.ID, "life", h.VM.Incarnation)
 		a.synced = false
 	}
-	changed := !known || !a.present || h.VM.Draining != a.vm.Draining
+	changed := !known || !a.present || h.VM.Draining != a.vm.Draining || h.VM.Capacity != a.vm.Capacity
 	if changed {
 		a.log.Info("worker seen", "vm", h.VM.ID, "life", h.VM.Incarnation, "service", h.VM.Service, "draining", h.VM.Draining,
-			"remaining", h.VM.Remaining, "seq", h.Seq)
+			"remaining", h.VM.Remaining, "capacity", h.VM.Capacity, "before", a.vm.Capacity, "seq", h.Seq)
 	}
 	if !a.present {
 		a.present = true
--- a/internal/jobs/exec/capacity_test.go
+++ b/internal/jobs/exec/capacity_test.go
@@ -60,6 +60,22 @@
 		Entry("and a clock reading far behind", -time.Hour),
 	)
 
+	DescribeTable("tells the leader at once", func(before, after place.Resources) {
+		h.say(7, h.clock(), before)
+		pass()
+		h.grant()
+		h.now = h.now.Add(10 * time.Millisecond)
+		h.say(8, h.clock(), after)
+		Expect(h.agent.Messages()).To(ConsistOf(HaveField("LeaseRequest.VM.Capacity", Equal(after))))
+		h.say(9, h.clock(), after)
+		Expect(h.agent.Messages()).To(BeEmpty())
+	},
+		Entry("when it has shrunk", large, small),
+		Entry("when it has grown", small, large),
+		Entry("when the memory alone has shrunk", large, place.Resources{CPU: 64000, Memory: 64000, Accelerators: 4}),
+		Entry("when the accelerators alone have shrunk", large, place.Resources{CPU: 64000, Memory: 256000}),
+	)
+
 	It("follows a new incarnation, which counts its heartbeats from the start", func() {
 		h.say(700, h.clock(), large)
 		h.incarnation += 400
