lead: tasks start at once on what a VM has grown by

After a worker had grown, waiting tasks that fitted now waited until something else made a placement pass due, up to 0.25 s.

Cause: updateInfo made a pass due for a change of draining only. A shrunk VM makes one due as well. The log line of the change has both capacities and what the runs reserve.

The tests also show that a VM over its capacity (processors, memory, accelerators, everything) gets no start and no stop, over a change of leader too. That held before.

Before: "uses what has grown at once" and the last step of the eight entries of "starts nothing that no longer fits ..." failed.

--- /dev/null
+++ b/internal/jobs/lead/capacity_test.go
@@ -0,0 +1,77 @@
+package lead_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+	"github.com/ebonyarch/ebonyarch/internal/sched/place"
+)
+
+// resize sends a lease request of VM n's agent with a new capacity and the given runs.
+func (h *harness) resize(n int, synced bool, capacity place.Resources, runs ...msgs.RunStatus) {
+	h.seq++
+	info := vmInfo(n)
+	info.Capacity = capacity
+	h.leader.Handle(h.now, uint64(firstAgentConn+n), &msgs.Message{LeaseRequest: &msgs.LeaseRequest{
+		Seq: h.seq, Synced: synced, RunsListed: true, Runs: runs, VM: info,
+	}})
+}
+
+var _ = Describe("A leader and a VM whose capacity changes", func() {
+	const taskA, taskB = "0000000000000001.0.0.0", "0000000000000002.0.0.0"
+	large := vmInfo(0).Capacity
+	bigStep := model.Step{Tasks: 1, Size: place.Resources{CPU: 9000, Memory: 4000, Accelerators: 1}, Estimate: time.Second}
+	full := place.Resources{CPU: 16000, Memory: 64000, Accelerators: 4}
+	var h *harness
+	BeforeEach(func() { h = newHarness() })
+
+	It("uses what has grown at once", func() {
+		h.resize(0, true, place.Resources{CPU: 1000, Memory: 64000})
+		h.submit(job(1, smallStep))
+		h.advance(100 * time.Millisecond)
+		Expect(h.starts()).To(BeEmpty())
+		h.resize(0, false, large)
+		h.advance(40 * time.Millisecond)
+		Expect(h.starts()).To(ConsistOf(HaveField("Task", taskA)))
+	})
+
+	DescribeTable("starts nothing that no longer fits, stops nothing, and goes on when it has grown again", func(small place.Resources, newLeader bool) {
+		h.resize(0, true, full)
+		h.submit(job(1, bigStep))
+		h.advance(100 * time.Millisecond)
+		Expect(h.starts()).To(ConsistOf(HaveField("Task", taskA)))
+		running := msgs.RunStatus{Task: taskA, Run: 1, Percent: 10}
+		h.resize(0, false, small, running)
+		if newLeader {
+			h.lead(epoch + 1)
+			h.resize(0, true, small, running)
+			h.advance(100 * time.Millisecond)
+			Expect(h.starts()).To(ConsistOf(HaveField("Task", taskA)), "the details of the present run")
+		}
+		h.submit(job(2, bigStep))
+		h.advance(400 * time.Millisecond)
+		h.resize(0, false, small, running)
+		h.advance(400 * time.Millisecond)
+		for _, o := range h.orders() {
+			Expect(o.Starts).To(BeEmpty())
+			Expect(o.Stops).To(BeEmpty())
+		}
+		double := place.Resources{CPU: 2 * full.CPU, Memory: 2 * full.Memory, Accelerators: full.Accelerators}
+		h.resize(0, false, double, running)
+		h.advance(100 * time.Millisecond)
+		Expect(h.starts()).To(ConsistOf(HaveField("Task", taskB)))
+	},
+		Entry("processors", place.Resources{CPU: 5000, Memory: 64000, Accelerators: 4}, false),
+		Entry("processors, over a change of leader", place.Resources{CPU: 5000, Memory: 64000, Accelerators: 4}, true),
+		Entry("memory", place.Resources{CPU: 64000, Memory: 5000, Accelerators: 4}, false),
+		Entry("memory, over a change of leader", place.Resources{CPU: 64000, Memory: 5000, Accelerators: 4}, true),
+		Entry("accelerators", place.Resources{CPU: 64000, Memory: 64000, Accelerators: 1}, false),
+		Entry("accelerators, over a change of leader", place.Resources{CPU: 64000, Memory: 64000, Accelerators: 1}, true),
+		Entry("everything", place.Resources{}, false),
+		Entry("everything, over a change of leader", place.Resources{}, true),
+	)
+})
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -61,10 +61,11 @@
 	}
 }
 
-// updateInfo stores the agent's description of a VM and logs whether it drains.
+// updateInfo stores the agent's description of a VM and logs what placement depends on.
 func (l *Leader) updateInfo(v *vm, info msgs.VM) {
-	if info.Draining != v.info.Draining {
-		l.log.Info("VM changes", "vm", info.ID, "draining", info.Draining, "remaining", info.Remaining)
+	if info.Draining != v.info.Draining || info.Capacity != v.info.Capacity {
+		l.log.Info("VM changes", "vm", info.ID, "draining", info.Draining, "remaining", info.Remaining,
+			"capacity", info.Capacity, "before", v.info.Capacity, "used", v.placement.Used)
 		l.placementDue = true
 	}
 	v.updateInfo(info)
