exec: an order that no longer fits starts nothing on a worker that has shrunk

A task was started on a worker that had shrunk 5 s before and no longer had the capacity (LIMIT).

Cause: the leader assigns a task by the capacity that it knows, and the order leaves once the assignment is stored. With the store away for 6 s, or when a new leader orders the restored runs again, it left long after the worker had said that it had shrunk. The agent knew, but not the size of the task.

Now the order carries the size (new last field of msgs.Start), and the agent starts nothing that does not fit beside what is present, being stopped or being started there: at the first order, at each further try, and after a change of leader or its own restart. It first stops the run, because an earlier process may have sent its start, and reports it as lost, with the reason of a worker that refuses, once the stop is confirmed. So no failure is counted and the step backs off. Members of a gang that the worker no longer lists take no room (only one of them reports its end).

Ruled out: the tries of a start (1.1 s in all) and an old description at the leader (0.6 s) stay within contact_ms and one beat by themselves.

The stand-in worker now numbers its heartbeats, can change its capacity and can guard it; its witness lets a larger capacity count for 4.1 s more. The matrix of internal/proof/fleet has the fault "workers shrink and grow again", alone and in pairs; every second worker guards its capacity.

--- a/internal/fake/tasks/worker.go
+++ b/internal/fake/tasks/worker.go
@@ -2,7 +2,7 @@
 // argument of each method, so tests can use virtual time.
 //
 // Like the platform's executor, a Worker starts every run that it is ordered to start, even
-// beyond its capacity; the Witness records such faults of the scheduler.
+// beyond its capacity, unless it guards that; the Witness records such faults of the scheduler.
 package tasks
 
 import (
@@ -35,8 +35,12 @@
 	// startedAt is the time at which the incarnation started.
 	startedAt time.Time
 	capacity  place.Resources
-	plan      func(task string, run uint32) Plan
-	witness   *Witness
+	// earlier holds the capacities before the latest changes, the oldest first.
+	earlier []earlierCapacity
+	// heartbeats is the number of heartbeats of the incarnation.
+	heartbeats int64
+	plan       func(task string, run uint32) Plan
+	witness    *Witness
 	// fencingToken is the highest token of the orders so far; orders with a lower one are
 	// rejected.
 	fencingToken uint64
@@ -54,6 +58,17 @@
 	lastExpiredEnd int64
 	// Dead is set while no process listens at the worker's address.
 	Dead bool
+	// GuardsCapacity is set if the worker refuses to start what exceeds its capacity.
+	GuardsCapacity bool
+	// ShrinkNotice is how long a capacity still counts after the worker has shrunk. The
+	// Witness records starts beyond it.
+	ShrinkNotice time.Duration
+}
+
+// earlierCapacity is a capacity that a worker had until a time.
+type earlierCapacity struct {
+	capacity place.Resources
+	until    time.Time
 }
 
 type run struct {
@@ -79,6 +94,7 @@
 		w.witness.ended(now, w.id, r.task, r.number, msgs.Lost)
 	}
 	w.startedAt, w.fencingToken, w.deadline, w.runs, w.ended, w.endCount, w.lastExpiredEnd = now, 0, 0, nil, nil, 0, 0
+	w.heartbeats = 0
 	w.lastOver = map[string]uint32{}
 	w.Dead = false
 }
@@ -89,12 +105,35 @@
 	w.Dead = true
 }
 
+// Resize changes the worker's capacity. Runs beyond it go on.
+func (w *Worker) Resize(now time.Time, capacity place.Resources) {
+	w.earlier = append(w.earlier, earlierCapacity{w.capacity, now})
+	w.capacity = capacity
+}
+
+// covers reports whether the capacity covers used, or an earlier one that still counts.
+func (w *Worker) covers(now time.Time, used place.Resources) bool {
+	w.earlier = slices.DeleteFunc(w.earlier, func(e earlierCapacity) bool { return now.Sub(e.until) > w.ShrinkNotice })
+	return w.capacity.Covers(used) || slices.ContainsFunc(w.earlier, func(e earlierCapacity) bool { return e.capacity.Covers(used) })
+}
+
+// used returns what the present runs take of the capacity.
+func (w *Worker) used() place.Resources {
+	var used place.Resources
+	for _, r := range w.runs {
+		used = used.Plus(r.plan.Size)
+	}
+	return used
+}
+
 // Incarnation returns the number of the incarnation: its start time in Unix milliseconds.
 func (w *Worker) Incarnation() int64 { return w.startedAt.UnixMilli() }
 
 // Heartbeat returns the heartbeat that the worker sends at now.
 func (w *Worker) Heartbeat(now time.Time) port.Heartbeat {
+	w.heartbeats++
 	return port.Heartbeat{
+		Seq:   w.heartbeats,
 		VM:    msgs.VM{ID: w.id, Incarnation: w.Incarnation(), Service: "registry", Zone: "mx-a", Capacity: w.capacity},
 		Clock: w.clock(now),
 	}
@@ -164,6 +203,10 @@
 		return port.ErrRunLate
 	}
 	r := &run{task: o.Task, number: o.Run, plan: w.plan(o.Task, o.Run), startedAt: now}
+	if w.GuardsCapacity && !w.capacity.Covers(w.used().Plus(r.plan.Size)) {
+		w.witness.noteRefused()
+		return port.ErrRunCapacity
+	}
 	w.runs = append(w.runs, r)
 	w.witness.started(now, w, r)
 	return nil
--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -88,11 +88,16 @@
 	// present is set once the worker has confirmed the start or listed the run, listed
 	// if the result of the latest poll lists it.
 	present, listed bool
+	// gone is set if the result of the latest poll does not list the run any more: it has ended.
+	gone bool
 	// tries is the number of calls made to start the run. It is reset if the worker
 	// refused a call because its fencing token was out of date.
 	tries int
 	// stopping is set once the run is to be stopped.
 	stopping bool
+	// stopReason is why the run is stopped although it is not present, empty if the leader
+	// ordered it or its starts got no response.
+	stopReason string
 	// unconfirmedReason is not empty if it is unknown since unconfirmedAt whether the run
 	// is present. The next poll that starts later shows it.
 	unconfirmedReason string
--- a/internal/jobs/exec/capacity_test.go
+++ b/internal/jobs/exec/capacity_test.go
@@ -87,3 +87,108 @@
 		Expect(h.agent.VM().Capacity).To(Equal(large))
 	})
 })
+
+var _ = Describe("An agent and orders that no longer fit", func() {
+	const other = "00000000000000bb.0.0.0"
+	size := place.Resources{CPU: 6000, Memory: 1000}
+	var h *harness
+	BeforeEach(func() {
+		h = newHarness()
+		h.say(1, h.clock(), place.Resources{CPU: 16000, Memory: 64000, Accelerators: 4})
+		h.agent.Messages()
+	})
+
+	order := func(task string, size place.Resources) {
+		h.agent.Orders(h.now, &msgs.Orders{Epoch: h.agent.Epoch(), VM: "vm-1", Incarnation: h.incarnation, Starts: []msgs.Start{
+			{Task: task, Run: 1, Percent: 100, Size: size},
+		}})
+	}
+	// expectRefused expects that the run is stopped, and lost once the worker has confirmed that.
+	expectRefused := func(task string) {
+		c := h.call()
+		Expect(c.Stop).To(HaveValue(HaveField("Task", task)))
+		h.poll(port.PollResult{Running: []msgs.RunStatus{}})
+		Expect(h.ends()).To(BeEmpty(), "an earlier process may have sent the start")
+		h.agent.Stopped(h.now, c, nil)
+		h.poll(port.PollResult{})
+		Expect(h.ends()).To(ConsistOf(And(
+			HaveField("Task", task), HaveField("Outcome", msgs.Lost), HaveField("Reason", port.ErrRunCapacity.Error()))))
+	}
+
+	DescribeTable("refuses a start after the worker has shrunk", func(size, capacity place.Resources) {
+		order(other, size)
+		h.agent.Started(h.now, h.call(), nil)
+		h.say(2, h.clock(), capacity)
+		h.agent.Messages()
+		order(task, size)
+		c := h.call()
+		Expect(c.Stop).To(HaveValue(HaveField("Task", task)))
+		h.agent.Stopped(h.now, c, nil)
+		h.poll(port.PollResult{Running: []msgs.RunStatus{{Task: other, Run: 1}}})
+		Expect(h.ends()).To(ConsistOf(And(HaveField("Outcome", msgs.Lost), HaveField("Reason", port.ErrRunCapacity.Error()))))
+	},
+		Entry("processors", place.Resources{CPU: 6000}, place.Resources{CPU: 8000, Memory: 64000}),
+		Entry("memory", place.Resources{Memory: 6000}, place.Resources{CPU: 16000, Memory: 8000}),
+		Entry("accelerators", place.Resources{Accelerators: 2}, place.Resources{CPU: 16000, Memory: 64000, Accelerators: 3}),
+		Entry("to nothing", place.Resources{CPU: 6000}, place.Resources{}),
+	)
+
+	It("refuses a start that reaches it again after the change of leader", func() {
+		h.agent.LeaderDisconnected()
+		Expect(h.agent.LeaderConnected(epoch + 1)).To(BeTrue())
+		h.grant()
+		h.say(2, h.clock(), place.Resources{CPU: 4000})
+		h.poll(port.PollResult{})
+		h.agent.Messages()
+		order(task, size)
+		expectRefused(task)
+	})
+
+	It("does not try a start again that fits no longer", func() {
+		order(task, size)
+		c := h.call()
+		Expect(c.Start).NotTo(BeNil())
+		h.say(2, h.clock(), place.Resources{CPU: 4000})
+		h.agent.Messages()
+		h.agent.Started(h.now, c, errNoResponse)
+		expectRefused(task)
+	})
+
+	It("knows the sizes of the runs that an earlier process started before it starts others", func() {
+		running := port.PollResult{Running: []msgs.RunStatus{{Task: other, Run: 1}}}
+		h.say(2, h.clock(), place.Resources{CPU: 8000, Memory: 64000})
+		h.poll(running)
+		h.agent.Messages()
+		h.agent.Orders(h.now, &msgs.Orders{Epoch: epoch, VM: "vm-1", Incarnation: h.incarnation, Starts: []msgs.Start{
+			{Task: task, Run: 1, Percent: 100, Size: size}, {Task: other, Run: 1, Percent: 100, Size: size},
+		}})
+		Expect(h.call().Stop).To(HaveValue(HaveField("Task", task)))
+	})
+
+	It("counts no run that the worker no longer lists, and starts what takes none of what is short", func() {
+		order(other, size)
+		h.agent.Started(h.now, h.call(), nil)
+		h.poll(port.PollResult{Running: []msgs.RunStatus{{Task: other, Run: 1}}})
+		h.say(2, h.clock(), place.Resources{CPU: 4000, Memory: 64000})
+		order(task, place.Resources{Memory: 1000})
+		Expect(h.call().Start).To(HaveValue(HaveField("Task", task)), "it reserves no processors")
+		h.say(3, h.clock(), place.Resources{CPU: 8000, Memory: 64000})
+		h.poll(port.PollResult{Running: []msgs.RunStatus{{Task: task, Run: 1}}})
+		order("00000000000000cc.0.0.0", size)
+		Expect(h.call().Start).NotTo(BeNil())
+	})
+
+	It("stops no run for its size, and starts again once the worker has grown", func() {
+		order(other, size)
+		h.agent.Started(h.now, h.call(), nil)
+		running := port.PollResult{Running: []msgs.RunStatus{{Task: other, Run: 1}}}
+		h.poll(running)
+		h.say(2, h.clock(), place.Resources{})
+		h.poll(running)
+		order(other, size)
+		Expect(h.agent.Calls()).To(BeEmpty())
+		h.say(3, h.clock(), place.Resources{CPU: 16000, Memory: 64000})
+		order(task, size)
+		Expect(h.call().Start).NotTo(BeNil())
+	})
+})
--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -1,6 +1,7 @@
 package exec
 
 import (
+	"cmp"
 	"errors"
 	"time"
 
@@ -21,6 +22,7 @@
 		a.log.Info("ignored orders of another leader or for another incarnation", "epoch", o.Epoch, "latest", a.epoch, "vm", o.VM, "life", o.Incarnation, "starts", len(o.Starts))
 		return
 	}
+	a.noteSizes(o.Starts)
 	for i := range o.Starts {
 		a.start(now, o.Starts[i])
 	}
@@ -74,9 +76,13 @@
 	a.callStart(now, k, 0)
 }
 
-// callStart adds a call that starts a run.
+// callStart adds a call that starts a run, unless the run no longer fits.
 func (a *Agent) callStart(now time.Time, k runKey, after time.Duration) {
 	r := a.runs[k]
+	if !a.fits(r) {
+		a.refuse(k, r)
+		return
+	}
 	r.tries++
 	deadline := a.leaseDeadline(now)
 	a.deadline = max(a.deadline, deadline)
@@ -180,7 +186,7 @@
 	r := a.runs[k]
 	switch {
 	case err == nil && r != nil:
-		r.markUnconfirmed(now, "stopped before it started")
+		r.markUnconfirmed(now, cmp.Or(r.stopReason, "stopped before it started"))
 	case err == nil, errors.Is(err, port.ErrRunOver), errors.Is(err, port.ErrRunFenced), errors.Is(err, port.ErrNoWorker), errors.Is(err, port.ErrWorkerReplaced):
 	case r != nil:
 		a.callStop(k, retryDelay)
--- a/internal/jobs/exec/poll.go
+++ b/internal/jobs/exec/poll.go
@@ -92,6 +92,7 @@
 // order: they were started before the agent restarted.
 func (a *Agent) updateRuns(statuses []msgs.RunStatus, ended []msgs.RunEnd) {
 	for _, r := range a.runs {
+		r.gone = r.gone || r.listed
 		r.listed = false
 	}
 	for _, status := range statuses {
@@ -104,7 +105,7 @@
 			r = &run{start: msgs.Start{Task: status.Task, Run: status.Run}}
 			a.runs[k] = r
 		}
-		r.status, r.present, r.listed = status, true, true
+		r.status, r.present, r.listed, r.gone = status, true, true, false
 	}
 }
 
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -259,7 +259,7 @@
 	t := r.entry.Task(r.ref)
 	return msgs.Start{
 		Task: r.ref.String(), Run: r.number, Payload: r.entry.Job.Payload, Percent: r.speedLimit,
-		Checkpoint: checkpointOf(r, t), Ticket: r.ticket,
+		Checkpoint: checkpointOf(r, t), Ticket: r.ticket, Size: r.step.ResourceRequest(),
 	}
 }
 
--- a/internal/jobs/msgs/agent.go
+++ b/internal/jobs/msgs/agent.go
@@ -154,6 +154,9 @@
 	Ticket string
 	// Percent is the initial speed limit in percent of full speed.
 	Percent int
+	// Size is what the run takes of the worker's capacity. The agent starts no run that does
+	// not fit beside those that are present.
+	Size place.Resources
 }
 
 // Stop orders the agent to stop a run. A run that has not started never will.
--- a/internal/proof/fleet/agent.go
+++ b/internal/proof/fleet/agent.go
@@ -14,6 +14,8 @@
 const (
 	// heartbeatInterval is the time between two heartbeats of a worker.
 	heartbeatInterval = 1100 * time.Millisecond
+	// contactTime is the time within which a machine in touch takes note of what it is told.
+	contactTime = 3 * time.Second
 	// leaseRequestInterval is the time between two lease requests of an agent.
 	leaseRequestInterval = 400 * time.Millisecond
 	// pollInterval is the time between two polls of a worker.
@@ -45,6 +47,8 @@
 func newAgent(w *World, i int) *Agent {
 	a := &Agent{world: w, node: fmt.Sprintf("node-%d", i)}
 	a.Worker = tasks.New(w.Now, fmt.Sprintf("vm-%d", i), capacity, w.plan, &w.Witness)
+	a.Worker.ShrinkNotice = contactTime + heartbeatInterval
+	a.Worker.GuardsCapacity = i%2 == 1
 	a.start()
 	w.After(time.Duration(i)*heartbeatInterval/20, a.heartbeat)
 	a.advance()
--- a/internal/proof/fleet/fault.go
+++ b/internal/proof/fleet/fault.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/fake/topics"
+	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 )
 
 // Fault is a fault that can be injected into a world.
@@ -20,6 +21,17 @@
 	}
 }
 
+// shrink lets all VMs but one shrink for d, to nothing or to a part of their capacity, and grow
+// again. The VM that keeps its capacity can run any task.
+func shrink(d time.Duration) func(*World) {
+	return func(w *World) {
+		for i, a := range w.Agents[1:] {
+			a.Worker.Resize(w.Now, []place.Resources{{}, {CPU: capacity.CPU / 3, Memory: capacity.Memory}, {CPU: capacity.CPU, Memory: capacity.Memory / 6}}[i%3])
+			w.After(d, func() { a.Worker.Resize(w.Now, capacity) })
+		}
+	}
+}
+
 // Faults lists all faults. Tests select by index from a seed, so the order must not change.
 var Faults = []Fault{
 	{"leader killed", func(w *World) { w.Leader().Kill(time.Second) }},
@@ -62,6 +74,7 @@
 		w.DelayedShare = 0.2
 		w.After(5*time.Second, func() { w.DelayedShare = 0 })
 	}},
+	{"workers shrink and grow again", shrink(8 * time.Second)},
 }
 
 // ScheduleWorkload schedules the jobs of a world. Together they need more than the VMs'
