lead: a task that a worker had no room for is tried elsewhere first

A worker that guards its capacity and has shrunk refuses starts until its next heartbeat. The step backed off, and then the leader chose the same VM again, although others had capacity: up to six refusals of one task, each of which costs.

Cause: a refusal delayed the step, but placement did not learn where.

Ruled out: a refusal counts neither as a failure of the task nor of the VM (outcome Lost); the test has as many refusals as max_attempts.

--- a/internal/jobs/lead/capacity_test.go
+++ b/internal/jobs/lead/capacity_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 )
 
@@ -74,4 +75,51 @@
 		Entry("everything", place.Resources{}, false),
 		Entry("everything, over a change of leader", place.Resources{}, true),
 	)
+
+	// refuse reports that the worker refused all starts of the orders because of its capacity.
+	refuse := func(orders []msgs.Orders) {
+		for _, o := range orders {
+			r := &msgs.Report{VM: o.VM, Incarnation: o.Incarnation}
+			for _, s := range o.Starts {
+				r.Ends = append(r.Ends, msgs.RunEnd{Task: s.Task, Run: s.Run, Outcome: msgs.Lost, Reason: port.ErrRunCapacity.Error()})
+			}
+			h.leader.Handle(h.now, firstAgentConn, &msgs.Message{Report: r})
+		}
+	}
+
+	DescribeTable("starts a task elsewhere that a worker refused because it has shrunk", func(step model.Step) {
+		for n := range 3 {
+			h.join(n)
+		}
+		h.submit(job(1, step))
+		h.advance(100 * time.Millisecond)
+		asked := map[string]bool{}
+		for range 3 {
+			orders := h.orders()
+			Expect(orders).To(HaveLen(1))
+			Expect(asked).NotTo(HaveKey(orders[0].VM), "it has just refused")
+			asked[orders[0].VM] = true
+			refuse(orders)
+			h.advance(20 * time.Millisecond)
+			Expect(h.orders()).To(BeEmpty(), "the step backs off")
+			h.advance(400 * time.Millisecond)
+			for n := range 3 {
+				h.requestLease(n, false)
+			}
+		}
+		Expect(h.state("0000000000000001")).To(Equal("running"), "a refusal is no failure")
+	},
+		Entry("a task", smallStep),
+		Entry("a best-effort task", model.Step{Tasks: 1, Size: smallStep.Size, Estimate: time.Second, BestEffort: true}),
+		Entry("a gang", model.Step{Tasks: 1, Size: smallStep.Size, Estimate: time.Second, Gang: true}),
+	)
+
+	It("asks a worker again that refused if there is no other", func() {
+		h.join(0)
+		h.submit(job(1, smallStep))
+		h.advance(100 * time.Millisecond)
+		refuse(h.orders())
+		h.advance(400 * time.Millisecond)
+		Expect(h.orders()).To(HaveLen(1), "there is no other")
+	})
 })
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -140,6 +140,7 @@
 	step := e.StepOf(st)
 	task := &plan.Task{
 		Key: w.Key, Step: step, Service: p.serviceOf(e), Urgent: w.LongRunning || (w.Priority == 0 && !step.BestEffort),
+		Avoid: p.l.backoffs.full(p.now, w.Key),
 	}
 	if p.l.needsAdvice(e) {
 		task.NeedsTicket, task.Tickets = true, p.l.tickets(p.now, w.Key)
@@ -152,7 +153,7 @@
 	for len(st.Waiting) > 0 && p.starts < maxStarts {
 		index := st.Waiting[0]
 		t := *task
-		t.Avoid = p.l.failedVMs(e, st, index)
+		t.Avoid = slices.Concat(task.Avoid, p.l.failedVMs(e, st, index))
 		if step.BestEffort {
 			t.Urgent = p.underused && p.l.idleTooLong(p.now, e)
 		}
@@ -178,7 +179,7 @@
 // chooseRanked is chooseVM with the ranking of VMs for the task ranked, which applies to t if
 // nothing distinguishes the two.
 func (p *pass) chooseRanked(t, ranked *plan.Task, ranking *plan.Ranking) int {
-	if len(t.Avoid) > 0 || t.Urgent != ranked.Urgent {
+	if len(t.Avoid) > len(ranked.Avoid) || t.Urgent != ranked.Urgent {
 		return p.chooseVM(t)
 	}
 	i := ranking.Best()
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -163,6 +163,9 @@
 	case r == nil:
 	case e.Outcome == msgs.Lost && refusalReasons[e.Reason]:
 		l.backoffs.noteRefused(now, stageKey(r.ref))
+		if e.Reason == port.ErrRunCapacity.Error() {
+			l.backoffs.noteFull(stageKey(r.ref), v.info.ID)
+		}
 		delete(l.advice, stageKey(r.ref))
 		if e.Reason == port.ErrWorkerUnhealthy.Error() {
 			v.health.runEnded(now, r, msgs.Failed, 0)
--- a/internal/jobs/plan/vm.go
+++ b/internal/jobs/plan/vm.go
@@ -104,7 +104,8 @@
 	Key     StageKey
 	Step    *model.Step
 	Service string
-	// Avoid holds the ids of VMs on which the task has failed. They are the last resort.
+	// Avoid holds the ids of VMs on which the task has failed, or which lacked capacity for it.
+	// They are the last resort.
 	Avoid []string
 	// NeedsTicket is set if the task may run only on VMs for which Tickets, by VM id,
 	// holds a ticket of the advisor.
