lead: idle VMs are used while another has shrunk below its runs

A best-effort job that fits nowhere but on underused VMs waited, although one VM was idle.

Cause: requestedShare summed what runs request. The runs of a VM that has shrunk request more than it has, so the VMs together seemed in use.

Before: "counts what the runs of a shrunk VM request only up to its capacity, so that idle VMs are used" failed, no start in 3.6 s. After: passes.

--- a/internal/jobs/lead/capacity_test.go
+++ b/internal/jobs/lead/capacity_test.go
@@ -122,4 +122,31 @@
 		h.advance(400 * time.Millisecond)
 		Expect(h.orders()).To(HaveLen(1), "there is no other")
 	})
+
+	longRunning := model.Step{Tasks: 1, Size: place.Resources{CPU: 16000, Memory: 1000}, LongRunning: true, Image: "a"}
+
+	// overfill makes VM 0 run a long-running task that takes all its processors, and then shrink
+	// to none. It returns a function that sends a lease request of its agent and lets time pass.
+	overfill := func() func() {
+		h.resize(0, true, large)
+		h.submit(job(9, longRunning))
+		h.advance(100 * time.Millisecond)
+		Expect(h.starts()).To(HaveLen(1))
+		return func() {
+			h.resize(0, false, place.Resources{Memory: large.Memory}, msgs.RunStatus{Task: "0000000000000009.0.0.0", Run: 1, Percent: 100})
+			h.advance(400 * time.Millisecond)
+		}
+	}
+
+	It("counts what the runs of a shrunk VM request only up to its capacity, so that idle VMs are used", func() {
+		pass := overfill()
+		h.resize(1, true, large)
+		pass()
+		h.submit(job(1, model.Step{Tasks: 1, Size: place.Resources{CPU: 17000, Memory: 1000}, Estimate: time.Second, BestEffort: true}))
+		for range 8 {
+			h.resize(1, false, large)
+			pass()
+		}
+		Expect(h.orders()).To(ConsistOf(HaveField("VM", "vm-1")))
+	})
 })
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -68,11 +68,12 @@
 	}
 }
 
-// requestedShare returns the share of the VMs' processors that their runs request.
+// requestedShare returns the share of the VMs' processors that their runs request. The runs of
+// a VM that has shrunk may request more than it has.
 func (p *pass) requestedShare() float64 {
 	var used, capacity int64
 	for _, v := range p.placement {
-		used += v.Used.CPU
+		used += min(v.Used.CPU, v.Capacity.CPU)
 		capacity += v.Capacity.CPU
 	}
 	return float64(used) / float64(max(1, capacity))
