lead: plans take no processors from other VMs for one that has shrunk

Jobs that could be on time were planned as late, and started in the wrong order.

Cause: coresFor added the capacity less the long-running tasks of each VM. That is negative on a VM that has shrunk below its long-running tasks.

Ruled out: the other uses of a capacity. Free may be negative: nothing fits there, preempt stops only as much as frees enough, reservations and gangs use fits alone; cores() and the costs divide by at least 1.

Before: "takes no processors of other VMs from its plan for a VM that shrank below its long-running tasks" failed, the later objective started first. After: passes.

--- a/internal/jobs/lead/capacity_test.go
+++ b/internal/jobs/lead/capacity_test.go
@@ -149,4 +149,21 @@
 		}
 		Expect(h.orders()).To(ConsistOf(HaveField("VM", "vm-1")))
 	})
+
+	It("takes no processors of other VMs from its plan for a VM that shrank below its long-running tasks", func() {
+		pass := overfill()
+		h.resize(1, true, place.Resources{CPU: 1000, Memory: 64000})
+		long, short := smallStep, smallStep
+		long.Estimate = 2 * time.Second
+		h.submit(job(1, long))
+		for range 6 {
+			h.resize(1, false, place.Resources{CPU: 1000, Memory: 64000})
+			pass()
+		}
+		Expect(h.starts()).To(BeEmpty())
+		h.submit(job(2, short))
+		h.resize(1, false, large)
+		pass()
+		Expect(h.starts()).To(HaveExactElements(HaveField("Task", taskA), HaveField("Task", taskB)), "both can be on time, so the earlier objective is first")
+	})
 })
--- a/internal/jobs/lead/jobclass.go
+++ b/internal/jobs/lead/jobclass.go
@@ -17,7 +17,7 @@
 		if c.bestEffort {
 			sum += max(0, v.placement.Free().CPU+v.placement.ReclaimableCPU)
 		} else {
-			sum += v.placement.Capacity.CPU - v.longRunningCPU()
+			sum += max(0, v.placement.Capacity.CPU-v.longRunningCPU())
 		}
 	}
 	cores := float64(sum) / 1000
