exec: an odd first heartbeat does not shut out the ones after it

If the first heartbeat of an incarnation had a number and a clock reading that were both far too high, all later ones counted as earlier.

Cause: before the first heartbeat the worker's clock is not known, so its reading was taken as it was. Now the first reading is not compared, and the clock of a worker that is gone is forgotten.

Before: "follows a worker after a first heartbeat with an odd number and clock reading" failed. After: passes.

--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -191,6 +191,7 @@
 		a.log.Info("worker seen", "vm", h.VM.ID, "life", h.VM.Incarnation, "service", h.VM.Service, "draining", h.VM.Draining,
 			"remaining", h.VM.Remaining, "capacity", h.VM.Capacity, "before", a.vm.Capacity, "seq", h.Seq)
 	}
+	a.noteHeartbeat(now, h)
 	if !a.present {
 		a.present = true
 		a.noWorkerSince = time.Time{}
@@ -199,7 +200,6 @@
 	if a.vm.Draining && h.VM.Incarnation == a.vm.Incarnation {
 		h.VM.Draining = true // draining is final for an incarnation
 	}
-	a.noteHeartbeat(now, h)
 	a.vm = h.VM
 	a.vm.Node = a.node
 	if changed && a.synced {
@@ -223,6 +223,7 @@
 	a.runs = map[runKey]*run{}
 	a.ends, a.storedEnd, a.deadline = nil, 0, 0
 	a.heartbeat = heartbeat{}
+	a.workerClock, a.workerClockAt = 0, time.Time{}
 	a.noWorkerSince = time.Time{}
 }
 
--- a/internal/jobs/exec/beat.go
+++ b/internal/jobs/exec/beat.go
@@ -25,12 +25,13 @@
 
 // noteHeartbeat records the place of a heartbeat of the worker's present incarnation in the
 // order. A reading beyond the worker's clock as the agent knows it is wrong and counts as
-// that of now.
+// that of now. The reading of the incarnation's first heartbeat cannot be compared, so it shows
+// of no other heartbeat that it is earlier.
 func (a *Agent) noteHeartbeat(now time.Time, h port.Heartbeat) {
 	if !numbered(h) {
 		return
 	}
-	a.heartbeat = heartbeat{seq: h.Seq, clock: h.Clock}
+	a.heartbeat = heartbeat{seq: h.Seq}
 	if !a.workerClockAt.IsZero() {
 		a.heartbeat.clock = min(h.Clock, a.workerClock+now.Sub(a.workerClockAt))
 	}
--- a/internal/jobs/exec/capacity_test.go
+++ b/internal/jobs/exec/capacity_test.go
@@ -1,12 +1,14 @@
 package exec_test
 
 import (
+	"log/slog"
 	"math"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/ebonyarch/ebonyarch/internal/jobs/exec"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 	"github.com/ebonyarch/ebonyarch/internal/sched/place"
@@ -76,6 +78,14 @@
 		Entry("when the accelerators alone have shrunk", large, place.Resources{CPU: 64000, Memory: 256000}),
 	)
 
+	It("follows a worker after a first heartbeat with an odd number and clock reading", func() {
+		h.agent = exec.New("node-1", slog.New(slog.DiscardHandler))
+		h.say(math.MaxInt64, h.clock()+1000*time.Hour, large)
+		h.now = h.now.Add(beat)
+		h.say(2, h.clock(), small)
+		Expect(h.agent.VM().Capacity).To(Equal(small))
+	})
+
 	It("follows a new incarnation, which counts its heartbeats from the start", func() {
 		h.say(700, h.clock(), large)
 		h.incarnation += 400
