exec: the test of a new incarnation polls it, as a heartbeat alone may not replace the worker

The test is as strict as before: the capacity is that of the first heartbeat of the new incarnation.

--- a/internal/jobs/exec/capacity_test.go
+++ b/internal/jobs/exec/capacity_test.go
@@ -94,6 +94,7 @@
 		Expect(h.agent.VM().Capacity).To(Equal(small))
 		h.incarnation += 400
 		h.say(1, time.Second, large)
+		h.poll(port.PollResult{})
 		Expect(h.agent.VM().Capacity).To(Equal(large))
 	})
 })
