--- a/internal/base/codec/codec_test.go
+++ b/internal/base/codec/codec_test.go
@@ -35,7 +35,7 @@
 		_, err := decode(v)
 		Expect(err).To(HaveOccurred())
 	},
-		Entry("too many elements", append(append([]any{}, earlier...), true, 1)),
+		Entry("too many elements", append(append([]any{}, earlier...), true, []any{1, 2, 3}, 1)),
 		Entry("an element of another type", []any{"task", "2"}),
 		Entry("no array", "task"),
 	)
--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -49,6 +49,9 @@
 	// before.
 	workerClock   time.Duration
 	workerClockAt time.Time
+	// heartbeat is the number and the clock reading of the latest heartbeat of the worker's
+	// incarnation. The clock reading is no later than the worker's clock was.
+	heartbeat heartbeat
 	// knownSince is when this process learned of the worker's incarnation.
 	knownSince time.Time
 	// deadline is the latest end of the lease that this process sent to the worker, on the
@@ -104,6 +107,8 @@
 	// present is set once the worker has confirmed the start or listed the run, listed
 	// if the result of the latest poll lists it.
 	present, listed bool
+	// gone is set if the result of the latest poll does not list the run any more: it has ended.
+	gone bool
 	// tries is the number of calls made to start the run. It is reset if the worker
 	// refused a call because its fencing token was out of date.
 	tries int
@@ -112,6 +117,9 @@
 	unanswered bool
 	// stopping is set once the run is to be stopped.
 	stopping bool
+	// stopReason is why the run is stopped although it is not present, empty if the leader
+	// ordered it or its starts got no response.
+	stopReason string
 	// unconfirmedReason is not empty if it is unknown since unconfirmedAt whether the run
 	// is present. The next poll that starts later shows it.
 	unconfirmedReason string
@@ -189,6 +197,9 @@
 	case known && h.VM.Incarnation < a.vm.Incarnation:
 		a.log.Info("ignored a heartbeat of an earlier incarnation", "vm", h.VM.ID, "life", h.VM.Incarnation, "latest", a.vm.Incarnation)
 		return
+	case known && h.VM.ID == a.vm.ID && h.VM.Incarnation == a.vm.Incarnation && a.heartbeat.after(h):
+		a.log.Info("ignored an earlier heartbeat", "vm", h.VM.ID, "life", h.VM.Incarnation, "seq", h.Seq, "latest", a.heartbeat.seq)
+		return
 	case known && h.VM.ID != a.vm.ID:
 		a.noteCrash(now)
 		a.workerGone(now, "another worker sent a heartbeat")
@@ -198,11 +209,12 @@
 		a.log.Info("the worker has sent a heartbeat again", "vm", h.VM.ID, "life", h.VM.Incarnation)
 		a.synced = false
 	}
-	changed := !known || !a.present || h.VM.Draining != a.vm.Draining
+	changed := !known || !a.present || h.VM.Draining != a.vm.Draining || h.VM.Capacity != a.vm.Capacity
 	if changed {
 		a.log.Info("worker seen", "vm", h.VM.ID, "life", h.VM.Incarnation, "service", h.VM.Service, "draining", h.VM.Draining,
-			"remaining", h.VM.Remaining, "seq", h.Seq)
+			"remaining", h.VM.Remaining, "capacity", h.VM.Capacity, "before", a.vm.Capacity, "seq", h.Seq)
 	}
+	a.noteHeartbeat(now, h)
 	if !a.present {
 		a.present = true
 		a.noWorkerSince = time.Time{}
@@ -234,6 +246,8 @@
 func (a *Agent) reset() {
 	a.runs = map[runKey]*run{}
 	a.ends, a.storedEnd, a.deadline = nil, 0, 0
+	a.heartbeat = heartbeat{}
+	a.workerClock, a.workerClockAt = 0, time.Time{}
 	a.noWorkerSince, a.silentSince = time.Time{}, time.Time{}
 }
 
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -70,11 +70,12 @@
 	}
 }
 
-// requestedShare returns the share of the VMs' processors that their runs request.
+// requestedShare returns the share of the VMs' processors that their runs request. The runs of
+// a VM that has shrunk may request more than it has.
 func (p *pass) requestedShare() float64 {
 	var used, capacity int64
 	for _, v := range p.placement {
-		used += v.Used.CPU
+		used += min(v.Used.CPU, v.Capacity.CPU)
 		capacity += v.Capacity.CPU
 	}
 	return float64(used) / float64(max(1, capacity))
@@ -152,7 +153,7 @@
 			return
 		}
 		t := *task
-		t.Avoid = p.l.failedVMs(e, st, index)
+		t.Avoid = slices.Concat(task.Avoid, p.l.failedVMs(e, st, index))
 		if step.BestEffort {
 			t.Urgent = p.underused && p.l.idleTooLong(p.now, e)
 		}
@@ -181,6 +182,7 @@
 	step := e.StepOf(st)
 	task := &plan.Task{
 		Key: w.Key, Step: step, Service: p.serviceOf(e), Urgent: w.LongRunning || (w.Priority == 0 && !step.BestEffort),
+		Avoid: p.l.backoffs.full(p.now, w.Key),
 	}
 	if p.l.needsAdvice(e) {
 		task.NeedsTicket, task.Tickets = true, p.l.tickets(p.now, w.Key)
@@ -191,7 +193,7 @@
 // chooseRanked is chooseVM with the ranking of VMs for the task ranked, which applies to t if
 // nothing distinguishes the two.
 func (p *pass) chooseRanked(t, ranked *plan.Task, ranking *plan.Ranking) int {
-	if len(t.Avoid) > 0 || t.Urgent != ranked.Urgent {
+	if len(t.Avoid) > len(ranked.Avoid) || t.Urgent != ranked.Urgent {
 		return p.chooseVM(t)
 	}
 	i := ranking.Best()
@@ -276,6 +278,7 @@
 	return msgs.Start{
 		Task: r.ref.String(), Run: r.number, Payload: r.entry.Job.Payload, Percent: r.speedLimit,
 		Checkpoint: checkpointOf(r, t), Ticket: r.ticket, Repeated: repeated,
+		Size: r.step.ResourceRequest(),
 	}
 }
 
--- a/internal/jobs/lead/quarantine.go
+++ b/internal/jobs/lead/quarantine.go
@@ -111,7 +111,7 @@
 					p.l.suspectSince[ref] = p.now
 				}
 				task := p.taskOf(&stages[i], e, st)
-				task.Avoid = p.l.failedVMs(e, st, index)
+				task.Avoid = slices.Concat(task.Avoid, p.l.failedVMs(e, st, index))
 				list = append(list, suspect{task, e, st, index, n, p.l.suspectSince[ref]})
 			}
 		}
--- a/internal/jobs/msgs/agent.go
+++ b/internal/jobs/msgs/agent.go
@@ -163,6 +163,9 @@
 	// Repeated is set if the same leader has given the order before, perhaps to an earlier
 	// process of the agent.
 	Repeated bool
+	// Size is what the run takes of the worker's capacity. The agent starts no run that does
+	// not fit beside those that are present.
+	Size place.Resources
 }
 
 // UnmarshalCBOR implements cbor.Unmarshaler. It also decodes orders of earlier versions.
