exec: a heartbeat alone no longer replaces the worker

A clock_ms near the maximum became the base of all later lease deadlines.

Cause: the agent took a heartbeat, which anyone may send, for proof.

Now a heartbeat of another worker or of a later incarnation is only announced. It takes effect when a poll of the known worker is refused with 421, answers with the later start time, finds no process at the address, or the lease has ended. A poll that starts later and that the known worker answers refutes it. Before a worker has answered its first poll, the leader is told nothing of it, its clock and start time come from that answer, and the fencing token never falls below one that was sent already.

Cost: one poll at a true change of worker. The poll in flight fails with the earlier worker's connection, so that is the pause of 60 ms before the next one; only while the known worker still answers may a poll wait for 400 ms.

Remains: a first heartbeat after the agent's start with the worker's own id and a false start time raises the fencing token of that epoch.

--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -34,8 +34,16 @@
 	// node is the agent's name.
 	node string
 	vm   msgs.VM
-	// present is set while the agent knows of a worker that is not gone.
-	present bool
+	// present is set while the agent knows of a worker that is not gone, confirmed once that
+	// worker has answered a poll. The leader is told nothing of a worker that is not confirmed.
+	present, confirmed bool
+	// announced is the latest heartbeat of another worker, or of a later incarnation. Its VM
+	// has no ID if there is none. The first one of that incarnation arrived at announcedAt.
+	announced   port.Heartbeat
+	announcedAt time.Time
+	// tokenIncarnation is the least incarnation from which fencing tokens are derived. It is
+	// set if the worker was sent a token for an incarnation later than its own.
+	tokenIncarnation int64
 	// epoch is the highest epoch known. connected is set while the agent is connected to
 	// the leader of that epoch, and synced once that leader has been sent all runs.
 	epoch             uint64
@@ -163,14 +171,16 @@
 // Heartbeat processes a heartbeat of the worker.
 func (a *Agent) Heartbeat(now time.Time, h port.Heartbeat) {
 	known := a.vm.ID != ""
+	other := known && (h.VM.ID != a.vm.ID || h.VM.Incarnation > a.vm.Incarnation)
 	switch {
 	case known && h.VM.Incarnation < a.vm.Incarnation:
 		a.log.Info("ignored a heartbeat of an earlier incarnation", "vm", h.VM.ID, "life", h.VM.Incarnation, "latest", a.vm.Incarnation)
 		return
-	case known && h.VM.ID != a.vm.ID:
-		a.workerGone(now, "another worker sent a heartbeat")
-	case known && h.VM.Incarnation > a.vm.Incarnation:
-		a.newIncarnation(now, h.VM.Incarnation)
+	case other && a.confirmed:
+		a.announce(now, h)
+		return
+	case other:
+		a.workerGone(now, "another worker sent a heartbeat before it was confirmed")
 	case known && !a.present:
 		a.log.Info("the worker has sent a heartbeat again", "vm", h.VM.ID, "life", h.VM.Incarnation)
 		a.synced = false
@@ -183,7 +193,7 @@
 	if !a.present {
 		a.present = true
 		a.noWorkerSince = time.Time{}
-		a.workerClock, a.workerClockAt = h.Clock, now
+		a.workerClock, a.workerClockAt = 0, time.Time{} // read in the first poll
 	}
 	if a.vm.Draining && h.VM.Incarnation == a.vm.Incarnation {
 		h.VM.Draining = true // draining is final for an incarnation
@@ -200,6 +210,9 @@
 func (a *Agent) newIncarnation(now time.Time, incarnation int64) {
 	a.log.Info("the worker has restarted", "vm", a.vm.ID, "life", incarnation, "before", a.vm.Incarnation, "runs", len(a.runs))
 	a.reset()
+	if a.tokenIncarnation >= incarnation {
+		a.tokenIncarnation += incarnationUnit
+	}
 	a.vm.Incarnation = incarnation
 	a.vm.Draining = false
 	a.workerClock, a.workerClockAt = 0, now
@@ -217,13 +230,17 @@
 // has made sure that none of its runs is left.
 func (a *Agent) workerGone(now time.Time, reason string) {
 	a.log.Info("the worker is gone", "vm", a.vm.ID, "life", a.vm.Incarnation, "runs", len(a.runs), "unstoredEnds", len(a.ends), "reason", reason)
-	gone := a.vm
-	gone.Down = true
-	a.reportEnds()
-	a.sendLeaseRequest(now, &msgs.LeaseRequest{VM: gone})
+	if a.confirmed {
+		gone := a.vm
+		gone.Down = true
+		a.reportEnds()
+		a.sendLeaseRequest(now, &msgs.LeaseRequest{VM: gone})
+	}
 	a.reset()
 	a.vm = msgs.VM{}
-	a.present, a.synced = false, false
+	a.present, a.confirmed, a.synced = false, false, false
+	a.tokenIncarnation = 0
+	a.adoptAnnounced(now)
 }
 
 // reportEnds reports all run ends that the leader has not stored.
--- a/internal/jobs/exec/lease.go
+++ b/internal/jobs/exec/lease.go
@@ -29,11 +29,11 @@
 // requestLease sends a lease request. If synced is set, it is the first one after a poll in
 // the leader's epoch.
 func (a *Agent) requestLease(now time.Time, synced bool) {
-	req := &msgs.LeaseRequest{Synced: synced, RunsListed: a.synced || synced, VM: a.vm}
-	if !a.present {
-		a.sendLeaseRequest(now, req)
+	if !a.present || !a.confirmed {
+		a.sendLeaseRequest(now, &msgs.LeaseRequest{})
 		return
 	}
+	req := &msgs.LeaseRequest{Synced: synced, RunsListed: a.synced || synced, VM: a.vm}
 	if req.RunsListed {
 		for k, r := range a.runs {
 			status := r.status
@@ -122,5 +122,5 @@
 // increases with the epoch and, within an epoch, with the incarnation: a restarted worker
 // has accepted no token yet, and must refuse orders to its earlier incarnation.
 func (a *Agent) fencingToken() uint64 {
-	return a.epoch<<incarnationBits | uint64(a.vm.Incarnation/incarnationUnit)&(1<<incarnationBits-1)
+	return a.epoch<<incarnationBits | uint64(max(a.vm.Incarnation, a.tokenIncarnation)/incarnationUnit)&(1<<incarnationBits-1)
 }
--- a/internal/jobs/exec/poll.go
+++ b/internal/jobs/exec/poll.go
@@ -30,7 +30,7 @@
 	if a.leaseDeadline(now) > 0 {
 		p.Deadline = a.deadline
 	}
-	if mayWait && !a.NeedsSync() && len(a.ends) == 0 {
+	if mayWait && a.confirmed && !a.NeedsSync() && len(a.ends) == 0 {
 		p.Wait = pollWait
 	}
 	return p, true
@@ -54,11 +54,8 @@
 		a.log.Warn("left out runs that could not be decoded from the worker's response", "vm", a.vm.ID, "err", err)
 	}
 	a.noWorkerSince = time.Time{}
-	switch {
-	case res.Incarnation != 0 && res.Incarnation < a.vm.Incarnation:
+	if !a.answered(now, p, res.Incarnation) {
 		return
-	case res.Incarnation > a.vm.Incarnation:
-		a.newIncarnation(now, res.Incarnation)
 	}
 	// The reading was taken before now, so a lease computed from it ends early rather
 	// than late.
