exec: a silent worker isn't gone before an unknown lease can have ended

The worker may be cut off or paused for half a second while it holds the lease, of up to 5 s, that the agent's earlier process gave it.

Cause: leaseExpired compares with the deadline that this process sent. That is 0 until it has sent one, so the lease counted as over.

Now a worker that has answered no poll is never reported as gone for its silence; the leader isn't told of it and lets its own lease run out. One that falls silent after an answer, but before its first deadline, counts as holding a lease to the end of the latest grant, which no earlier one exceeds.

Ruled out: that the leader never gives up the runs.

Before: "does not report a silent worker as gone, since that one may hold an earlier lease" got a Down, and "reports a worker that falls silent after its first answer as gone only after the longest earlier lease" found no worker after one failed poll. After: both pass.

--- a/internal/jobs/exec/announce_test.go
+++ b/internal/jobs/exec/announce_test.go
@@ -146,4 +146,25 @@
 		h.poll(port.PollResult{})
 		Expect(h.poll(port.PollResult{}).Deadline).To(BeNumerically("<", h.now.Add(2*lease).Sub(time.Unix(0, 0))))
 	})
+
+	It("does not report a silent worker as gone, since that one may hold an earlier lease", func() {
+		h.heartbeat("vm-1", h.incarnation)
+		h.fail(errNoResponse)
+		h.now = h.now.Add(lease)
+		h.fail(errNoResponse)
+		Expect(h.vms()).To(BeEmpty())
+	})
+
+	It("reports a worker that falls silent after its first answer as gone only after the longest earlier lease", func() {
+		h.heartbeat("vm-1", h.incarnation)
+		h.poll(port.PollResult{})
+		h.fail(errNoResponse)
+		Expect(h.agent.VM().ID).To(Equal("vm-1"))
+		h.grant()
+		h.fail(errNoResponse)
+		Expect(h.agent.VM().ID).To(Equal("vm-1"))
+		h.now = h.now.Add(lease + lease/10)
+		h.fail(errNoResponse)
+		Expect(h.agent.VM().ID).To(BeEmpty())
+	})
 })
--- a/internal/jobs/exec/poll.go
+++ b/internal/jobs/exec/poll.go
@@ -156,7 +156,13 @@
 		return
 	}
 	a.noWorkerSince = time.Time{}
-	if a.leaseExpired(now) && a.present {
+	if !a.confirmed {
+		return // an earlier process of the agent may have given it a lease
+	}
+	if a.deadline == 0 {
+		a.deadline = a.leaseDeadline(now) // no earlier lease ends later
+	}
+	if a.deadline > 0 && a.leaseExpired(now) {
 		a.workerGone(now, "the worker does not respond and its lease has expired")
 	}
 }
