exec: an odd first heartbeat doesn't hold the place of the true worker

What callers would see (LOST): after the agent's start a foreign heartbeat with a later start time, whose worker never answers (an id that no header can carry, or a worker that is silent), kept the true worker's heartbeats out as "of an earlier incarnation": the VM took no work for as long as no poll was answered with 421.

Until a worker has answered a poll, the latest heartbeat now names the one to ask, whatever start time it has.

Before: "asks for the worker that the latest heartbeat names, since no answer may ever come for an earlier one" failed (the agent stayed with vm-9). After: it passes with all others of the package.

--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -171,9 +171,9 @@
 // Heartbeat processes a heartbeat of the worker.
 func (a *Agent) Heartbeat(now time.Time, h port.Heartbeat) {
 	known := a.vm.ID != ""
-	other := known && (h.VM.ID != a.vm.ID || h.VM.Incarnation > a.vm.Incarnation)
+	other := known && !sameIncarnation(h.VM, a.vm)
 	switch {
-	case known && h.VM.Incarnation < a.vm.Incarnation:
+	case known && a.confirmed && h.VM.Incarnation < a.vm.Incarnation:
 		a.log.Info("ignored a heartbeat of an earlier incarnation", "vm", h.VM.ID, "life", h.VM.Incarnation, "latest", a.vm.Incarnation)
 		return
 	case other && a.confirmed:
--- a/internal/jobs/exec/announce_test.go
+++ b/internal/jobs/exec/announce_test.go
@@ -140,6 +140,14 @@
 		Expect(h.poll(port.PollResult{}).FencingToken).To(BeNumerically(">", before))
 	})
 
+	It("asks for the worker that the latest heartbeat names, since no answer may ever come for an earlier one", func() {
+		h.heartbeat("vm-9", h.incarnation+100)
+		h.fail(errNoResponse)
+		h.heartbeat("vm-1", h.incarnation)
+		h.poll(port.PollResult{})
+		Expect(h.vms()).To(ConsistOf(HaveField("ID", "vm-1")))
+	})
+
 	It("takes the worker's clock from its answer", func() {
 		h.agent.Heartbeat(h.now, port.Heartbeat{VM: msgs.VM{ID: "vm-1", Incarnation: h.incarnation}, Clock: 1 << 62})
 		h.grant()
