model: a job whose numbers can't be stored or summed is refused

Sizes and estimates near the maximum of int64 overflow in sums over tasks, negative ones shorten them, and an interval times its number of occurrences can make the last one due at once.

Cause: Validate had no upper limits for sizes, estimates, the interval and the start.

--- a/internal/jobs/model/job.go
+++ b/internal/jobs/model/job.go
@@ -32,6 +32,13 @@
 	maxSteps   = 256
 	// maxTasks counts the tasks of all steps and occurrences.
 	maxTasks = 8000
+	// maxResource limits each resource of a task, in its unit.
+	maxResource = 1 << 40
+	// maxDuration limits durations, and the time from the first occurrence to the last one.
+	maxDuration = 20 * 365 * 24 * time.Hour
+	// maxYear is the last year in which a job may start. Later ones than 9999 can't be
+	// stored.
+	maxYear = 9000
 )
 
 // Validate returns an error that describes the first fault in the job's
@@ -45,15 +52,22 @@
 	case len(j.Steps) == 0 || len(j.Steps) > maxSteps:
 		return fmt.Errorf("job has %d steps, want 1 to %d", len(j.Steps), maxSteps)
 	}
-	if j.Repeat < 0 || j.Repeat > maxTasks || j.Interval < 0 {
+	if j.Repeat < 0 || j.Repeat > maxTasks || j.Interval < 0 || j.Interval > maxDuration/time.Duration(max(1, j.Repeat)) {
 		return fmt.Errorf("schedule of %d occurrences every %s is out of range, want at most %d occurrences", j.Repeat, j.Interval, maxTasks)
 	}
+	if j.StartAt.Year() > maxYear {
+		return fmt.Errorf("start %s is after the year %d", j.StartAt, maxYear)
+	}
 	total := 0
 	for i := range j.Steps {
 		s := &j.Steps[i]
-		if s.Tasks < 1 || s.Tasks > maxTasks || s.Size.CPU < 0 || s.Size.Memory < 0 || s.Size.Accelerators < 0 {
+		if s.Tasks < 1 || s.Tasks > maxTasks || min(s.Size.CPU, s.Size.Memory, s.Size.Accelerators) < 0 ||
+			max(s.Size.CPU, s.Size.Memory, s.Size.Accelerators) > maxResource {
 			return fmt.Errorf("step %d: task count or size is out of range", i)
 		}
+		if min(s.Estimate, s.LatencyTarget) < 0 || max(s.Estimate, s.LatencyTarget) > maxDuration {
+			return fmt.Errorf("step %d: estimate or latency target is out of range", i)
+		}
 		for _, a := range s.After {
 			if a < 0 || a >= i {
 				return fmt.Errorf("step %d: depends on step %d, which is not an earlier step", i, a)
--- a/internal/jobs/model/model_test.go
+++ b/internal/jobs/model/model_test.go
@@ -1,6 +1,7 @@
 package model_test
 
 import (
+	"math"
 	"strings"
 	"time"
 
@@ -32,6 +33,12 @@
 		Entry("a negative size", func(j *model.Job) { j.Steps[0].Size.CPU = -1 }),
 		Entry("a step that depends on itself", func(j *model.Job) { j.Steps[1].After = []int{1} }),
 		Entry("too many occurrences", func(j *model.Job) { j.Repeat = 1 << 40 }),
+		Entry("a last occurrence that no time can name", func(j *model.Job) { j.Repeat, j.Interval = 2000, math.MaxInt64/2 }),
+		Entry("a start that can't be stored", func(j *model.Job) { j.StartAt = time.UnixMilli(math.MaxInt64) }),
+		Entry("a size whose sum over all tasks overflows", func(j *model.Job) { j.Steps[0].Size.Memory = math.MaxInt64 }),
+		Entry("a negative estimate", func(j *model.Job) { j.Steps[0].Estimate = -1 }),
+		Entry("an estimate that overflows in sums", func(j *model.Job) { j.Steps[0].Estimate = math.MaxInt64 }),
+		Entry("a negative latency target", func(j *model.Job) { j.Steps[0].LatencyTarget = -1 }),
 	)
 
 	It("has occurrences that are due according to its schedule", func() {
