codec: an odd record or message no longer ends the processes that read it

What callers would see (processes that end by themselves, LOST): one record of our topics, or one message, of 32 bytes made the CBOR library panic with "index out of range [4] with length 4". Records are read in goroutines of ours: an entry that claims the leadership would end while it loads the jobs, the next one after it, and each one again after its start.

Cause: in an array of indefinite length the library reads elements until it sees the array's end. After a map in place of a time it goes on at the wrong byte (fxamacker/cbor v2.9.0, parseArrayToStruct), misses the end and indexes past the struct's fields. Of our types, jobs, progress records and messages with a job have a time.

Now the decoder refuses arrays of indefinite length and tags, which our encoder never writes, and a panic while decoding is an error: such a record is skipped and logged like any that can't be read, such a connection closed.

Ruled out by tests that held before: nesting of 100,000, claimed lengths of 9e18, numbers too large, other types, addresses cut off.

--- a/internal/base/codec/codec.go
+++ b/internal/base/codec/codec.go
@@ -3,6 +3,7 @@
 package codec
 
 import (
+	"fmt"
 	"io"
 
 	"github.com/fxamacker/cbor/v2"
@@ -16,20 +17,47 @@
 	return mode
 }()
 
+// decoding refuses what Marshal never produces. In particular, the library panics on some
+// arrays of indefinite length.
+var decoding = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
 // Marshal encodes a value.
 func Marshal(v any) ([]byte, error) { return encoding.Marshal(v) }
 
 // Unmarshal decodes one value.
-func Unmarshal(data []byte, v any) error { return cbor.Unmarshal(data, v) }
+func Unmarshal(data []byte, v any) (err error) {
+	defer recoverInto(&err)
+	return decoding.Unmarshal(data, v)
+}
+
+// recoverInto turns a panic of the library into an error: the bytes may come from anyone, and
+// one odd record must not end each process that reads it.
+func recoverInto(err *error) {
+	if p := recover(); p != nil {
+		*err = fmt.Errorf("decoder panicked: %v", p)
+	}
+}
 
 // Encoder writes a sequence of values.
 type Encoder = cbor.Encoder
 
 // Decoder reads a sequence of values.
-type Decoder = cbor.Decoder
+type Decoder struct{ dec *cbor.Decoder }
 
 // NewEncoder returns an encoder that writes to w.
 func NewEncoder(w io.Writer) *Encoder { return encoding.NewEncoder(w) }
 
 // NewDecoder returns a decoder that reads from r.
-func NewDecoder(r io.Reader) *Decoder { return cbor.NewDecoder(r) }
+func NewDecoder(r io.Reader) *Decoder { return &Decoder{decoding.NewDecoder(r)} }
+
+// Decode decodes the next value. No further one can be decoded after an error.
+func (d *Decoder) Decode(v any) (err error) {
+	defer recoverInto(&err)
+	return d.dec.Decode(v)
+}
