elect: an address at which no entry can listen isn't asked

What callers would see: an odd record among the entries' addresses (port 0, an unspecified or a group address) joined the known entries. Each search for a leader and each announcement dialed it, and a survey of six entries chosen at random could be spent on such addresses. 0.0.0.0 even reaches the own machine, so an entry asked itself.

Now MergeAddrs, through which all addresses pass, leaves them out.

Before: all four rows of "leaves out an address at which no entry can be reached" failed. After: they pass.

Remains: a plausible address at which nobody listens costs one try of a survey, as that of an entry that is gone does.

--- a/internal/jobs/elect/elect.go
+++ b/internal/jobs/elect/elect.go
@@ -182,12 +182,12 @@
 	return "", false
 }
 
-// MergeAddrs returns a sorted list with the addresses of list and the valid ones of more
-// other than self, without duplicates. It never changes list, and appending to the result
+// MergeAddrs returns a sorted list with the addresses of list and those of more other than self
+// that a process can listen on, without duplicates. It never changes list, and appending to the result
 // copies it, so that other goroutines may read both.
 func MergeAddrs(list []netip.AddrPort, self netip.AddrPort, more ...netip.AddrPort) []netip.AddrPort {
 	for _, addr := range more {
-		if !addr.IsValid() || addr == self {
+		if !addr.IsValid() || addr == self || addr.Port() == 0 || addr.Addr().IsUnspecified() || addr.Addr().IsMulticast() {
 			continue
 		}
 		if i, found := slices.BinarySearchFunc(list, addr, netip.AddrPort.Compare); !found {
--- a/internal/jobs/elect/elect_test.go
+++ b/internal/jobs/elect/elect_test.go
@@ -105,6 +105,12 @@
 		Expect(elect.MergeAddrs(nil, b, c, b, a, c, netip.AddrPort{})).To(Equal([]netip.AddrPort{a, c}))
 	})
 
+	DescribeTable("leaves out an address at which no entry can be reached", func(addr string) {
+		Expect(elect.MergeAddrs(nil, b, c, netip.MustParseAddrPort(addr), a)).To(Equal([]netip.AddrPort{a, c}))
+	},
+		Entry("port 0", "10.0.0.9:0"), Entry("no particular address", "0.0.0.0:9"), Entry("none in IPv6", "[::]:9"), Entry("a group", "224.0.0.1:9"),
+	)
+
 	// Messages that wait to be encoded by another goroutine hold earlier lists.
 	It("never changes an earlier list, nor lets two lists share memory that either may append to", func() {
 		before := elect.MergeAddrs(make([]netip.AddrPort, 0, 8), b, a, c)
