lead: a job out of range in a message doesn't end the leader

What callers would see (processes that end by themselves): a message to the leader with a job of -5 or of 2^62 tasks made it panic ("slice bounds out of range [:-5]", "growslice: len out of range"), in its event loop, so the process ended; a dependency on a step that doesn't exist panics when the job is placed. Entries check jobs before they forward them, but another process that reaches the port, or an entry with other limits, need not.

Now the leader checks a job before it accepts it, as it does when it loads one, and answers 422.

Before: three of three rows of "refuses it and accepts others" failed, two of them with these panics. After: they pass.

--- a/internal/jobs/lead/callers.go
+++ b/internal/jobs/lead/callers.go
@@ -44,6 +44,11 @@
 		l.reply(conn, msgs.JobResponse{Seq: req.Seq, Code: codes.BadRequest})
 		return
 	}
+	if err := req.Spec.Validate(); err != nil {
+		l.log.Warn("refused an invalid job", "req", req.Job, "err", err)
+		l.reply(conn, msgs.JobResponse{Seq: req.Seq, Code: codes.JobInvalid})
+		return
+	}
 	e := l.table.Get(req.Job)
 	if e != nil && e.InStore {
 		l.log.Info("job handed in again", "req", req.Job, "queue", req.Queue, "state", e.Stored)
