peer: a message with an absurd epoch closes its connection

What callers would see (LOST): one Hello, Welcome, Ping or order with an epoch near the maximum of uint64 made its receiver believe in a leader that no real one can follow: entries stop leading, the epoch after it is 0, which the store refuses, and fencing tokens, which hold the epoch above 31 bits, overflow.

Now an epoch over 2^32 is an error of the connection that carries it.

Before (the check without effect): the four rows of "fails for a message with an epoch out of range" failed; the message was delivered. After: they pass, as do the tests of run/entry.

Remains: the stored claim with such an epoch isn't checked; only a writer of our own topic could leave it, and no test shows what would follow.

--- a/internal/run/peer/peer.go
+++ b/internal/run/peer/peer.go
@@ -72,7 +72,8 @@
 	}
 }
 
-// Receive returns the next message. It fails if none arrives within timeout.
+// Receive returns the next message. It fails if none arrives within timeout, or if the message
+// is out of range.
 func (c *Conn) Receive(timeout time.Duration) (*msgs.Message, error) {
 	if err := c.conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		return nil, err
@@ -81,6 +82,9 @@
 	if err := c.dec.Decode(m); err != nil {
 		return nil, err
 	}
+	if err := m.Check(); err != nil {
+		return nil, err
+	}
 	return m, nil
 }
 
