--- a/internal/base/codec/codec.go
+++ b/internal/base/codec/codec.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"reflect"
 
@@ -18,23 +19,44 @@
 	return mode
 }()
 
+// decoding refuses what Marshal never produces. In particular, the library panics on some
+// arrays of indefinite length.
+var decoding = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
 // Marshal encodes a value.
 func Marshal(v any) ([]byte, error) { return encoding.Marshal(v) }
 
 // Unmarshal decodes one value.
-func Unmarshal(data []byte, v any) error { return cbor.Unmarshal(data, v) }
+func Unmarshal(data []byte, v any) (err error) {
+	defer recoverInto(&err)
+	return decoding.Unmarshal(data, v)
+}
+
+// recoverInto turns a panic of the library into an error: the bytes may come from anyone, and
+// one odd record must not end each process that reads it.
+func recoverInto(err *error) {
+	if p := recover(); p != nil {
+		*err = fmt.Errorf("decoder panicked: %v", p)
+	}
+}
 
 // UnmarshalArray decodes a value of a struct type that is encoded as an array. The array may be
 // shorter than the struct, because an earlier version encoded it: the fields at the end that it
 // lacks get their zero values. v must be a pointer to a type that does not call UnmarshalArray
 // itself, such as one that is defined as the caller's.
 func UnmarshalArray(data []byte, v any) error {
-	err := cbor.Unmarshal(data, v)
+	err := Unmarshal(data, v)
 	if typeErr := (*cbor.UnmarshalTypeError)(nil); !errors.As(err, &typeErr) {
 		return err
 	}
 	var fields []cbor.RawMessage
-	if cbor.Unmarshal(data, &fields) != nil {
+	if Unmarshal(data, &fields) != nil {
 		return err
 	}
 	for want := reflect.TypeOf(v).Elem().NumField() - 1; len(fields) < want; { // the first one holds the tag
@@ -44,7 +66,7 @@
 	if encodeErr != nil {
 		return err
 	}
-	return cbor.Unmarshal(longer, v)
+	return Unmarshal(longer, v)
 }
 
 // null is the encoding of an absent value.
@@ -54,10 +76,16 @@
 type Encoder = cbor.Encoder
 
 // Decoder reads a sequence of values.
-type Decoder = cbor.Decoder
+type Decoder struct{ dec *cbor.Decoder }
 
 // NewEncoder returns an encoder that writes to w.
 func NewEncoder(w io.Writer) *Encoder { return encoding.NewEncoder(w) }
 
 // NewDecoder returns a decoder that reads from r.
-func NewDecoder(r io.Reader) *Decoder { return cbor.NewDecoder(r) }
+func NewDecoder(r io.Reader) *Decoder { return &Decoder{decoding.NewDecoder(r)} }
+
+// Decode decodes the next value. No further one can be decoded after an error.
+func (d *Decoder) Decode(v any) (err error) {
+	defer recoverInto(&err)
+	return d.dec.Decode(v)
+}
