jobs/lead: a later leader does not start runs of tasks that are done

A task can be done while a run of it is left: the copy of a speculative task, or the next run after one that was given up and turned out to be done. That the leader has ordered its stop is not stored, and a later leader took such a run for wanted: it ordered the start of one that had never begun, and let one that was listed go on (TWICE).

Whether a run is wanted now also depends on its task, in all three places that ask.

--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -104,7 +104,7 @@
 		key := runKey{status.Task, status.Run}
 		present[key] = true
 		r := v.runs[key]
-		if r == nil || r.stopped || r.entry.State.Ended() {
+		if r == nil || r.unwanted() {
 			stops = append(stops, msgs.Stop{Task: status.Task, Run: status.Run})
 			continue
 		}
@@ -116,7 +116,7 @@
 	orders := &msgs.Orders{Epoch: l.epoch, VM: v.info.ID, Incarnation: v.info.Incarnation, Stops: stops}
 	if req.Synced {
 		for _, r := range v.runs {
-			if !r.stopped && !r.entry.State.Ended() {
+			if !r.unwanted() {
 				// The agent starts the missing runs and needs the details of the others.
 				orders.Starts = append(orders.Starts, startOf(r))
 			}
@@ -135,7 +135,7 @@
 func (v *vm) absentUnwanted(present map[runKey]bool) []msgs.Stop {
 	var stops []msgs.Stop
 	for key, r := range v.runs {
-		if !present[key] && (r.stopped || r.entry.State.Ended()) {
+		if !present[key] && r.unwanted() {
 			stops = append(stops, msgs.Stop{Task: key.task, Run: key.number})
 		}
 	}
--- a/internal/jobs/lead/vm.go
+++ b/internal/jobs/lead/vm.go
@@ -92,6 +92,12 @@
 	v.placement.Labels, v.placement.Capacity = info.Labels, info.Capacity
 }
 
+// unwanted reports whether the run must end: the order to stop it was given, its task is
+// completed, or its job has ended.
+func (r *run) unwanted() bool {
+	return r.stopped || r.entry.State.Ended() || r.entry.Task(r.ref).Done
+}
+
 // add accounts for a run on the VM.
 func (v *vm) add(e *table.Entry, ref model.TaskRef, assigned table.Run, now time.Time) *run {
 	r := &run{entry: e, ref: ref, number: assigned.Number, incarnation: assigned.Incarnation, since: now, step: &e.Job.Steps[ref.Step], speedLimit: fullSpeed}
