jobs/lead: a new leader's orders of runs that it takes over count as repeated

An agent repeats a start without response as soon as it is connected to the next leader, with that leader's fencing token, before the leader has ordered it. If its process ends then, the successor is ordered to start the run, and took the order for the first one of its kind: a refusal counted as the loss of the run, while the repeated start was still valid (TWICE).

A leader now says so of every run that it took over.

Before: the test with two processes of an agent fails (the task starts on the other VM). After: it passes.

--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -273,7 +273,7 @@
 // startOf returns the order to start a run, which the caller gives.
 func startOf(r *run) msgs.Start {
 	t := r.entry.Task(r.ref)
-	repeated := r.ordered
+	repeated := r.ordered || r.restored
 	r.ordered = true
 	return msgs.Start{
 		Task: r.ref.String(), Run: r.number, Payload: r.entry.Job.Payload, Percent: r.speedLimit,
--- a/internal/jobs/msgs/agent.go
+++ b/internal/jobs/msgs/agent.go
@@ -160,8 +160,8 @@
 	Ticket string
 	// Percent is the initial speed limit in percent of full speed.
 	Percent int
-	// Repeated is set if the same leader has given the order before, perhaps to an earlier
-	// process of the agent.
+	// Repeated is set if this leader or an earlier one may have given the order before, perhaps
+	// to an earlier process of the agent.
 	Repeated bool
 	// Size is what the run takes of the worker's capacity. The agent starts no run that does
 	// not fit beside those that are present.
