exec, platform: a run that is missing from an incomplete list is not taken for lost

After a start without response the next poll decides whether the run is present. A row that cannot be decoded, or an end beyond the 500 that a response lists, is missing there, so the run counted as lost and its task started elsewhere while it ran, or after it was done.

Such a poll no longer decides; the next complete one does. Rows that cannot be decoded and never change keep a run undecided until the worker's incarnation ends.

The bound of 500 has no test.

--- a/internal/jobs/exec/poll.go
+++ b/internal/jobs/exec/poll.go
@@ -69,7 +69,9 @@
 	a.updateRuns(res.Running, res.Ended)
 	a.proveRuns(now)
 	added := a.addEnds(res.Ended)
-	a.resolveUnconfirmed(p.StartedAt)
+	if err == nil && !res.Incomplete {
+		a.resolveUnconfirmed(p.StartedAt)
+	}
 	if a.NeedsSync() && p.FencingToken == a.fencingToken() {
 		a.sync(now)
 		return
--- a/internal/plat/port/exec.go
+++ b/internal/plat/port/exec.go
@@ -87,6 +87,8 @@
 	Clock time.Duration
 	// Running holds the runs that are present.
 	Running []msgs.RunStatus
+	// Incomplete is set if there may be more ends than those in Ended.
+	Incomplete bool
 	// Ended holds the ends with numbers above Poll.Seen, in the order of their numbers.
 	Ended []msgs.RunEnd
 }
