jobs: an order on its way does not start a run that was given up meanwhile

A leader orders all runs again when an agent reconnects. If the first call's refusal arrives after that, the run is reported as lost and its task placed elsewhere, and then the repeated order arrives: unknown to the agent, so it was sent, and the worker, which remembers no refusal, accepted it. The same holds for an order that was held for the store while the lease of its VM ended, and for one that arrives after the worker was taken for gone and has sent a heartbeat again.

Now the agent answers an order of a run that it has reported as lost to this leader with that report, and starts nothing before the leader knows what is present; the leader leaves out held orders whose runs were given up. That also mends refused jobs whose orders left after a long outage of the store.

The window between an agent's list and the leader's response to it remains: an order that is under way within one round trip then.

--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -29,6 +29,9 @@
 	noWorkerTimeout = 150 * time.Millisecond
 	// maxStartTries is the number of tries of a start before the agent stops the run.
 	maxStartTries = 3
+	// maxLost bounds the number of lost runs that the agent remembers. Orders to start them are
+	// on their way for much less time than it takes to reach it.
+	maxLost = 4096
 )
 
 // Agent is the state of an agent. Create it with New. It is not safe for concurrent use.
@@ -90,6 +93,9 @@
 	// silentSince is when the first of the latest consecutive failed polls failed, zero if the
 	// latest poll did not fail.
 	silentSince time.Time
+	// lost holds the runs that were reported as lost to the connected leader. An order to start
+	// one may still be on its way.
+	lost map[runKey]bool
 	// calls holds the calls to make, out the messages to send to the leader.
 	calls []Call
 	out   []*msgs.Message
@@ -189,6 +195,7 @@
 	a.epoch, a.connected, a.synced = epoch, true, false
 	a.requestedAt = time.Time{}
 	a.pendingRequests = map[uint64]time.Time{}
+	a.lost = map[runKey]bool{}
 	return true
 }
 
@@ -290,6 +297,10 @@
 // reportLost reports the loss of a run that is certainly not present and never will be.
 func (a *Agent) reportLost(k runKey, reason string) {
 	delete(a.runs, k)
+	if a.lost == nil || len(a.lost) >= maxLost {
+		a.lost = map[runKey]bool{}
+	}
+	a.lost[k] = true
 	a.log.Info("run is lost", "task", k.task, "run", k.number, "vm", a.vm.ID, "reason", reason)
 	a.send(&msgs.Message{Report: &msgs.Report{VM: a.vm.ID, Incarnation: a.vm.Incarnation, Ends: []msgs.RunEnd{
 		{Task: k.task, Run: k.number, Outcome: msgs.Lost, Reason: reason},
--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -24,6 +24,11 @@
 		a.log.Info("ignored orders of another leader or for another incarnation", "epoch", o.Epoch, "latest", a.epoch, "vm", o.VM, "life", o.Incarnation, "starts", len(o.Starts))
 		return
 	}
+	if !a.synced && len(o.Starts) > 0 {
+		// The leader gave them before it knew of the present runs, and orders again what it wants.
+		a.log.Info("ignored orders to start runs until the leader knows the present ones", "epoch", o.Epoch, "vm", o.VM, "life", o.Incarnation, "starts", len(o.Starts))
+		o.Starts = nil
+	}
 	a.noteSizes(o.Starts)
 	for i := range o.Starts {
 		a.start(now, o.Starts[i])
@@ -61,7 +66,11 @@
 		r.start = s
 		return
 	}
-	if a.hasEnd(k) {
+	switch {
+	case a.hasEnd(k):
+		return
+	case a.lost[k]:
+		a.reportLost(k, "it was reported as lost before the order arrived")
 		return
 	}
 	reason := ""
--- a/internal/jobs/lead/flush.go
+++ b/internal/jobs/lead/flush.go
@@ -42,7 +42,7 @@
 		return nil, err
 	}
 	if changes.Empty() {
-		l.outbound = append(l.outbound, l.takeStored()...)
+		l.release(l.takeStored())
 		if now.Sub(l.storeConfirmedAt) < confirmInterval {
 			return nil, nil
 		}
@@ -75,7 +75,7 @@
 	// The store confirms that this entry led when the batch was sent, not later.
 	l.storeConfirmedAt, l.flushedAt = b.sentAt, now
 	b.changes.Stored()
-	l.outbound = append(l.outbound, b.messages...)
+	l.release(b.messages)
 	for _, id := range b.changes.Jobs() {
 		l.confirmAccepted(now, id)
 	}
--- a/internal/jobs/lead/givenup_test.go
+++ b/internal/jobs/lead/givenup_test.go
@@ -115,3 +115,94 @@
 	}
 	return starts
 }
+
+// startingAgent returns a process of VM 0's agent that has sent a start without a response yet.
+func (h *harness) startingAgent() (*agent, exec.Call) {
+	a := h.startAgent(firstAgentConn)
+	Expect(a.LeaderConnected(epoch)).To(BeTrue())
+	a.LeaseRequest(h.now)
+	a.poll(port.PollResult{})
+	a.exchange()
+	h.submit(job(1, smallStep))
+	a.exchange()
+	calls := a.Calls()
+	Expect(calls).To(HaveLen(1))
+	Expect(calls[0].Start).NotTo(BeNil())
+	return a, calls[0]
+}
+
+// startCalls returns the calls of the agent that start a run.
+func (a *agent) startCalls() []exec.Call {
+	var calls []exec.Call
+	for _, c := range a.Calls() {
+		if c.Start != nil {
+			calls = append(calls, c)
+		}
+	}
+	return calls
+}
+
+var _ = Describe("An order to start a run that is on its way while the run is given up", func() {
+	// The first order's call is refused after the agent has listed the run on its next
+	// connection, so that the leader gives the order again.
+	It("does not start the run beside the next one, after a refusal", func() {
+		h := newHarness()
+		a, c := h.startingAgent()
+		h.join(1)
+		a.LeaderDisconnected()
+		h.leader.Disconnected(h.now, a.conn)
+		a.conn += 5
+		Expect(a.LeaderConnected(epoch)).To(BeTrue())
+		a.poll(port.PollResult{})
+		for _, m := range a.Messages() {
+			h.leader.Handle(h.now, a.conn, m)
+		}
+		a.Started(h.now, c, port.ErrWorkerUnhealthy)
+		h.advance(40 * time.Millisecond)
+		again := a.startsElsewhere() // also delivers the repeated order to the agent
+		Expect(again).NotTo(BeEmpty(), "the leader knows of the refusal")
+		Expect(a.startCalls()).To(BeEmpty(), "the worker would carry it out, and the next run has started")
+	})
+
+	// The worker is unhealthy: it refuses polls, but sends heartbeats.
+	It("does not start the run beside the next one, after the worker was silent until its lease ended", func() {
+		h := newHarness()
+		a := h.startAgent(firstAgentConn)
+		Expect(a.LeaderConnected(epoch)).To(BeTrue())
+		a.LeaseRequest(h.now)
+		a.poll(port.PollResult{})
+		a.exchange()
+		h.join(1)
+		fail := func() {
+			p, ok := a.Poll(h.now, false)
+			Expect(ok).To(BeTrue())
+			a.Polled(h.now, p, port.PollResult{}, port.ErrWorkerUnhealthy)
+		}
+		placed := false
+		for began := h.now; a.VM().ID != ""; {
+			Expect(h.now.Sub(began)).To(BeNumerically("<", 10*time.Second))
+			a.LeaseRequest(h.now)
+			a.exchange()
+			if !placed && h.now.Sub(began) > 4*time.Second {
+				placed = true
+				// VM 1 is out of touch while the task is placed; the order is held for the store.
+				h.submit(job(1, smallStep))
+				h.now = h.now.Add(20 * time.Millisecond)
+				Expect(h.nextBatch()).To(BeTrue())
+			}
+			fail()
+		}
+		Expect(placed).To(BeTrue())
+		for _, m := range a.Messages() {
+			h.leader.Handle(h.now, a.conn, m)
+		}
+		a.Heartbeat(h.now, port.Heartbeat{VM: vmInfo(0), Clock: time.Hour + h.now.Sub(time.Unix(1000, 0))})
+		h.confirmBatch()
+		for _, m := range h.out {
+			Expect(m.Conn == a.conn && m.Message.Orders != nil).To(BeFalse(), "the run was given up while its order was held")
+		}
+		h.out = nil
+		Expect(a.startsElsewhere()).NotTo(BeEmpty(), "the leader has given the run up with the worker")
+		Expect(a.startCalls()).To(BeEmpty())
+	})
+})
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -10,6 +10,7 @@
 import (
 	"log/slog"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
@@ -263,6 +264,30 @@
 	l.heldForStore = append(l.heldForStore, heldMessage{OutboundMessage{conn, m}, l.table.Marked()})
 }
 
+// release makes messages outbound whose changes are stored. It leaves out orders to start runs
+// that were given up, or became unwanted, while the messages were held.
+func (l *Leader) release(messages []OutboundMessage) {
+	for _, m := range messages {
+		if o := m.Message.Orders; o != nil {
+			o.Starts = slices.DeleteFunc(o.Starts, func(s msgs.Start) bool { return !l.wants(o.VM, runKey{s.Task, s.Run}) })
+			if len(o.Starts)+len(o.Stops)+len(o.Throttles) == 0 {
+				continue
+			}
+		}
+		l.outbound = append(l.outbound, m)
+	}
+}
+
+// wants reports whether a run is to be present at a VM.
+func (l *Leader) wants(vm string, key runKey) bool {
+	v := l.vms[vm]
+	if v == nil {
+		return false
+	}
+	r := v.runs[key]
+	return r != nil && !r.unwanted()
+}
+
 // takeStored removes and returns the held messages whose changes are all in a batch.
 func (l *Leader) takeStored() []OutboundMessage {
 	batched := l.table.Batched()
--- a/internal/jobs/lead/refuse_test.go
+++ b/internal/jobs/lead/refuse_test.go
@@ -41,3 +41,26 @@
 		Expect(started).To(Equal(accepted))
 	})
 })
+
+var _ = Describe("Orders that are held for the store", func() {
+	// The lease of the VM ends while the store is away, so that the jobs have no run any more.
+	It("start no job that was refused", func() {
+		h := newHarness()
+		h.join(0)
+		for n := range 4 {
+			j := job(n+1, smallStep)
+			j.Steps[0].Image = strings.Repeat("x", 300<<10)
+			h.submit(j)
+		}
+		h.now = h.now.Add(20 * time.Millisecond)
+		Expect(h.nextBatch()).To(BeTrue())
+		h.now = h.now.Add(9 * time.Second)
+		h.leader.Tick(h.now)
+		h.out = append(h.out, h.leader.TakeOutbound()...)
+		Expect(h.responses()).To(ContainElement(HaveField("Code", codes.LogDown)))
+		h.out = nil
+		h.confirmBatch()
+		h.advance(200 * time.Millisecond)
+		Expect(h.starts()).To(BeEmpty(), "the VM was removed, and the runs have ended")
+	})
+})
--- a/internal/proof/fleet/agent.go
+++ b/internal/proof/fleet/agent.go
@@ -240,6 +240,9 @@
 		})
 	case w.RefusedShare > 0 && w.rng.Float64() < w.RefusedShare:
 		err = port.ErrWorkerUnhealthy
+		if w.RefusalDelay > 0 {
+			delay = time.Duration(w.rng.Int64N(int64(w.RefusalDelay)))
+		}
 	default:
 		err = execute()
 	}
--- a/internal/proof/fleet/fleet_test.go
+++ b/internal/proof/fleet/fleet_test.go
@@ -40,6 +40,9 @@
 	return func(w *fleet.World) { w.After(t, func() { f.Inject(w) }) }
 }
 
+// lateRefusalSeeds is the number of seeds of each fault beside late refusals.
+const lateRefusalSeeds = 6
+
 var _ = Describe("Leaders and agents", func() {
 	It("finish all work without faults", func() {
 		Expect(run(1).Check()).To(BeEmpty())
@@ -64,6 +67,16 @@
 			}
 		})
 	}
+	for _, f := range fleet.LateRefusals {
+		It("survive refusals that arrive late while "+f.Name, func() {
+			for i := range lateRefusalSeeds {
+				t := time.Second + time.Duration(i)*477*time.Millisecond
+				w := run(uint64(i+1), at(t, f))
+				Expect(w.Check()).To(BeEmpty(), "seed %d, at %s", i+1, t)
+			}
+		})
+	}
+
 	It("give up a task that crashes its workers, whatever else happens then", func() {
 		deadly := fleet.Faults[len(fleet.Faults)-1]
 		for i, f := range fleet.Faults {
--- a/internal/proof/fleet/world.go
+++ b/internal/proof/fleet/world.go
@@ -48,6 +48,8 @@
 	OrdersEndWithWorker bool
 	// RefusedShare is the fraction of the other orders that workers refuse as unhealthy.
 	RefusedShare float64
+	// RefusalDelay is the longest time after which a refusal arrives; 0 means callDelay.
+	RefusalDelay time.Duration
 	// TaskTime is the run time of the tasks of jobs that are submitted from now on; 0 means
 	// defaultTaskTime.
 	TaskTime time.Duration
