jobs/lead: an agent's earlier connection is not heard again once the later one has ended

What arrives late on an earlier connection was ignored only while the later one was open, so that a stale report could end a run that had started on the later one. Agents only move to later connections, so nothing is lost by ignoring the earlier one for good.

--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -54,11 +54,11 @@
 	l.sendLease(now, conn, v, req)
 }
 
-// replaced reports whether the VM's agent has contacted the leader on a later connection that is
-// open. What arrives on the earlier one after that may be out of date: a run that is reported as
-// lost there may have been ordered again since.
+// replaced reports whether the VM's agent has contacted the leader on a later connection, which
+// may have ended since. What arrives on the earlier one after that may be out of date: a run that
+// is reported as lost there may have been ordered again since.
 func (l *Leader) replaced(v *vm, conn uint64) bool {
-	return v != nil && conn < v.conn && l.vmByConn[v.conn] == v.info.ID
+	return v != nil && conn < v.conn
 }
 
 // adoptRuns assigns the runs that a new incarnation of the worker lists to it: their orders
