run/agent: a closed agent repeats no failed calls to its worker

Cause: when the agent is told to stop, its context ends, and with it the calls in flight. The core repeats a stop that failed after 30 ms, but pauses end at once then, and so does the next call, and so on until the process ends. A panic of the log writer used to end most such processes first.

A closed agent makes no further calls, and the core hears of none.

--- a/internal/run/agent/worker.go
+++ b/internal/run/agent/worker.go
@@ -20,11 +20,15 @@
 	leaseCheckInterval = 300 * time.Millisecond
 )
 
-// call makes one call to the worker and reports the outcome to the core.
+// call makes one call to the worker and reports the outcome to the core. Once the agent is
+// closed it does neither, since the core would repeat the failed call at once.
 func (a *Agent) call(c exec.Call) {
 	if c.After > 0 {
 		a.pause(c.After)
 	}
+	if a.ctx.Err() != nil {
+		return
+	}
 	ctx, cancel := context.WithTimeout(a.ctx, callTimeout)
 	defer cancel()
 	startedAt := time.Now()
