jobs/exec: a stop that a worker refuses is repeated with backoff

Since a run whose start got no response is stopped rather than taken for lost, a worker that refuses all orders for seconds was asked to stop each such run every 30 ms. The delay now doubles up to 240 ms, which is well below the time that a cancelled job may go on.

Before: the new test fails (30 ms each time). After: it passes.

--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -131,6 +131,8 @@
 	unanswered bool
 	// stopping is set once the run is to be stopped.
 	stopping bool
+	// stopDelay is the delay before the latest repeated call to stop the run.
+	stopDelay time.Duration
 	// stopReason is why the run is stopped although it is not present, empty if the leader
 	// ordered it or its starts got no response.
 	stopReason string
--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -14,8 +14,12 @@
 // fullSpeed is the speed limit with which a worker starts a run, in percent.
 const fullSpeed = 100
 
-// retryDelay is the delay before a call is tried again.
-const retryDelay = 30 * time.Millisecond
+const (
+	// retryDelay is the delay before a call is tried again. For stops it doubles with each
+	// try, up to maxStopDelay.
+	retryDelay   = 30 * time.Millisecond
+	maxStopDelay = 240 * time.Millisecond
+)
 
 // Orders processes the leader's orders. It ignores orders of an earlier leader and orders
 // for another incarnation of the worker.
@@ -239,7 +243,8 @@
 		r.markUnconfirmed(now, cmp.Or(r.stopReason, "stopped before it started"))
 	default:
 		// If the fencing token was out of date, the next call carries the present one.
-		a.callStop(k, retryDelay)
+		r.stopDelay = min(max(2*r.stopDelay, retryDelay), maxStopDelay)
+		a.callStop(k, r.stopDelay)
 	}
 }
 
--- a/internal/jobs/exec/stop_test.go
+++ b/internal/jobs/exec/stop_test.go
@@ -1,6 +1,8 @@
 package exec_test
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -41,6 +43,19 @@
 		Expect(again.Stop.FencingToken).To(BeNumerically(">", c.Stop.FencingToken))
 	})
 
+	It("is repeated less often the longer the worker refuses it, but goes on", func() {
+		h.agent.Started(h.now, h.order(), nil)
+		c := h.stop()
+		var delays []time.Duration
+		for range 6 {
+			h.agent.Stopped(h.now, c, port.ErrWorkerUnhealthy)
+			c = h.call()
+			delays = append(delays, c.After)
+		}
+		Expect(delays).To(HaveExactElements(
+			30*time.Millisecond, 60*time.Millisecond, 120*time.Millisecond, 240*time.Millisecond, 240*time.Millisecond, 240*time.Millisecond))
+	})
+
 	It("ends with the report of a run whose starts got no response although the leader changed meanwhile", func() {
 		c := h.order()
 		for c.Start != nil {
