--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -101,47 +101,6 @@
 	out   []*msgs.Message
 }
 
-// runKey identifies a run by its task's name and its number.
-type runKey struct {
-	task   string
-	number uint32
-}
-
-// run is a run that the leader ordered or that is present at the worker.
-type run struct {
-	start  msgs.Start
-	status msgs.RunStatus
-	// orderedAt is when the leader ordered the run, presentSince when the worker first
-	// confirmed it. proven is set once the worker has run it for provenAfter.
-	orderedAt, presentSince time.Time
-	proven                  bool
-	// brokenOff is set if a call to start the run ended with its connection. The worker may have
-	// crashed during the call.
-	brokenOff bool
-	// present is set once the worker has confirmed the start or listed the run, listed
-	// if the result of the latest poll lists it.
-	present, listed bool
-	// gone is set if the result of the latest poll does not list the run any more: it has ended.
-	gone bool
-	// tries is the number of calls made to start the run. It is reset if the worker
-	// refused a call because its fencing token was out of date.
-	tries int
-	// unanswered is set once a call to start the run got no response. The worker may still
-	// carry it out until it has confirmed a stop.
-	unanswered bool
-	// stopping is set once the run is to be stopped.
-	stopping bool
-	// stopDelay is the delay before the latest repeated call to stop the run.
-	stopDelay time.Duration
-	// stopReason is why the run is stopped although it is not present, empty if the leader
-	// ordered it or its starts got no response.
-	stopReason string
-	// unconfirmedReason is not empty if it is unknown since unconfirmedAt whether the run
-	// is present. The next poll that starts later shows it.
-	unconfirmedReason string
-	unconfirmedAt     time.Time
-}
-
 // Call is a call to the worker that the process must make. Exactly one of Start, Stop and
 // Throttle is set.
 type Call struct {
--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -247,10 +247,3 @@
 		a.callStop(k, r.stopDelay)
 	}
 }
-
-// markUnconfirmed records that it is unknown whether a run is present.
-func (r *run) markUnconfirmed(now time.Time, reason string) {
-	if r.unconfirmedReason == "" {
-		r.unconfirmedReason, r.unconfirmedAt = reason, now
-	}
-}
