jobs/table: the failure of a copy does not count once its task is completed

A copy of a speculative task that fails after another run has completed the task still counted, and could fail a job of which nothing had failed.

Before: the new test fails (the job is failed). After: it passes.

--- a/internal/jobs/table/late_test.go
+++ b/internal/jobs/table/late_test.go
@@ -37,6 +37,23 @@
 	})
 })
 
+var _ = Describe("The failure of a copy", func() {
+	It("does not count once another run has completed its task", func() {
+		tbl := &table.Table{}
+		e := tbl.Add(job(model.Step{Tasks: 2, Speculative: true}))
+		var runs []uint32
+		for range 3 {
+			runs = append(runs, tbl.Assign(e, ref(0, 0), table.Run{VM: "vm-1"}).Number)
+		}
+		tbl.EndRun(now, ref(0, 0), runs[0], msgs.Done, "")
+		for _, n := range runs[1:] {
+			tbl.EndRun(now, ref(0, 0), n, msgs.Failed, "")
+		}
+		Expect(e.State).To(Equal(table.Running))
+		Expect(e.Tasks[0].Failures).To(BeZero())
+	})
+})
+
 var _ = Describe("A record of an earlier version", func() {
 	It("is loaded, without the runs that were given up", func() {
 		type task struct {
--- a/internal/jobs/table/runs.go
+++ b/internal/jobs/table/runs.go
@@ -101,7 +101,7 @@
 	switch {
 	case outcome == msgs.Done && !step.LongRunning:
 		tbl.complete(now, e, st, ref.Index)
-	case outcome == msgs.Failed:
+	case outcome == msgs.Failed && !t.Done: // a copy may fail after another has completed the task
 		tbl.countFailure(now, e, st, t)
 	}
 	if !t.Done && len(t.Runs) == 0 && !slices.Contains(st.Waiting, ref.Index) {
