jobs/exec: a run that is given up after a refusal carries its reason

Since a refusal after a start without response leads to a stop, the leader heard of the loss without the reason of the refusal: it kept the step's tickets, did not back off, and did not count an unhealthy worker as such, so that the task was placed there again at once. The decision is logged now, too.

Before: four entries of the test of such refusals fail (reason "stopped before it started"). After: they pass.

--- a/internal/jobs/exec/exec_test.go
+++ b/internal/jobs/exec/exec_test.go
@@ -174,7 +174,8 @@
 		Expect(h.ends()).To(BeEmpty(), "the first start may still be carried out")
 		h.agent.Stopped(h.now, c, nil)
 		h.poll(port.PollResult{})
-		Expect(h.ends()).To(ConsistOf(HaveField("Outcome", msgs.Lost)))
+		// The leader backs off for some reasons.
+		Expect(h.ends()).To(ConsistOf(And(HaveField("Outcome", msgs.Lost), HaveField("Reason", err.Error()))))
 	},
 		Entry("unhealthy worker", port.ErrWorkerUnhealthy),
 		Entry("no free capacity", port.ErrRunCapacity),
--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -92,8 +92,7 @@
 	r := &run{start: s, orderedAt: now, unanswered: s.Repeated}
 	a.runs[k] = r
 	if reason != "" {
-		a.log.Info("run is not started again", "task", k.task, "run", k.number, "vm", a.vm.ID, "reason", reason)
-		a.abandon(k, r)
+		a.abandon(k, r, reason)
 		return
 	}
 	a.callStart(now, k, 0)
@@ -187,19 +186,20 @@
 	case r.present:
 	case r.stopping:
 	case permanentRefusal(err):
-		a.abandon(k, r)
+		a.abandon(k, r, err.Error())
 	case r.tries < maxStartTries && a.leaseDeadline(now) > 0:
 		a.log.Info("start was not answered", "task", k.task, "run", k.number, "vm", a.vm.ID, "try", r.tries, "err", err)
 		a.callStart(now, k, retryDelay)
 	default:
-		a.abandon(k, r)
+		a.abandon(k, r, "no response to its starts")
 	}
 }
 
 // abandon stops a run of which the worker may still carry out an order to start. Once the
-// worker has confirmed the stop, it will not.
-func (a *Agent) abandon(k runKey, r *run) {
-	r.stopping = true
+// worker has confirmed the stop, it will not, and the run is lost for the given reason.
+func (a *Agent) abandon(k runKey, r *run, reason string) {
+	a.log.Info("run is given up once its stop is confirmed", "task", k.task, "run", k.number, "vm", a.vm.ID, "tries", r.tries, "reason", reason)
+	r.stopping, r.stopReason = true, reason
 	a.callStop(k, retryDelay)
 }
 
--- a/internal/jobs/exec/run.go
+++ b/internal/jobs/exec/run.go
@@ -39,7 +39,7 @@
 	// stopDelay is the delay before the latest repeated call to stop the run.
 	stopDelay time.Duration
 	// stopReason is why the run is stopped although it is not present, empty if the leader
-	// ordered it or its starts got no response.
+	// ordered it.
 	stopReason string
 	// unconfirmedReason is not empty if it is unknown since unconfirmedAt whether the run
 	// is present. The next poll that starts later shows it.
