jobs/table: the end of a gang that was given up completes it

Callers would see the work of a gang done twice: its run is given up, for instance because one VM's lease has ended, another run of the gang starts, and the end of the first one, which an agent reports afterwards, is dropped.

Cause: complete took each run of a member for one that has ended with the gang. It now drops only those of the number that is done; later ones are surplus, are stopped and count until their ends are listed.

Before: the test failed (the end of run 1 was not found, the job went on with run 2). After: the job is completed and run 2 is surplus.

--- a/internal/jobs/table/late_test.go
+++ b/internal/jobs/table/late_test.go
@@ -37,6 +37,28 @@
 	})
 })
 
+var _ = Describe("A gang whose run was given up and is done", func() {
+	It("is completed, and its later run is surplus", func() {
+		tbl := &table.Table{}
+		e := tbl.Add(job(model.Step{Tasks: 2, Gang: true}))
+		assign := func(number uint32) {
+			for i := range 2 {
+				tbl.Assign(e, ref(0, i), table.Run{Number: number, VM: "vm-1", Incarnation: 7})
+			}
+		}
+		assign(1)
+		for i := range 2 {
+			tbl.EndRun(now, ref(0, i), 1, msgs.Lost, "")
+		}
+		assign(2)
+		_, found := tbl.EndRun(now, ref(0, 1), 1, msgs.Done, "")
+		Expect(found).To(BeTrue())
+		Expect(e.State).To(Equal(table.Completed))
+		Expect(e.Surplus()).To(ConsistOf(HaveField("Run.Number", uint32(2)), HaveField("Run.Number", uint32(2))))
+		Expect(e.RunCount).To(Equal(2))
+	})
+})
+
 var _ = Describe("The failure of a copy", func() {
 	It("does not count once another run has completed its task", func() {
 		tbl := &table.Table{}
--- a/internal/jobs/table/runs.go
+++ b/internal/jobs/table/runs.go
@@ -61,7 +61,7 @@
 		t.GivenUp = t.GivenUp[max(0, len(t.GivenUp)-maxGivenUp):]
 	}
 	tbl.markDirty(e)
-	tbl.applyOutcome(now, e, ref, t, outcome)
+	tbl.applyOutcome(now, e, ref, number, outcome)
 	return run, true
 }
 
@@ -85,22 +85,23 @@
 	st := e.Stage(ref)
 	step := e.StepOf(st)
 	t := e.Task(ref)
-	if t.Done || e.State.Ended() || step.LongRunning || step.Gang || number == 0 || number > t.LastRun {
+	if t.Done || e.State.Ended() || step.LongRunning || number == 0 || number > t.LastRun {
 		return false
 	}
 	tbl.markDirty(e)
-	tbl.complete(now, e, st, ref.Index)
+	tbl.complete(now, e, st, ref.Index, number)
 	return true
 }
 
 // applyOutcome updates the task and the job according to the outcome of a run that has
 // ended.
-func (tbl *Table) applyOutcome(now time.Time, e *Entry, ref model.TaskRef, t *Task, outcome msgs.Outcome) {
+func (tbl *Table) applyOutcome(now time.Time, e *Entry, ref model.TaskRef, number uint32, outcome msgs.Outcome) {
 	st := e.Stage(ref)
+	t := e.Task(ref)
 	step := e.StepOf(st)
 	switch {
 	case outcome == msgs.Done && !step.LongRunning:
-		tbl.complete(now, e, st, ref.Index)
+		tbl.complete(now, e, st, ref.Index, number)
 	case outcome == msgs.Failed && !t.Done: // a copy may fail after another has completed the task
 		tbl.countFailure(now, e, st, t)
 	}
@@ -109,9 +110,9 @@
 	}
 }
 
-// complete marks a task as completed, and in a gang all members. It completes the job
-// if that was the last open task.
-func (tbl *Table) complete(now time.Time, e *Entry, st *Stage, index int) {
+// complete marks a task as completed by the run with the given number, and in a gang all
+// members. It completes the job if that was the last open task.
+func (tbl *Table) complete(now time.Time, e *Entry, st *Stage, index int, number uint32) {
 	members := []int{index}
 	if e.StepOf(st).Gang {
 		members = members[:0]
@@ -126,8 +127,10 @@
 		}
 		t.Done = true
 		if len(members) > 1 {
-			e.RunCount -= len(t.Runs)
-			t.Runs = nil // only one member of a gang reports its end
+			// Only one member of a gang reports its end. Later runs of the gang are still present.
+			kept := slices.DeleteFunc(t.Runs, func(r Run) bool { return r.Number == number })
+			e.RunCount -= len(t.Runs) - len(kept)
+			t.Runs = kept
 		}
 		st.Open--
 		st.Waiting = slices.DeleteFunc(st.Waiting, func(w int) bool { return w == i })
