jobs/exec: the end of a lease allows for a slow clock since its latest reading

Callers could see a task run twice, or a VM beyond its capacity: while a worker answers no poll but still takes orders to start runs, the agent computes the end of its lease from an ever older reading of the worker's clock. That clock may be 2% slow, so the lease ends late by 2% of the age of the reading. The leader waits 0.36 s longer than the lease, which covers an age of some 13 s beside the lease itself, and then starts the tasks elsewhere.

Ruled out: polls do not extend the lease while they fail; only starts do.

After: the time since the reading counts at the slowest rate, so the lease ends no later than the agent's, whatever the age; the leader's margin remains for what it was made for. A lease of 4 s is 0.12 s shorter; it is extended each 0.3 to 0.6 s.

--- a/internal/jobs/exec/lease.go
+++ b/internal/jobs/exec/lease.go
@@ -82,12 +82,13 @@
 }
 
 // leaseDeadline returns the end of the lease on the worker's clock, or 0 if the leader
-// grants none. An old reading of that clock makes the lease end early, never late.
+// grants none. An old reading of that clock makes the lease end early, never late, also if the
+// clock has been slow since.
 func (a *Agent) leaseDeadline(now time.Time) time.Duration {
 	if a.workerClockAt.IsZero() || !now.Before(a.leaseUntil) {
 		return 0
 	}
-	return a.workerClock + a.leaseUntil.Sub(a.workerClockAt)
+	return a.workerClock + time.Duration(float64(a.leaseUntil.Sub(a.workerClockAt))*(1-maxClockDrift))
 }
 
 // leaseExpired reports whether the worker's lease has ended on the worker's clock, even if
