entry: messages of a connection that was closed are not handled

Callers got 503 (logDown, "never runs") for jobs that were accepted some milliseconds later and ran.

A leader whose store is slow refuses what no batch carries after 0.7 s, and another entry replaces it from 0.6 s on, so that both often happen within milliseconds. An entry that takes over has pending requests that it had sent to the earlier leader. The goroutine that reads from that leader may have received one refusal that waits for the event loop, which is occupied with beginning to lead. Then the entry sends its pending requests to its own leader, which accepts the job, and only then handles the refusal: the caller is told that the job never runs, and nobody is told that it was accepted. At most one job is affected by each takeover, as the reader handles one message at a time and the connection is closed; its tasks start all.

Ruled out for the same traces: that the next leader did not know of an append of the earlier one. A leader loads after its claim was confirmed, and the store rejects appends of earlier epochs from then on.

An entry now handles the messages of a leader's connection only while it follows that leader. Whatever a closed connection would have said is decided by the next leader, to which all pending requests are sent. A request that arrives between two leaders is no longer written to the closed connection and marked as sent, so that its refusal for want of a leader stays certain.

--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -73,7 +73,8 @@
 	loadingEpoch uint64
 	// leaderHeardAt is when the leader's latest message arrived, zero if none has.
 	leaderHeardAt time.Time
-	// leaderConn is the connection to the leader while this entry follows one, else nil.
+	// leaderConn is the connection to the leader while this entry follows one, else nil. Messages
+	// of other connections are not handled.
 	leaderConn *peer.Conn
 	// connectedAt is when leaderConn was opened.
 	connectedAt time.Time
--- a/internal/run/entry/follow.go
+++ b/internal/run/entry/follow.go
@@ -101,15 +101,22 @@
 		return
 	}
 	e.leaderAddr = addr
-	if e.leaderConn != nil {
-		e.leaderConn.Close()
-	}
+	e.closeLeaderConn()
 	select {
 	case e.laterLeader <- struct{}{}:
 	default:
 	}
 }
 
+// closeLeaderConn closes the connection to the leader, if there is one. Messages that it has
+// received are not handled any more.
+func (e *Entry) closeLeaderConn() {
+	if e.leaderConn != nil {
+		e.leaderConn.Close()
+		e.leaderConn = nil
+	}
+}
+
 // followLeader follows the leader at addr until the connection ends. It returns false if no
 // leader answers at addr.
 func (e *Entry) followLeader(addr netip.AddrPort) bool {
@@ -173,13 +180,17 @@
 		if err != nil {
 			return err
 		}
-		e.postAndWait(func() { e.handleLeaderMessage(m) })
+		e.postAndWait(func() { e.handleLeaderMessage(conn, m) })
 	}
 }
 
 // handleLeaderMessage handles a message of the leader, and plans a takeover if the leader
-// should be replaced.
-func (e *Entry) handleLeaderMessage(m *msgs.Message) {
+// should be replaced. It ignores a message that was received before this entry closed the
+// connection: a later leader may have accepted what an earlier one refused.
+func (e *Entry) handleLeaderMessage(conn *peer.Conn, m *msgs.Message) {
+	if conn != e.leaderConn {
+		return
+	}
 	now := time.Now()
 	if m.JobResponse != nil {
 		e.respond(m.JobResponse)
@@ -188,9 +199,7 @@
 		return
 	}
 	e.leaderHeardAt = now
-	if e.leaderConn != nil {
-		e.leaderConn.Send(&msgs.Message{Ping: &msgs.Ping{Epoch: e.epoch, Leaving: e.stopping.Load()}}) // a heartbeat
-	}
+	conn.Send(&msgs.Message{Ping: &msgs.Ping{Epoch: e.epoch, Leaving: e.stopping.Load()}}) // a heartbeat
 	e.entries = elect.MergeAddrs(e.entries, e.cfg.Peers, m.Ping.Entries...)
 	if m.Ping.Config != nil {
 		cfg := *m.Ping.Config
--- a/internal/run/entry/leading.go
+++ b/internal/run/entry/leading.go
@@ -67,9 +67,7 @@
 	e.nextSeq, e.epoch, e.leaderAddr, e.leaderHeardAt = won.nextSeq, won.epoch, e.cfg.Peers, now
 	e.lastPing, e.leadingSince = time.Time{}, now
 	e.takeover.Cancel()
-	if e.leaderConn != nil {
-		e.leaderConn.Close()
-	}
+	e.closeLeaderConn()
 	e.metrics.leading.Set(1)
 	e.log.Info("leads", "epoch", won.epoch, "jobs", won.table.Len(), "active", len(won.table.Active()))
 	e.forwardAll()
--- /dev/null
+++ b/internal/run/entry/refusal_test.go
@@ -0,0 +1,149 @@
+package entry_test
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"runtime"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ebonyarch/ebonyarch/internal/base/codec"
+	"github.com/ebonyarch/ebonyarch/internal/base/codes"
+	"github.com/ebonyarch/ebonyarch/internal/conf/proc"
+	"github.com/ebonyarch/ebonyarch/internal/fake/topics"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+	"github.com/ebonyarch/ebonyarch/internal/plat/port"
+	"github.com/ebonyarch/ebonyarch/internal/run/entry"
+	"github.com/ebonyarch/ebonyarch/internal/run/peer"
+)
+
+// received is a submission that a manualLeader has received.
+type received struct {
+	conn *peer.Conn
+	seq  uint64
+}
+
+// refuse sends the response that the submission was refused.
+func (r received) refuse() {
+	r.conn.Send(&msgs.Message{JobResponse: &msgs.JobResponse{Seq: r.seq, Code: codes.LogDown}})
+}
+
+// manualLeader is a process that leads as far as its Welcome says. The spec responds to the
+// submissions.
+type manualLeader struct {
+	addr     netip.AddrPort
+	received chan received
+}
+
+// newManualLeader returns a leader that listens at a new address.
+func newManualLeader(epoch uint64) *manualLeader {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(ln.Close)
+	l := &manualLeader{ln.Addr().(*net.TCPAddr).AddrPort(), make(chan received, 64)}
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go l.serve(peer.New(conn), epoch)
+		}
+	}()
+	return l
+}
+
+func (l *manualLeader) serve(conn *peer.Conn, epoch uint64) {
+	defer conn.Close()
+	for {
+		m, err := conn.Receive(time.Minute)
+		if err != nil {
+			return
+		}
+		if m.Hello != nil {
+			conn.Send(&msgs.Message{Welcome: &msgs.Welcome{Leading: true, Epoch: epoch, Leader: l.addr}})
+		}
+		if m.JobRequest != nil {
+			l.received <- received{conn, m.JobRequest.Seq}
+		}
+	}
+}
+
+// pausingHandler discards log records. At the record with a message it waits until mayGoOn
+// is closed, and with it the goroutine that logs.
+type pausingHandler struct {
+	slog.Handler
+	message          string
+	reached, mayGoOn chan struct{}
+}
+
+func (h pausingHandler) Enabled(context.Context, slog.Level) bool { return true }
+
+func (h pausingHandler) Handle(_ context.Context, r slog.Record) error {
+	if r.Message == h.message {
+		close(h.reached)
+		<-h.mayGoOn
+	}
+	return nil
+}
+
+// startFollower starts an entry that finds the claim of epoch 1 by a leader in the store,
+// beside the records.
+func startFollower(first netip.AddrPort, log *slog.Logger, records ...port.Record) (*entry.Entry, netip.AddrPort) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(ln.Close)
+	claim, err := codec.Marshal([]any{1, first, "first"})
+	Expect(err).NotTo(HaveOccurred())
+	store := &topics.Store{}
+	for _, r := range append(records, port.Record{Key: "leader", Value: claim}) {
+		store.Put("jobs", r)
+	}
+	addr := ln.Addr().(*net.TCPAddr).AddrPort()
+	e := entry.New(proc.JobEntry{Name: "e", Peers: addr}, platformStore{store, []int64{1}, make(chan struct{})}, nil, log)
+	go e.Run()
+	go e.Serve(ln)
+	DeferCleanup(e.Close)
+	return e, addr
+}
+
+// submit submits a job in the background and returns the channel that gets the response.
+func submit(e *entry.Entry) <-chan msgs.JobResponse {
+	response := make(chan msgs.JobResponse, 1)
+	spec := &model.Job{ID: "00000000000000aa", Queue: model.Queue{Name: "q"}, Steps: []model.Step{{Tasks: 1}}}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		response <- e.JobRequest(ctx, msgs.JobRequest{Verb: msgs.Submit, Job: spec.ID, Spec: spec})
+	}()
+	return response
+}
+
+// goroutines returns the stacks of all goroutines.
+func goroutines() string {
+	buf := make([]byte, 1<<20)
+	return string(buf[:runtime.Stack(buf, true)])
+}
+
+var _ = Describe("An entry that takes over while its leader refuses a job", func() {
+	// The refusal had been received, but was handled only after the entry had begun to lead and
+	// had accepted the job itself.
+	It("does not pass on the refusal of a job that it has accepted", func() {
+		first := newManualLeader(1)
+		pause := pausingHandler{slog.DiscardHandler, "cannot restore the estimates of the earlier leader", make(chan struct{}), make(chan struct{})}
+		e, _ := startFollower(first.addr, slog.New(pause), port.Record{Key: "learned", Value: []byte{0xff}})
+		response := submit(e)
+		r := <-first.received
+		r.conn.Send(&msgs.Message{Ping: &msgs.Ping{Epoch: 1, Leaving: true, Yield: true}})
+		Eventually(pause.reached, responseTimeout).Should(BeClosed(), "it begins to lead")
+		r.refuse()
+		Eventually(goroutines, responseTimeout).Should(MatchRegexp(`postAndWait\(.*\n.*\n.*Entry\)\.receive\(`), "it has received the refusal")
+		close(pause.mayGoOn)
+		Eventually(response, responseTimeout).Should(Receive(HaveField("Code", codes.OK)))
+	})
+})
