entry: a refusal on one of two connections to a leader is no certain refusal

Callers could get 503 ("never runs") for a job that then ran: an entry sends its pending requests again when it has lost its leader's connection and reconnects, since the leader may not have received them. What was written to the first connection may still be on its way, or wait in the leader's process while it is suspended. The leader decides on each copy by itself: it refuses the one on the second connection while its store is slow, and accepts the one on the first connection once the store is back.

The new test has both halves: a real leader that accepts over the first connection what it has refused over the second, and a real entry that passes the second response on.

An entry now notes the epoch of the leader to which it sent a request last. If that leader has got the request over an earlier connection too, a refusal becomes "fate unknown", after which callers ask again under the same id. A refusal of the leader of a later epoch stays certain and immediate, which a second test holds: leaders of earlier epochs can't append any more, and the later one has loaded what they appended after its claim was confirmed.

--- a/internal/run/entry/callers.go
+++ b/internal/run/entry/callers.go
@@ -22,10 +22,25 @@
 	req        msgs.JobRequest
 	receivedAt time.Time
 	response   chan msgs.JobResponse
-	// sent is set once a leader may have received the request.
-	sent bool
+	// sent is set once a leader may have received the request. sentEpoch is the epoch of the
+	// latest such leader.
+	sent      bool
+	sentEpoch uint64
+	// sentAgain is set if the request was sent to that leader over an earlier connection as well.
+	// What was sent over that one may still arrive.
+	sentAgain bool
 }
 
+// noteSent notes that the request is sent to the leader of an epoch. Leaders of earlier epochs
+// can't record it any more, and this one has read what they recorded.
+func (r *pendingRequest) noteSent(epoch uint64) {
+	r.sentAgain = r.sent && r.sentEpoch == epoch
+	r.sent, r.sentEpoch = true, epoch
+}
+
+// refusalUncertain reports whether the leader may still accept a submission that it refused.
+func (r *pendingRequest) refusalUncertain() bool { return r.sentAgain && r.req.Verb == msgs.Submit }
+
 // Ready implements port.Jobs.
 func (e *Entry) Ready() bool { return e.config.Load() != nil && !e.stopping.Load() }
 
@@ -57,10 +72,10 @@
 func (e *Entry) forward(r *pendingRequest) {
 	switch {
 	case e.leader != nil:
-		r.sent = true
+		r.noteSent(e.epoch)
 		e.leader.Handle(time.Now(), localConn, &msgs.Message{JobRequest: &r.req})
 	case e.leaderConn != nil:
-		r.sent = true
+		r.noteSent(e.epoch)
 		e.leaderConn.Send(&msgs.Message{JobRequest: &r.req})
 	}
 }
@@ -77,6 +92,9 @@
 func (e *Entry) respond(resp *msgs.JobResponse) {
 	if r := e.pending[resp.Seq]; r != nil {
 		delete(e.pending, resp.Seq)
+		if info := resp.Code.Info(); info.Ran == codes.RanNo && info.Retry && r.refusalUncertain() {
+			resp = &msgs.JobResponse{Seq: resp.Seq, Code: codes.FateUnknown, RetryAfter: resp.RetryAfter}
+		}
 		e.metrics.observeRequest(r, resp)
 		if resp.Code != codes.OK {
 			e.log.Info("request answered", "req", r.req.Job, "verb", r.req.Verb.String(), "code", int(resp.Code), "reason", resp.Code.String(),
--- a/internal/run/entry/refusal_test.go
+++ b/internal/run/entry/refusal_test.go
@@ -115,15 +115,33 @@
 // submit submits a job in the background and returns the channel that gets the response.
 func submit(e *entry.Entry) <-chan msgs.JobResponse {
 	response := make(chan msgs.JobResponse, 1)
-	spec := &model.Job{ID: "00000000000000aa", Queue: model.Queue{Name: "q"}, Steps: []model.Step{{Tasks: 1}}}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 		defer cancel()
-		response <- e.JobRequest(ctx, msgs.JobRequest{Verb: msgs.Submit, Job: spec.ID, Spec: spec})
+		response <- e.JobRequest(ctx, submission("00000000000000aa"))
 	}()
 	return response
 }
 
+// submission returns the request to submit a job of one task.
+func submission(id model.ID) msgs.JobRequest {
+	spec := &model.Job{ID: id, Queue: model.Queue{Name: "q"}, Steps: []model.Step{{Tasks: 1}}}
+	return msgs.JobRequest{Verb: msgs.Submit, Job: id, Spec: spec}
+}
+
+// handIn sends a submission to the leader on a connection and returns the response's code.
+func handIn(conn *peer.Conn, id model.ID) codes.Code {
+	req := submission(id)
+	conn.Send(&msgs.Message{JobRequest: &req})
+	for {
+		m, err := conn.Receive(responseTimeout)
+		Expect(err).NotTo(HaveOccurred())
+		if m.JobResponse != nil {
+			return m.JobResponse.Code
+		}
+	}
+}
+
 // goroutines returns the stacks of all goroutines.
 func goroutines() string {
 	buf := make([]byte, 1<<20)
@@ -147,3 +165,47 @@
 		Eventually(response, responseTimeout).Should(Receive(HaveField("Code", codes.OK)))
 	})
 })
+
+var _ = Describe("An entry that has sent a job to its leader over two connections", func() {
+	// What it sent over the first one, which was lost, arrived after the leader had refused the job
+	// on the second one. The leader accepted the job, and the caller was told that it never runs.
+	It("says that the fate of the job is unknown if the leader refuses it on one of them", func() {
+		_, addr, store := startEntryWithStore(nil)
+		hello := msgs.Hello{Node: "e", Entry: true}
+		Eventually(func() bool { return connect(addr, hello).Leading }, responseTimeout).Should(BeTrue())
+		conn1, _, err := peer.Connect(context.Background(), addr, hello)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn1.Close)
+		conn2, _, err := peer.Connect(context.Background(), addr, hello)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn2.Close)
+		end := store.Disturb(topics.Faults{Silent: true})
+		calls, other := store.Calls(), submission("00000000000000bb")
+		conn1.Send(&msgs.Message{JobRequest: &other})
+		Eventually(store.Calls, responseTimeout).Should(BeNumerically(">", calls), "it appends")
+		Expect(handIn(conn2, "00000000000000aa")).To(Equal(codes.LogDown))
+		end()
+		Eventually(func() codes.Code { return handIn(conn1, "00000000000000aa") }, responseTimeout).Should(Equal(codes.OK), "it arrives late")
+
+		first := newManualLeader(1)
+		e, _ := startFollower(first.addr, slog.New(slog.DiscardHandler))
+		response := submit(e)
+		r := <-first.received
+		r.conn.Close()
+		Eventually(first.received, responseTimeout).Should(Receive(&r))
+		r.refuse()
+		Eventually(response, responseTimeout).Should(Receive(HaveField("Code", codes.FateUnknown)))
+	})
+
+	It("passes on the refusal of a leader to which it has sent the job once", func() {
+		first, second := newManualLeader(1), newManualLeader(2)
+		e, addr := startFollower(first.addr, slog.New(slog.DiscardHandler))
+		response := submit(e)
+		<-first.received
+		connect(addr, msgs.Hello{Node: "l", Entry: true, Addr: second.addr, Epoch: 2, Leading: true})
+		var r received
+		Eventually(second.received, responseTimeout).Should(Receive(&r))
+		r.refuse()
+		Eventually(response, responseTimeout).Should(Receive(HaveField("Code", codes.LogDown)))
+	})
+})
