forward: an entry's requests in a package without sockets

No change of behavior: which requests an entry sends to a leader, and what a response or the lack of one says to the caller, moves from run/entry to jobs/forward, so that the proof in virtual time can run it.

--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -17,6 +17,7 @@
 
 	"github.com/ebonyarch/ebonyarch/internal/conf/proc"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/elect"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/forward"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/lead"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
@@ -85,10 +86,8 @@
 	entries []netip.AddrPort
 	// leaderSearches holds when agents last looked for a leader at this entry.
 	leaderSearches elect.LeaderSearches
-	// pending holds the callers' requests that wait for a response, by sequence number;
-	// lastSeq is the latest sequence number.
-	pending map[uint64]*pendingRequest
-	lastSeq uint64
+	// pending holds the callers' requests that wait for a response.
+	pending forward.Requests
 	// lastPing is when the leader last sent pings; zero makes pings due at once.
 	lastPing time.Time
 	// leadingSince is when this entry became the leader.
@@ -126,7 +125,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Entry{
 		cfg: cfg, store: store, advisor: advisor, log: log, metrics: newMetrics(), events: make(chan func(), eventQueueSize), ctx: ctx, cancel: cancel,
-		laterLeader: make(chan struct{}, 1), conns: map[uint64]*client{}, pending: map[uint64]*pendingRequest{},
+		laterLeader: make(chan struct{}, 1), conns: map[uint64]*client{},
 		entries: elect.MergeAddrs(nil, cfg.Peers, cfg.Seeds.WithPort(cfg.Peers.Port())...),
 	}
 }
--- a/internal/run/entry/metrics.go
+++ b/internal/run/entry/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/ebonyarch/ebonyarch/internal/jobs/forward"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/lead"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 )
@@ -49,8 +50,8 @@
 }
 
 // observeRequest records the latency of a request and the code of its response.
-func (m *metrics) observeRequest(r *pendingRequest, resp *msgs.JobResponse) {
-	m.requests.WithLabelValues(r.req.Verb.String(), resp.Code.String()).Observe(time.Since(r.receivedAt).Seconds())
+func (m *metrics) observeRequest(r *forward.Request, resp *msgs.JobResponse) {
+	m.requests.WithLabelValues(r.Message.Verb.String(), resp.Code.String()).Observe(time.Since(r.ReceivedAt).Seconds())
 }
 
 // outcomeOf returns the value of the outcome label for a call's error.
--- a/internal/run/entry/state.go
+++ b/internal/run/entry/state.go
@@ -52,7 +52,7 @@
 	e.postAndWait(func() {
 		s.Leading, s.Epoch, s.Leader = e.leader != nil, e.epoch, e.leaderAddr
 		s.Entries = append(s.Entries, e.entries...)
-		s.LeaderHeard, s.PendingRequests = e.sinceLeaderHeard(), len(e.pending)
+		s.LeaderHeard, s.PendingRequests = e.sinceLeaderHeard(), e.pending.Len()
 		for _, c := range e.conns {
 			s.Peers = append(s.Peers, c.node)
 		}
