fleet: callers hand jobs in at random entries, while appends are executed late

The proof in virtual time sent each submission to the leader itself and dropped late responses, so that nothing in it could break REFUSED by what an entry passes on. Appends took effect at once or never.

Callers now use random entries, which run jobs/forward over connections to the leader. A third of them gives up after the first refusal, the others after one or two more. A job must not start if each attempt to submit it was refused; an attempt without a response, or with the code for an unknown fate, is no refusal. Appends, claims among them, can get no response and be executed 1 to 6 s later.

--- a/internal/proof/fleet/callers.go
+++ b/internal/proof/fleet/callers.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
@@ -13,8 +11,15 @@
 	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 )
 
-// retryInterval is the time after which a caller that found no leader tries again.
-const retryInterval = 200 * time.Millisecond
+const (
+	// retryInterval is the time after which a caller that got no response, or one that leaves its
+	// request's fate unknown, tries again.
+	retryInterval = 200 * time.Millisecond
+	// refusedInterval is the time after which a caller that was refused tries again.
+	refusedInterval = time.Second
+	// responseTimeout is how long a caller waits for a response.
+	responseTimeout = 3 * time.Second
+)
 
 // defaultTaskTime is the run time of a task unless the world sets another.
 const defaultTaskTime = 700 * time.Millisecond
@@ -23,10 +28,6 @@
 type Callers struct {
 	world *World
 	jobs  map[model.ID]*submission
-	// bySeq holds the submissions with a pending request, by the number of the request.
-	bySeq map[uint64]*submission
-	// lastSeq is the number of the latest request.
-	lastSeq uint64
 	// faults describes the violations that were found.
 	faults []string
 }
@@ -36,7 +37,12 @@
 	spec model.Job
 	// pending is set while a request to submit or to cancel the job has no final response.
 	pending, accepted bool
-	refused           bool
+	// attempts is the number of requests so far, retries the number of refusals after which the
+	// caller tries again.
+	attempts, retries int
+	// refused is set if the caller has given up. unknown is set if the fate of one of its attempts
+	// to submit the job is unknown.
+	refused, unknown bool
 	// cancelAfter is the time from the acceptance to the request to cancel; 0 is never.
 	cancelAfter time.Duration
 	cancelled   bool
@@ -48,8 +54,8 @@
 	c.faults = append(c.faults, fmt.Sprintf(format, args...))
 }
 
-// Submit submits a job of two steps with four tasks each. While there is no leader, it tries
-// again.
+// Submit submits a job of two steps with four tasks each. A part of the callers gives up after the
+// first refusal; the others try again.
 func (c *Callers) Submit(n int, cancelAfter time.Duration) { c.submit(n, cancelAfter, false) }
 
 // SubmitDeadly submits such a job of which a task crashes the workers that start it.
@@ -61,65 +67,64 @@
 // submit submits a job.
 func (c *Callers) submit(n int, cancelAfter time.Duration, deadly bool) {
 	if c.jobs == nil {
-		c.jobs, c.bySeq = map[model.ID]*submission{}, map[uint64]*submission{}
+		c.jobs = map[model.ID]*submission{}
 	}
 	q := model.Queue{Name: "assign", Service: "registry", Priority: n % 3, MaxAttempts: 4, Stretch: 2, TargetLatency: time.Second}
 	firstStep := model.Step{Tasks: 4, Size: place.Resources{CPU: 3000, Memory: 8000}, Estimate: cmp.Or(c.world.TaskTime, defaultTaskTime), Checkpoints: n%2 == 0}
 	secondStep := firstStep
 	secondStep.After, secondStep.MaxPerVM = []int{0}, 2
 	id := model.ID(fmt.Sprintf("%016x", n+1))
-	j := &submission{pending: true, cancelAfter: cancelAfter, deadly: deadly, spec: model.Job{ID: id, Queue: q, Payload: "work", Steps: []model.Step{firstStep, secondStep}}}
+	j := &submission{pending: true, retries: n % 3, cancelAfter: cancelAfter, deadly: deadly, spec: model.Job{ID: id, Queue: q, Payload: "work", Steps: []model.Step{firstStep, secondStep}}}
 	c.jobs[id] = j
 	c.request(j)
 }
 
-// request sends the request to submit a job, or to cancel it if it is accepted already.
+// request sends the request to submit the job, or to cancel it if it is accepted already, to a
+// random entry.
 func (c *Callers) request(j *submission) {
-	e := c.world.leading()
-	if e == nil {
-		c.world.After(retryInterval, func() {
-			if j.pending {
-				c.request(j)
-			}
-		})
-		return
-	}
-	// A late response to an earlier request for this job is ignored.
-	maps.DeleteFunc(c.bySeq, func(_ uint64, other *submission) bool { return other == j })
-	c.lastSeq++
-	c.bySeq[c.lastSeq] = j
+	w := c.world
+	j.attempts++
+	attempt := j.attempts
 	spec := j.spec
-	req := &msgs.JobRequest{Seq: c.lastSeq, Verb: msgs.Submit, Queue: spec.Queue.Name, Job: spec.ID, Spec: &spec}
+	req := msgs.JobRequest{Verb: msgs.Submit, Queue: spec.Queue.Name, Job: spec.ID, Spec: &spec}
 	if j.accepted {
 		req.Verb, req.Spec = msgs.Cancel, nil
 	}
-	c.world.After(messageDelay, func() { e.handle(0, &msgs.Message{JobRequest: req}) })
+	e := w.Entries[w.callerRNG.IntN(len(w.Entries))]
+	w.After(messageDelay, func() {
+		e.accept(req, func(resp msgs.JobResponse) { c.handleResponse(j, attempt, resp) })
+	})
+	w.After(responseTimeout, func() { c.handleResponse(j, attempt, msgs.JobResponse{Code: codes.FateUnknown}) })
 }
 
-// resend sends all pending requests to a new leader.
-func (c *Callers) resend() {
-	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
-		if j := c.jobs[id]; j.pending {
-			c.world.After(messageDelay, func() { c.request(j) })
-		}
-	}
+// retry sends the request again after d.
+func (c *Callers) retry(j *submission, d time.Duration) {
+	j.attempts++ // a late response to the request before is ignored
+	c.world.After(d, func() { c.request(j) })
 }
 
-// handleResponse records the final response to a request. After an acceptance, it schedules the
-// request to cancel, if the job is to be cancelled.
-func (c *Callers) handleResponse(resp *msgs.JobResponse) {
-	j := c.bySeq[resp.Seq]
-	if j == nil || !j.pending {
+// handleResponse handles the response to an attempt unless there has been a later one. After an
+// acceptance, it schedules the request to cancel, if the job is to be cancelled.
+func (c *Callers) handleResponse(j *submission, attempt int, resp msgs.JobResponse) {
+	if !j.pending || attempt != j.attempts {
 		return
 	}
 	switch {
-	case j.accepted:
+	case j.accepted && (resp.Code == codes.OK || resp.Code == codes.JobNotFound):
 		j.pending, j.cancelled = false, true
+	case j.accepted:
+		c.retry(j, retryInterval)
 	case resp.Code == codes.OK:
 		j.pending, j.accepted = false, true
 		if j.cancelAfter > 0 {
 			c.world.After(j.cancelAfter, func() { j.pending = true; c.request(j) })
 		}
+	case resp.Code.Info().Ran != codes.RanNo:
+		j.unknown = true
+		c.retry(j, retryInterval)
+	case j.retries > 0:
+		j.retries--
+		c.retry(j, refusedInterval)
 	default:
 		j.pending, j.refused = false, true
 	}
@@ -157,7 +162,7 @@
 			}
 		}
 		switch {
-		case j.refused && started > 0:
+		case j.refused && !j.unknown && started > 0:
 			faults = append(faults, fmt.Sprintf("job %s was refused, but %d of its tasks ran", id, started))
 		case j.pending:
 			faults = append(faults, fmt.Sprintf("job %s has a request without a response", id))
--- a/internal/proof/fleet/entry.go
+++ b/internal/proof/fleet/entry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/ebonyarch/ebonyarch/internal/jobs/forward"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/lead"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
@@ -30,12 +31,22 @@
 	// Dead is set while the entry's process does not run, Frozen while the process is paused,
 	// Cut while the entry cannot reach the store.
 	Dead, Frozen, Cut bool
-	world             *World
-	name              string
-	leader            *lead.Leader
-	epoch, seq        uint64
+	// MessagesLate is set while what the entry sends to leaders is late.
+	MessagesLate bool
+	world        *World
+	name         string
+	leader       *lead.Leader
+	epoch, seq   uint64
 	// agents holds the connected agents by connection.
 	agents map[uint64]*Agent
+	// followers holds the connected entries by connection, lost connections included.
+	followers map[uint64]*Entry
+	// requests holds the callers' requests; each process has its own.
+	requests *forward.Requests
+	// conn is the number of the connection to the leader followed, 0 if there is none.
+	conn          uint64
+	followed      *Entry
+	followedEpoch uint64
 	// waitingSince is the start of the append without a response, zero if there is none.
 	waitingSince time.Time
 	// kills counts the calls of Kill. If calls overlap, only the latest one restarts the
@@ -52,6 +63,7 @@
 func (e *Entry) Kill(downtime time.Duration) {
 	e.Dead = true
 	e.stepDown()
+	e.requests, e.conn = &forward.Requests{}, 0
 	e.kills++
 	kills := e.kills
 	e.world.After(downtime, func() { e.Dead = kills != e.kills })
@@ -71,7 +83,7 @@
 			a.clearConnection()
 		}
 	}
-	e.agents = nil
+	e.agents, e.followers = nil, nil
 }
 
 // claim makes the entry the leader of a new epoch. It returns false if the store fails.
@@ -83,6 +95,10 @@
 		Topic: jobsTopic, Writer: leaderWriter, Epoch: epoch, Seq: seq, ExpectedEnd: -1,
 		Records: []port.Record{{Key: "leader", Value: []byte(e.name)}},
 	}
+	if w.appendsLate(write) {
+		w.epoch = epoch
+		return false
+	}
 	if _, err := w.Store.Append(context.Background(), write); err != nil {
 		if !errors.Is(err, port.ErrStoreRefused) {
 			w.epoch = epoch // the append may have taken effect
@@ -99,13 +115,13 @@
 	}
 	w.epoch = epoch
 	e.epoch, e.seq = epoch, seq+1
-	e.agents = map[uint64]*Agent{}
+	e.agents, e.followers, e.conn = map[uint64]*Agent{}, map[uint64]*Entry{}, 0
 	e.leader = lead.New(w.Now, epoch, jobTable, model.Config{}, w.log)
 	if err := e.leader.RestoreEstimates(w.Now, records); err != nil {
 		w.Callers.addFault("%s", err)
 	}
 	w.After(stepInterval, func() { e.step(e.leader) })
-	w.Callers.resend()
+	e.requests.SendAll(epoch, e.sender())
 	return true
 }
 
@@ -145,6 +161,10 @@
 		w.After(retryDelay, func() { e.append(l, write) })
 		return
 	}
+	if !e.Cut && w.appendsLate(write) {
+		w.After(storeTimeout, func() { e.append(l, write) })
+		return
+	}
 	var err error = port.ErrStoreUnknown
 	if !e.Cut {
 		_, err = w.Store.Append(context.Background(), write)
@@ -176,11 +196,12 @@
 // deliver sends the leader's messages to agents and callers.
 func (e *Entry) deliver() {
 	for _, out := range e.leader.TakeOutbound() {
-		if out.Conn == 0 && out.Message.JobResponse == nil {
-			continue // the VM's agent is not connected
-		}
-		if out.Conn == 0 {
-			e.world.After(messageDelay, func() { e.world.Callers.handleResponse(out.Message.JobResponse) })
+		if resp := out.Message.JobResponse; resp != nil {
+			if f := e.followers[out.Conn]; f != nil {
+				e.world.After(messageDelay, func() { f.receive(out.Conn, *resp) })
+			} else if out.Conn == 0 {
+				e.requests.Respond(*resp)
+			}
 			continue
 		}
 		if a := e.agents[out.Conn]; a != nil && !a.Cut {
@@ -189,7 +210,18 @@
 	}
 }
 
-// handle passes a message from a connection to the leader. Callers use connection 0.
+// appendsLate reports whether an append gets no response. It is then executed later.
+func (w *World) appendsLate(write port.Write) bool {
+	if w.LateAppendShare == 0 || w.callerRNG.Float64() >= w.LateAppendShare {
+		return false
+	}
+	w.After(time.Second+time.Duration(w.callerRNG.Int64N(int64(5*time.Second))), func() {
+		_, _ = w.Store.Append(context.Background(), write) // nobody receives the response
+	})
+	return true
+}
+
+// handle passes a message from a connection to the leader.
 func (e *Entry) handle(conn uint64, m *msgs.Message) {
 	if e.leader == nil || e.Dead {
 		return
--- a/internal/proof/fleet/fault.go
+++ b/internal/proof/fleet/fault.go
@@ -160,3 +160,48 @@
 		w.After(500*time.Millisecond+time.Duration(n)*150*time.Millisecond, func() { w.Callers.Submit(n, cancelAfter) })
 	}
 }
+
+// LateAppends lists faults that act together with appends that get no response and are executed
+// late.
+var LateAppends = []Fault{
+	{"leaders are frozen", func(w *World) {
+		w.lateAppends(6 * time.Second)
+		for i := range 4 {
+			w.After(time.Duration(i)*1700*time.Millisecond, func() { w.Leader().Freeze(1500 * time.Millisecond) })
+		}
+	}},
+	{"leaders restart", func(w *World) {
+		w.lateAppends(6 * time.Second)
+		for i := range 4 {
+			w.After(time.Duration(i)*1300*time.Millisecond, func() { w.Leader().Kill(time.Second) })
+		}
+	}},
+	{"everything loses power", func(w *World) {
+		w.lateAppends(6 * time.Second)
+		w.After(2*time.Second, func() {
+			for i, e := range w.Entries {
+				e.Kill(time.Duration(i+1) * 500 * time.Millisecond)
+			}
+			for _, a := range w.Agents {
+				a.Kill(time.Second)
+				a.Crash(time.Second)
+			}
+		})
+	}},
+	{"entries lose their leader and their messages are late", func(w *World) {
+		w.lateAppends(6 * time.Second)
+		for i := range 40 {
+			w.After(time.Duration(i)*150*time.Millisecond, w.Entries[i%len(w.Entries)].loseLeader)
+		}
+		for _, e := range w.Entries {
+			e.MessagesLate = true
+			w.After(6*time.Second, func() { e.MessagesLate = false })
+		}
+	}},
+}
+
+// lateAppends makes a part of the appends go without response and be executed late, for d.
+func (w *World) lateAppends(d time.Duration) {
+	w.LateAppendShare = 0.4
+	w.After(d, func() { w.LateAppendShare = 0 })
+}
--- a/internal/proof/fleet/fleet_test.go
+++ b/internal/proof/fleet/fleet_test.go
@@ -43,6 +43,9 @@
 // lateRefusalSeeds is the number of seeds of each fault beside late refusals.
 const lateRefusalSeeds = 6
 
+// lateAppendSeeds is the number of seeds of each fault beside late appends.
+const lateAppendSeeds = 24
+
 var _ = Describe("Leaders and agents", func() {
 	It("finish all work without faults", func() {
 		Expect(run(1).Check()).To(BeEmpty())
@@ -77,6 +80,16 @@
 		})
 	}
 
+	for _, f := range fleet.LateAppends {
+		It("survive appends that are executed late while "+f.Name, func() {
+			for i := range lateAppendSeeds {
+				t := time.Second + time.Duration(i)*233*time.Millisecond
+				w := run(uint64(i+1), at(t, f))
+				Expect(w.Check()).To(BeEmpty(), "seed %d, at %s", i+1, t)
+			}
+		})
+	}
+
 	It("give up a task that crashes its workers, whatever else happens then", func() {
 		deadly := fleet.Faults[len(fleet.Faults)-1]
 		for i, f := range fleet.Faults {
--- a/internal/proof/fleet/world.go
+++ b/internal/proof/fleet/world.go
@@ -14,6 +14,7 @@
 
 	"github.com/ebonyarch/ebonyarch/internal/fake/tasks"
 	"github.com/ebonyarch/ebonyarch/internal/fake/topics"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/forward"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/proof/vtime"
 	"github.com/ebonyarch/ebonyarch/internal/sched/place"
@@ -56,8 +57,11 @@
 	Entries  []*Entry
 	Agents   []*Agent
 	Callers  Callers
-	rng      *rand.Rand
-	log      *slog.Logger
+	// LateAppendShare is the fraction of appends that get no response and are executed 1 to 6 s
+	// later.
+	LateAppendShare float64
+	rng, callerRNG  *rand.Rand
+	log             *slog.Logger
 	// epoch is the latest epoch that an entry has claimed, perhaps without success.
 	epoch uint64
 	// conns is the number of connections opened so far.
@@ -66,17 +70,18 @@
 
 // New returns a world with the given numbers of entries and VMs, at Start.
 func New(seed uint64, entries, vms int, log *slog.Logger) *World {
-	w := &World{rng: rand.New(rand.NewPCG(seed, seed)), log: log}
+	w := &World{rng: rand.New(rand.NewPCG(seed, seed)), callerRNG: rand.New(rand.NewPCG(seed, ^seed)), log: log}
 	w.Now = Start
 	w.Callers.world = w
 	w.Witness.Dependencies = w.Callers.dependencies
 	for i := range entries {
-		w.Entries = append(w.Entries, &Entry{world: w, name: fmt.Sprintf("entry-%d", i)})
+		w.Entries = append(w.Entries, &Entry{world: w, name: fmt.Sprintf("entry-%d", i), requests: &forward.Requests{}})
 	}
 	for i := range vms {
 		w.Agents = append(w.Agents, newAgent(w, i))
 	}
 	w.electLeader()
+	w.follow()
 	return w
 }
 
