entry: the test of a refusal during a takeover waits for the configuration

It failed once in 20 runs, on a busy machine: the entry was asked to lead before it had a configuration, did not claim, lost its leader, which sends no pings in this test, after 0.8 s and claimed then, without the connection on which the test sends the refusal. This is probably also the failure that "a request whose caller waits no longer is not forwarded" reports, whose output was not kept.

The entry is now used once the store has reported the configuration.

--- a/internal/run/entry/refusal_test.go
+++ b/internal/run/entry/refusal_test.go
@@ -128,8 +128,10 @@
 		store.Put("jobs", r)
 	}
 	addr := ln.Addr().(*net.TCPAddr).AddrPort()
-	e := entry.New(proc.JobEntry{Name: "e", Peers: addr}, platformStore{store, []int64{1}, make(chan struct{})}, nil, log)
+	platform := platformStore{store, []int64{1}, make(chan struct{})}
+	e := entry.New(proc.JobEntry{Name: "e", Peers: addr}, platform, nil, log)
 	go e.Run()
+	<-platform.reported // an entry without a configuration does not claim
 	go e.Serve(ln)
 	DeferCleanup(e.Close)
 	return e, addr
