--- a/internal/jobs/forward/forward.go
+++ b/internal/jobs/relay/relay.go
@@ -1,6 +1,6 @@
-// Package forward keeps the requests of an entry's callers until the leader responds. It decides
+// Package relay keeps the requests of an entry's callers until the leader responds. It decides
 // which requests are sent to a leader and what a response, or the lack of one, says to the caller.
-package forward
+package relay
 
 import (
 	"maps"
--- a/internal/jobs/forward/forward_test.go
+++ b/internal/jobs/relay/relay_test.go
@@ -1,4 +1,4 @@
-package forward_test
+package relay_test
 
 import (
 	"time"
@@ -7,22 +7,22 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
-	"github.com/ebonyarch/ebonyarch/internal/jobs/forward"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/relay"
 )
 
 var _ = Describe("Requests", func() {
 	var (
-		q    *forward.Requests
+		q    *relay.Requests
 		sent []uint64
 		got  []codes.Code
 		send = func(r *msgs.JobRequest) { sent = append(sent, r.Seq) }
 		now  = time.Unix(1000, 0)
 	)
-	BeforeEach(func() { q, sent, got = &forward.Requests{}, nil, nil })
+	BeforeEach(func() { q, sent, got = &relay.Requests{}, nil, nil })
 
-	add := func(verb msgs.Verb) *forward.Request {
-		r := &forward.Request{
+	add := func(verb msgs.Verb) *relay.Request {
+		r := &relay.Request{
 			Message: msgs.JobRequest{Verb: verb, Job: "a"}, ReceivedAt: now,
 			Respond: func(resp msgs.JobResponse) { got = append(got, resp.Code) },
 		}
--- a/internal/jobs/forward/suite_test.go
+++ b/internal/jobs/relay/suite_test.go
@@ -1,4 +1,4 @@
-package forward_test
+package relay_test
 
 import (
 	"testing"
@@ -7,7 +7,7 @@
 	. "github.com/onsi/gomega"
 )
 
-func TestForward(t *testing.T) {
+func TestRelay(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "forward")
+	RunSpecs(t, "relay")
 }
--- a/internal/proof/fleet/entry.go
+++ b/internal/proof/fleet/entry.go
@@ -5,10 +5,10 @@
 	"errors"
 	"time"
 
-	"github.com/ebonyarch/ebonyarch/internal/jobs/forward"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/lead"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/relay"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/table"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 )
@@ -42,7 +42,7 @@
 	// followers holds the connected entries by connection, lost connections included.
 	followers map[uint64]*Entry
 	// requests holds the callers' requests; each process has its own.
-	requests *forward.Requests
+	requests *relay.Requests
 	// conn is the number of the connection to the leader followed, 0 if there is none.
 	conn          uint64
 	followed      *Entry
@@ -63,7 +63,7 @@
 func (e *Entry) Kill(downtime time.Duration) {
 	e.Dead = true
 	e.stepDown()
-	e.requests, e.conn = &forward.Requests{}, 0
+	e.requests, e.conn = &relay.Requests{}, 0
 	e.kills++
 	kills := e.kills
 	e.world.After(downtime, func() { e.Dead = kills != e.kills })
--- a/internal/proof/fleet/follow.go
+++ b/internal/proof/fleet/follow.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
-	"github.com/ebonyarch/ebonyarch/internal/jobs/forward"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/relay"
 )
 
 const (
@@ -31,7 +31,7 @@
 		return
 	}
 	requests := e.requests
-	r := &forward.Request{Message: req, ReceivedAt: w.Now, Respond: func(resp msgs.JobResponse) {
+	r := &relay.Request{Message: req, ReceivedAt: w.Now, Respond: func(resp msgs.JobResponse) {
 		w.After(messageDelay, func() { respond(resp) })
 	}}
 	requests.Add(r)
@@ -43,7 +43,7 @@
 
 // expire responds to a request without a response in time, unless the process that received it
 // has ended.
-func (e *Entry) expire(requests *forward.Requests, r *forward.Request) {
+func (e *Entry) expire(requests *relay.Requests, r *relay.Request) {
 	switch {
 	case requests != e.requests || !requests.Waits(r):
 	case e.Frozen:
--- a/internal/proof/fleet/world.go
+++ b/internal/proof/fleet/world.go
@@ -14,8 +14,8 @@
 
 	"github.com/ebonyarch/ebonyarch/internal/fake/tasks"
 	"github.com/ebonyarch/ebonyarch/internal/fake/topics"
-	"github.com/ebonyarch/ebonyarch/internal/jobs/forward"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/relay"
 	"github.com/ebonyarch/ebonyarch/internal/proof/vtime"
 	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 )
@@ -75,7 +75,7 @@
 	w.Callers.world = w
 	w.Witness.Dependencies = w.Callers.dependencies
 	for i := range entries {
-		w.Entries = append(w.Entries, &Entry{world: w, name: fmt.Sprintf("entry-%d", i), requests: &forward.Requests{}})
+		w.Entries = append(w.Entries, &Entry{world: w, name: fmt.Sprintf("entry-%d", i), requests: &relay.Requests{}})
 	}
 	for i := range vms {
 		w.Agents = append(w.Agents, newAgent(w, i))
--- a/internal/run/entry/callers.go
+++ b/internal/run/entry/callers.go
@@ -6,8 +6,8 @@
 
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/admit"
-	"github.com/ebonyarch/ebonyarch/internal/jobs/forward"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/relay"
 )
 
 const (
@@ -24,7 +24,7 @@
 // JobRequest implements port.Jobs.
 func (e *Entry) JobRequest(ctx context.Context, jobReq msgs.JobRequest) msgs.JobResponse {
 	response := make(chan msgs.JobResponse, 1)
-	r := &forward.Request{
+	r := &relay.Request{
 		Message: jobReq, ReceivedAt: time.Now(), Left: func() bool { return ctx.Err() != nil },
 		Respond: func(resp msgs.JobResponse) { response <- resp },
 	}
@@ -78,7 +78,7 @@
 
 // expire responds to a request whose deadline has passed or whose caller has gone. A
 // submission that may have reached a leader gets FateUnknown.
-func (e *Entry) expire(r *forward.Request) {
+func (e *Entry) expire(r *relay.Request) {
 	if !e.pending.Waits(r) {
 		return
 	}
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -17,9 +17,9 @@
 
 	"github.com/ebonyarch/ebonyarch/internal/conf/proc"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/elect"
-	"github.com/ebonyarch/ebonyarch/internal/jobs/forward"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/lead"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/relay"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 	"github.com/ebonyarch/ebonyarch/internal/run/peer"
 )
@@ -87,7 +87,7 @@
 	// leaderSearches holds when agents last looked for a leader at this entry.
 	leaderSearches elect.LeaderSearches
 	// pending holds the callers' requests that wait for a response.
-	pending forward.Requests
+	pending relay.Requests
 	// lastPing is when the leader last sent pings; zero makes pings due at once.
 	lastPing time.Time
 	// leadingSince is when this entry became the leader.
--- a/internal/run/entry/metrics.go
+++ b/internal/run/entry/metrics.go
@@ -5,9 +5,9 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/ebonyarch/ebonyarch/internal/jobs/forward"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/lead"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/relay"
 )
 
 // latencyBuckets are the upper bounds of the latency histograms, in seconds.
@@ -50,7 +50,7 @@
 }
 
 // observeRequest records the latency of a request and the code of its response.
-func (m *metrics) observeRequest(r *forward.Request, resp *msgs.JobResponse) {
+func (m *metrics) observeRequest(r *relay.Request, resp *msgs.JobResponse) {
 	m.requests.WithLabelValues(r.Message.Verb.String(), resp.Code.String()).Observe(time.Since(r.ReceivedAt).Seconds())
 }
 
