proof/fleet: series of late orders, refusals and restarts of agents

The proofs had these faults together, but once in a world, and no test is named after the failure.

The new test injects three such series and lets new jobs, of which some are cancelled, come with each. It is guarded by the witness's rules for starts after an acknowledged end, runs beside each other, and runs beyond a worker's capacity.

--- a/internal/proof/fleet/fleet_test.go
+++ b/internal/proof/fleet/fleet_test.go
@@ -77,6 +77,15 @@
 		})
 	}
 
+	It("do not start a task again after its end was acknowledged, in series of late orders, refusals and restarts", func() {
+		for seed := range uint64(8) {
+			w := run(seed, func(w *fleet.World) {
+				w.After(time.Second+time.Duration(seed)*97*time.Millisecond, func() { w.InjectSeries(3) })
+			})
+			Expect(w.Check()).To(BeEmpty(), fmt.Sprintf("seed %d", seed))
+		}
+	})
+
 	It("give up a task that crashes its workers, whatever else happens then", func() {
 		deadly := fleet.Faults[len(fleet.Faults)-1]
 		for i, f := range fleet.Faults {
