exec, lead, run/entry: logs and counters tell why runs are given up and which ends are stored

What was there told most of it: when a start got no response and for which try, why a run was given up, the epoch that took an end, that an end came from a run which was given up. What was missing, and is added:

- up to which end of which incarnation an agent acknowledges, and in which epoch: fields of "run ended at the worker", and `storedEnd` in the state (hypotheses 3 and 4);
- how long the lease would have gone on when a leader or an agent takes a worker for gone, and how long ago the leader heard its agent (hypothesis 2): "VM is gone", "the worker is gone".
- the epoch that ignored an end (3);
- of the lost runs, how many workers refused and how many ended with their worker or its lease: kinds `lostRefused` and `lostWithVM` of ebonyarch_leadership_count (1, 2).

No decision changes. Tests: the agent's log and state, the leader's counts.

--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -234,7 +234,8 @@
 // workerGone reports the worker's incarnation as over and discards its state. The caller
 // has made sure that none of its runs is left.
 func (a *Agent) workerGone(now time.Time, reason string) {
-	a.log.Info("the worker is gone", "vm", a.vm.ID, "life", a.vm.Incarnation, "runs", len(a.runs), "unstoredEnds", len(a.ends), "reason", reason)
+	a.log.Info("the worker is gone", "vm", a.vm.ID, "life", a.vm.Incarnation, "runs", len(a.runs), "unstoredEnds", len(a.ends), "reason", reason,
+		"leaseLeft", a.leaseLeft(now))
 	if a.confirmed {
 		gone := a.vm
 		gone.Down = true
--- a/internal/jobs/exec/lease.go
+++ b/internal/jobs/exec/lease.go
@@ -90,6 +90,15 @@
 	return a.workerClock + a.leaseUntil.Sub(a.workerClockAt)
 }
 
+// leaseLeft returns how long the lease that this process has extended goes on at the worker, 0 if
+// it has extended none.
+func (a *Agent) leaseLeft(now time.Time) time.Duration {
+	if a.deadline == 0 {
+		return 0
+	}
+	return a.deadline - a.workerClock - now.Sub(a.workerClockAt)
+}
+
 // leaseExpired reports whether the worker's lease has ended on the worker's clock, even if
 // that clock is slow and an earlier process of the agent extended the lease.
 func (a *Agent) leaseExpired(now time.Time) bool {
--- /dev/null
+++ b/internal/jobs/exec/log_test.go
@@ -0,0 +1,54 @@
+package exec_test
+
+import (
+	"bytes"
+	"log/slog"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ebonyarch/ebonyarch/internal/jobs/exec"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+	"github.com/ebonyarch/ebonyarch/internal/plat/port"
+)
+
+var _ = Describe("An agent's log", func() {
+	var (
+		h   *harness
+		out *bytes.Buffer
+	)
+	BeforeEach(func() {
+		h, out = newHarness(), &bytes.Buffer{}
+		h.agent = exec.New("node-1", slog.New(slog.NewTextHandler(out, nil)))
+		h.heartbeat("vm-1", h.incarnation)
+		Expect(h.agent.LeaderConnected(epoch)).To(BeTrue())
+		h.poll(port.PollResult{})
+		h.grant()
+	})
+
+	It("says with each end up to which end of which incarnation leaders had stored the earlier ones", func() {
+		h.agent.EndsStored(&msgs.EndsStored{VM: "vm-1", Incarnation: h.incarnation, Number: 7})
+		h.agent.EndsStored(&msgs.EndsStored{VM: "vm-1", Incarnation: h.incarnation - 1, Number: 9})
+		Expect(h.agent.State().StoredEnd).To(Equal(int64(7)))
+		h.poll(port.PollResult{Ended: []msgs.RunEnd{{Number: 8, Task: task, Run: 1, Outcome: msgs.Done}}})
+		Expect(out.String()).To(ContainSubstring(`outcome=done number=8 life=500 stored=7 epoch=3`))
+	})
+
+	It("says for how long a lease would have gone on when a worker is gone", func() {
+		h.poll(port.PollResult{})
+		p, _ := h.agent.Poll(h.now, false)
+		h.now = h.now.Add(time.Second)
+		h.agent.Polled(h.now, p, port.PollResult{}, port.ErrWorkerReplaced)
+		Expect(out.String()).To(MatchRegexp(`msg="the worker is gone" .*leaseLeft=3\.99\d*s`))
+	})
+
+	It("says that a worker that is gone had no lease", func() {
+		h.agent = exec.New("node-1", slog.New(slog.NewTextHandler(out, nil)))
+		h.heartbeat("vm-1", h.incarnation)
+		Expect(h.agent.LeaderConnected(epoch)).To(BeTrue())
+		p, _ := h.agent.Poll(h.now, false)
+		h.agent.Polled(h.now, p, port.PollResult{}, port.ErrWorkerReplaced)
+		Expect(out.String()).To(MatchRegexp(`msg="the worker is gone" .*leaseLeft=0s`))
+	})
+})
--- a/internal/jobs/exec/poll.go
+++ b/internal/jobs/exec/poll.go
@@ -123,7 +123,8 @@
 		delete(a.runs, runKey{e.Task, e.Run})
 		a.ends = append(a.ends, e)
 		added = true
-		a.log.Info("run ended at the worker", "task", e.Task, "run", e.Run, "vm", a.vm.ID, "outcome", e.Outcome, "number", e.Number)
+		a.log.Info("run ended at the worker", "task", e.Task, "run", e.Run, "vm", a.vm.ID, "outcome", e.Outcome, "number", e.Number,
+			"life", a.vm.Incarnation, "stored", a.storedEnd, "epoch", a.epoch)
 	}
 	return added
 }
--- a/internal/jobs/exec/state.go
+++ b/internal/jobs/exec/state.go
@@ -11,6 +11,8 @@
 	Runs    int     `json:"runs"`
 	// UnstoredEnds is the number of run ends that the leader has not stored.
 	UnstoredEnds int `json:"unstoredEnds"`
+	// StoredEnd is the number up to which the worker may forget its run ends.
+	StoredEnd int64 `json:"storedEnd"`
 	// UnstoredCrashes is the number of crashes of workers that the leader has not stored.
 	UnstoredCrashes int `json:"unstoredCrashes"`
 }
@@ -19,6 +21,6 @@
 func (a *Agent) State() State {
 	return State{
 		VM: a.vm, Present: a.present, Epoch: a.epoch, Synced: a.synced, Runs: len(a.runs),
-		UnstoredEnds: len(a.ends), UnstoredCrashes: len(a.crashes),
+		UnstoredEnds: len(a.ends), StoredEnd: a.storedEnd, UnstoredCrashes: len(a.crashes),
 	}
 }
--- a/internal/jobs/lead/remove.go
+++ b/internal/jobs/lead/remove.go
@@ -12,7 +12,8 @@
 	if v == nil {
 		return
 	}
-	l.log.Info("VM is gone", "vm", v.info.ID, "life", v.info.Incarnation, "runs", len(v.runs), "reason", reason)
+	l.log.Info("VM is gone", "vm", v.info.ID, "life", v.info.Incarnation, "runs", len(v.runs), "reason", reason,
+		"leaseLeft", v.leaseExpiry.Sub(now), "heard", now.Sub(v.lastContact), "epoch", l.epoch)
 	l.endRunsBefore(now, v, v.info.Incarnation+1, reason)
 	delete(l.vms, v.info.ID)
 	delete(l.vmByConn, v.conn)
@@ -51,10 +52,12 @@
 
 // endRunsBefore ends the VM's runs of all incarnations before the given one.
 func (l *Leader) endRunsBefore(now time.Time, v *vm, incarnation int64, reason string) {
+	lost := l.stats.Lost
 	for key, r := range v.runs {
 		if r.incarnation < incarnation {
 			l.endRun(now, v, key, msgs.Lost, "", reason)
 		}
 	}
+	l.stats.LostWithVM += l.stats.Lost - lost
 	v.synced = false
 }
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -181,6 +181,7 @@
 	switch {
 	case r == nil:
 	case e.Outcome == msgs.Lost && refusalReasons[e.Reason]:
+		l.stats.LostRefused++
 		l.backoffs.noteRefused(now, stageKey(r.ref))
 		if e.Reason == port.ErrRunCapacity.Error() {
 			l.backoffs.noteFull(stageKey(r.ref), v.info.ID)
@@ -204,7 +205,7 @@
 		return
 	}
 	if _, known := l.table.EndRun(now, ref, key.number, outcome, checkpoint); !known {
-		l.log.Info("ignored the end of a run that is not in the job table", "req", ref.Job, "task", key.task, "run", key.number, "vm", v.info.ID, "outcome", outcome)
+		l.log.Info("ignored the end of a run that is not in the job table", "req", ref.Job, "task", key.task, "run", key.number, "vm", v.info.ID, "outcome", outcome, "epoch", l.epoch)
 		return
 	}
 	l.placementDue = true
--- a/internal/jobs/lead/stats.go
+++ b/internal/jobs/lead/stats.go
@@ -16,6 +16,9 @@
 	Moved, Copied                  uint64
 	Done, Failed, Lost, OtherEnds  uint64
 	Batches, Records, BytesWritten uint64
+	// LostRefused counts those of the Lost runs that their workers refused, LostWithVM those that
+	// ended with their worker or its lease. Agents gave up the others.
+	LostRefused, LostWithVM uint64
 	// Crashes counts the runs that may be the cause of a worker's crash, GivenUp the jobs that
 	// failed because of such crashes.
 	Crashes, GivenUp uint64
--- a/internal/run/entry/metrics.go
+++ b/internal/run/entry/metrics.go
@@ -66,6 +66,7 @@
 	for kind, n := range map[string]uint64{
 		"accepted": s.Accepted, "refused": s.Refused, "cancelled": s.Cancelled, "started": s.Started,
 		"preempted": s.Preempted, "moved": s.Moved, "copied": s.Copied, "done": s.Done, "failed": s.Failed, "lost": s.Lost,
+		"lostRefused": s.LostRefused, "lostWithVM": s.LostWithVM,
 		"otherEnds": s.OtherEnds, "batches": s.Batches, "records": s.Records, "bytesWritten": s.BytesWritten,
 		"crashes": s.Crashes, "givenUp": s.GivenUp,
 	} {
