proof/fleet: agents that restart and are cut off as they see their workers

The proofs had agents that restart and an agent that is cut off, and pairs of both, but with tasks of 0.7 s, which are over before a lease ends, and with a cut that rarely begins between an agent's first lease request and the one that names its worker.

The new proof restarts one agent after the other with tasks of 6 s on their workers and cuts each off 0 to 1 s after its start.

--- a/internal/proof/fleet/fault.go
+++ b/internal/proof/fleet/fault.go
@@ -118,6 +118,18 @@
 			}
 		})
 	}},
+	{"agents restart and are cut off as they see their workers", func(w *World) {
+		w.lateOrders(6 * time.Second)
+		w.TaskTime = 6 * time.Second
+		w.After(1500*time.Millisecond, func() { w.TaskTime = 0 })
+		for i := range 10 {
+			a := w.Agents[i%len(w.Agents)]
+			restart := 4*time.Second + time.Duration(i)*1300*time.Millisecond
+			w.After(restart, func() { a.Kill(time.Second) })
+			w.After(restart+time.Second+time.Duration(i)*110*time.Millisecond, func() { a.Cut = true })
+			w.After(restart+6*time.Second, func() { a.Cut = false })
+		}
+	}},
 	{"leaders and agents restart", func(w *World) {
 		w.lateOrders(6 * time.Second)
 		w.killAgents(6 * time.Second)
