proof/fleet: an entry that is killed twice starts again

A fault of the proof's own world. If two calls of Entry.Kill overlap and the earlier one has the longer downtime, its end set Dead again after the later one had restarted the process, for good. With all entries hit, no entry led any more, and jobs stayed unfinished.

No check is weaker: more processes run.

--- a/internal/proof/fleet/entry.go
+++ b/internal/proof/fleet/entry.go
@@ -54,7 +54,11 @@
 	e.stepDown()
 	e.kills++
 	kills := e.kills
-	e.world.After(downtime, func() { e.Dead = kills != e.kills })
+	e.world.After(downtime, func() {
+		if kills == e.kills {
+			e.Dead = false
+		}
+	})
 }
 
 // Freeze pauses the entry's process for d. The process keeps its state.
