--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -82,16 +82,18 @@
 }
 
 // sendLease responds to a lease request, unless the store has not confirmed this
-// leadership for StoreTimeout.
+// leadership for StoreTimeout. A request that names no VM gets no lease: the agent may extend a
+// worker's lease with it, and the leader would not know for how long.
 func (l *Leader) sendLease(now time.Time, conn uint64, v *vm, req *msgs.LeaseRequest) {
 	if l.StoreAge(now) > StoreTimeout {
 		return
 	}
+	lease := &msgs.Lease{Seq: req.Seq}
 	if v != nil {
 		v.leaseExpiry = now.Add(leaseWait(LeaseDuration))
+		lease.ValidFor, lease.Resync = LeaseDuration, !v.synced && req.RunsListed
 	}
-	resync := v != nil && !v.synced && req.RunsListed
-	l.send(conn, &msgs.Message{Lease: &msgs.Lease{Seq: req.Seq, ValidFor: LeaseDuration, Resync: resync}})
+	l.send(conn, &msgs.Message{Lease: lease})
 }
 
 // reconcile compares the runs that an agent lists with those that should be present. It
@@ -179,6 +181,7 @@
 	switch {
 	case r == nil:
 	case e.Outcome == msgs.Lost && refusalReasons[e.Reason]:
+		l.stats.LostRefused++
 		l.backoffs.noteRefused(now, stageKey(r.ref))
 		if e.Reason == port.ErrRunCapacity.Error() {
 			l.backoffs.noteFull(stageKey(r.ref), v.info.ID)
@@ -202,7 +205,7 @@
 		return
 	}
 	if _, known := l.table.EndRun(now, ref, key.number, outcome, checkpoint); !known {
-		l.log.Info("ignored the end of a run that is not in the job table", "req", ref.Job, "task", key.task, "run", key.number, "vm", v.info.ID, "outcome", outcome)
+		l.log.Info("ignored the end of a run that is not in the job table", "req", ref.Job, "task", key.task, "run", key.number, "vm", v.info.ID, "outcome", outcome, "epoch", l.epoch)
 		return
 	}
 	l.placementDue = true
