jobs/exec: an agent raises its fencing token until the worker accepts it

What callers would see: after a restart of an agent, tasks on its VM hang until a new leader leads. The leader's orders and the agent's polls are refused.

Cause: within an epoch, fencing tokens grow with the worker's start time, or with a later one that a false heartbeat named before the first poll. Only the agent's process remembers the latter. Its next process polls with a lower token, and a poll refused for its token was repeated with the same one. An order that meets no acceptance outlives what it was meant for.

Now each refused poll doubles the step by which the token is raised, at most 24 times in a row, which stays below the bits of the epoch: an agent that follows an earlier leader still cannot exceed a later one's token. Within an epoch only one agent calls the worker, so nothing that is in force is overtaken.

--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -50,6 +50,9 @@
 	// tokenIncarnation is the least incarnation from which fencing tokens are derived. It is
 	// set if the worker was sent a token for an incarnation later than its own.
 	tokenIncarnation int64
+	// fencedPolls is the number of consecutive polls that the worker refused for their fencing
+	// tokens.
+	fencedPolls int
 	// epoch is the highest epoch known. connected is set while the agent is connected to
 	// the leader of that epoch, and synced once that leader has been sent all runs.
 	epoch             uint64
--- a/internal/jobs/exec/lease.go
+++ b/internal/jobs/exec/lease.go
@@ -124,6 +124,9 @@
 	incarnationBits = 31
 	// incarnationUnit is the unit of these bits, in milliseconds of the worker's start time.
 	incarnationUnit = 128
+	// maxFencedPolls bounds the polls in a row that raise the token, and so the bits that are
+	// raised: they stay below the epoch's.
+	maxFencedPolls = 24
 )
 
 // fencingToken returns the token for orders to the current incarnation of the worker. It
@@ -132,3 +135,20 @@
 func (a *Agent) fencingToken() uint64 {
 	return a.epoch<<incarnationBits | uint64(max(a.vm.Incarnation, a.tokenIncarnation)/incarnationUnit)&(1<<incarnationBits-1)
 }
+
+// raiseToken makes the fencing tokens rise by the given number of units.
+func (a *Agent) raiseToken(units int64) {
+	a.tokenIncarnation = max(a.vm.Incarnation, a.tokenIncarnation) + units*incarnationUnit
+}
+
+// exceedFence raises the token after the worker has refused it. Only an earlier process of the
+// agent can have sent the higher one. If that one followed a later leader, polls are refused
+// until this process follows one too.
+func (a *Agent) exceedFence() {
+	if a.fencedPolls >= maxFencedPolls {
+		return
+	}
+	a.raiseToken(1 << a.fencedPolls)
+	a.fencedPolls++
+	a.log.Info("raises its fencing token, as the worker has accepted a higher one", "vm", a.vm.ID, "life", a.vm.Incarnation, "polls", a.fencedPolls)
+}
--- a/internal/jobs/exec/poll.go
+++ b/internal/jobs/exec/poll.go
@@ -50,10 +50,13 @@
 		if a.silentSince.IsZero() {
 			a.silentSince = now
 		}
+		if errors.Is(err, port.ErrRunFenced) && p.FencingToken == a.fencingToken() {
+			a.exceedFence()
+		}
 		a.handlePollError(now, err)
 		return
 	}
-	a.silentSince = time.Time{}
+	a.silentSince, a.fencedPolls = time.Time{}, 0
 	if err != nil {
 		a.log.Warn("left out runs that could not be decoded from the worker's response", "vm", a.vm.ID, "err", err)
 	}
--- a/internal/jobs/exec/restart_test.go
+++ b/internal/jobs/exec/restart_test.go
@@ -47,6 +47,25 @@
 		Entry("unhealthy worker", port.ErrWorkerUnhealthy),
 	)
 
+	It("exceeds the fencing token that its earlier process derived from a false heartbeat", func() {
+		h.agent = exec.New("node-1", slog.New(slog.DiscardHandler))
+		h.heartbeat("vm-1", h.incarnation+(24*time.Hour).Milliseconds())
+		Expect(h.agent.LeaderConnected(epoch)).To(BeTrue())
+		fence := h.poll(port.PollResult{}).FencingToken
+		h.restart()
+		polls := 0
+		for ; polls < 30; polls++ {
+			p, _ := h.agent.Poll(h.now, false)
+			if p.FencingToken >= fence {
+				break
+			}
+			h.agent.Polled(h.now, p, port.PollResult{}, port.ErrRunFenced)
+		}
+		Expect(polls).To(BeNumerically("<", 25))
+		Expect(h.agent.LeaderConnected(epoch + 1)).To(BeTrue())
+		Expect(h.poll(port.PollResult{}).FencingToken >> 31).To(Equal(uint64(epoch + 1)))
+	})
+
 	// The earlier process's start got no response and may still be carried out.
 	It("reports a run that it does not know as lost once the worker has confirmed its stop", func() {
 		h.restart()
