jobs/exec: the next process of a worker refuses orders that were sent before its first poll

What callers would see: a task started again after its end was acknowledged, two runs of one task, a VM over its capacity, where a worker starts again under its id (the protocol allows it) and carries out orders that were meant for its earlier process.

Cause: the next process has seen no fencing token. The first poll that reached it came only with its heartbeat, and carried the token of the orders that it should make the worker refuse; so did the polls of a restarted agent.

Now the first poll is a fence. A poll after a failed one has a higher token than all orders before it. While the agent knows of no worker, for 30 s after its start or after the worker was gone, it polls whatever process listens at the address, without an id and without acknowledgements or lease. Tokens rise by a step only if one was used for an order, so they do not run ahead of the time.

What remains: the time from the worker's start to the first poll, at most 60 ms and a round trip while the agent's process runs (PollRetryDelay), and as long as it does not run. Nobody can tell the worker anything then. The deadline of a start is no help, since the clock of the next process starts anew, below it. proof/fleet excuses a start by such an order in that time, only for the task's other runs that it meets, and nothing that follows from it.

--- a/internal/fake/tasks/worker.go
+++ b/internal/fake/tasks/worker.go
@@ -200,12 +200,12 @@
 	w.witness.ended(now, w.id, r.task, r.number, o)
 }
 
-// check returns the error if an order is refused, and records its fencing token otherwise.
+// check returns the error if an order is refused, which may name no worker, and records its fencing token otherwise.
 func (w *Worker) check(id string, fencingToken uint64) error {
 	switch {
 	case w.Dead:
 		return port.ErrNoWorker
-	case id != w.id:
+	case id != w.id && id != "":
 		return port.ErrWorkerReplaced
 	case fencingToken < w.fencingToken:
 		return port.ErrRunFenced
--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -29,6 +29,8 @@
 	noWorkerTimeout = 150 * time.Millisecond
 	// maxStartTries is the number of tries of a start before the agent stops the run.
 	maxStartTries = 3
+	// maxOrderDelay is how long after an order got no response a worker may still carry it out.
+	maxOrderDelay = 30 * time.Second
 	// maxLost bounds the number of lost runs that the agent remembers. Orders to start them are
 	// on their way for much less time than it takes to reach it.
 	maxLost = 4096
@@ -47,12 +49,17 @@
 	// has no ID if there is none. The first one of that incarnation arrived at announcedAt.
 	announced   port.Heartbeat
 	announcedAt time.Time
-	// tokenIncarnation is the least incarnation from which fencing tokens are derived. It is
-	// set if the worker was sent a token for an incarnation later than its own.
+	// tokenIncarnation is the least incarnation from which fencing tokens are derived. It never
+	// falls, so that no process at the worker's address accepts an order sent before its raise.
 	tokenIncarnation int64
+	// tokenUsed is set once the present fencing token was used for an order.
+	tokenUsed bool
 	// fencedPolls is the number of consecutive polls that the worker refused for their fencing
 	// tokens.
 	fencedPolls int
+	// searchUntil is until when the agent polls the worker's address while it knows of no
+	// worker, zero before the first such poll of this process.
+	searchUntil time.Time
 	// epoch is the highest epoch known. connected is set while the agent is connected to
 	// the leader of that epoch, and synced once that leader has been sent all runs.
 	epoch             uint64
@@ -245,9 +252,10 @@
 		a.sendLeaseRequest(now, &msgs.LeaseRequest{VM: gone})
 	}
 	a.reset()
+	a.fenceOrders(now)
+	a.searchUntil = now.Add(maxOrderDelay)
 	a.vm = msgs.VM{}
 	a.present, a.confirmed, a.synced = false, false, false
-	a.tokenIncarnation = 0
 	a.adoptAnnounced(now)
 }
 
--- a/internal/jobs/exec/announce.go
+++ b/internal/jobs/exec/announce.go
@@ -43,7 +43,7 @@
 			return false
 		}
 		a.log.Warn("the worker started earlier than its heartbeat says", "vm", a.vm.ID, "life", incarnation, "heartbeat", a.vm.Incarnation)
-		a.tokenIncarnation, a.vm.Incarnation = a.vm.Incarnation, incarnation
+		a.tokenIncarnation, a.vm.Incarnation = max(a.tokenIncarnation, a.vm.Incarnation), incarnation
 	}
 	a.confirmed = true
 	if n := a.announced.VM; n.ID != "" && p.StartedAt.After(a.announcedAt) {
--- a/internal/jobs/exec/lease.go
+++ b/internal/jobs/exec/lease.go
@@ -136,19 +136,32 @@
 	return a.epoch<<incarnationBits | uint64(max(a.vm.Incarnation, a.tokenIncarnation)/incarnationUnit)&(1<<incarnationBits-1)
 }
 
-// raiseToken makes the fencing tokens rise by the given number of units.
-func (a *Agent) raiseToken(units int64) {
-	a.tokenIncarnation = max(a.vm.Incarnation, a.tokenIncarnation) + units*incarnationUnit
+// fenceOrders makes the next poll's fencing token higher than those of all orders before it,
+// also of an earlier process. Tokens stay close to the time, because the next process of the
+// agent starts from there.
+func (a *Agent) fenceOrders(now time.Time) {
+	units := int64(0)
+	if a.tokenUsed {
+		units = 1
+	}
+	a.raiseToken(now, units)
+}
+
+// raiseToken makes the fencing tokens rise by the given number of units, and at least to the
+// incarnation of a worker that starts now.
+func (a *Agent) raiseToken(now time.Time, units int64) {
+	a.tokenIncarnation = max(now.UnixMilli(), max(a.vm.Incarnation, a.tokenIncarnation)+units*incarnationUnit)
+	a.tokenUsed = false
 }
 
 // exceedFence raises the token after the worker has refused it. Only an earlier process of the
 // agent can have sent the higher one. If that one followed a later leader, polls are refused
 // until this process follows one too.
-func (a *Agent) exceedFence() {
+func (a *Agent) exceedFence(now time.Time) {
 	if a.fencedPolls >= maxFencedPolls {
 		return
 	}
-	a.raiseToken(1 << a.fencedPolls)
+	a.raiseToken(now, 1<<a.fencedPolls)
 	a.fencedPolls++
 	a.log.Info("raises its fencing token, as the worker has accepted a higher one", "vm", a.vm.ID, "life", a.vm.Incarnation, "polls", a.fencedPolls)
 }
--- a/internal/jobs/exec/poll.go
+++ b/internal/jobs/exec/poll.go
@@ -14,10 +14,21 @@
 
 // Poll returns the next poll of the worker, or false if there is no worker to poll. If
 // mayWait is not set, the worker responds without waiting for a run to end. The poll after a
-// failed one only asks, because another incarnation of the worker may respond to it.
+// failed one only asks, because another incarnation of the worker may respond to it. That one
+// then refuses all orders that were sent before. For the same reason, the agent polls whatever
+// worker there is if it knows of none.
 func (a *Agent) Poll(now time.Time, mayWait bool) (port.Poll, bool) {
-	if !a.present || a.epoch == 0 {
+	switch {
+	case a.epoch == 0:
 		return port.Poll{}, false
+	case a.tokenIncarnation == 0:
+		a.fenceOrders(now)
+		a.searchUntil = now.Add(maxOrderDelay)
+	case a.pollFailed:
+		a.fenceOrders(now)
+	}
+	if !a.present {
+		return a.searchPoll(now, mayWait), now.Before(a.searchUntil)
 	}
 	p := port.Poll{Worker: a.vm.ID, FencingToken: a.fencingToken(), Seen: a.storedEnd, StartedAt: now}
 	if a.pollFailed {
@@ -36,6 +47,16 @@
 	return p, true
 }
 
+// searchPoll returns a poll of whatever worker listens at the address. It does not wait for long,
+// because the poll that follows the worker's first heartbeat starts only after it.
+func (a *Agent) searchPoll(now time.Time, mayWait bool) port.Poll {
+	p := port.Poll{FencingToken: a.fencingToken(), StartedAt: now}
+	if mayWait && !a.pollFailed {
+		p.Wait = PollRetryDelay
+	}
+	return p
+}
+
 // NeedsSync reports whether the connected leader has not been sent the present runs yet.
 func (a *Agent) NeedsSync() bool { return a.connected && a.present && !a.synced }
 
@@ -45,14 +66,18 @@
 	if p.Worker != a.vm.ID {
 		return
 	}
-	a.pollFailed = err != nil && res.Clock == 0
-	if a.pollFailed {
+	failed := err != nil && res.Clock == 0
+	if failed && errors.Is(err, port.ErrRunFenced) && p.FencingToken == a.fencingToken() {
+		a.exceedFence(now)
+	}
+	a.pollFailed = failed
+	switch {
+	case !a.present:
+		return
+	case failed:
 		if a.silentSince.IsZero() {
 			a.silentSince = now
 		}
-		if errors.Is(err, port.ErrRunFenced) && p.FencingToken == a.fencingToken() {
-			a.exceedFence()
-		}
 		a.handlePollError(now, err)
 		return
 	}
--- a/internal/proof/fleet/agent.go
+++ b/internal/proof/fleet/agent.go
@@ -42,6 +42,8 @@
 	conn         uint64
 	entry        *Entry
 	incarnations int
+	// startedAt is when the present process started.
+	startedAt time.Time
 	// kills and crashes count the calls of Kill and Crash. If calls overlap, only the latest
 	// one restarts the process.
 	kills, crashes int
@@ -63,6 +65,7 @@
 	a.core = exec.New(a.node, a.world.log)
 	a.Dead = false
 	a.incarnations++
+	a.startedAt = a.world.Now
 	incarnation := a.incarnations
 	a.world.After(0, func() { a.requestLease(incarnation) })
 	a.world.After(0, func() { a.poll(incarnation) })
@@ -235,7 +238,9 @@
 		worker := a.Worker.Incarnation()
 		w.After(2*time.Second+time.Duration(w.rng.Int64N(int64(10*time.Second))), func() {
 			if !w.OrdersEndWithWorker || worker == a.Worker.Incarnation() {
+				w.Witness.Unpreventable = worker != a.Worker.Incarnation() && !a.mayHavePolled()
 				_ = execute()
+				w.Witness.Unpreventable = false
 			}
 		})
 	case w.RefusedShare > 0 && w.rng.Float64() < w.RefusedShare:
@@ -249,6 +254,16 @@
 	w.After(delay, func() { a.callEnded(incarnation, c, err) })
 }
 
+// mayHavePolled reports whether the agent's process can have polled the worker's present
+// incarnation.
+func (a *Agent) mayHavePolled() bool {
+	since := a.world.Now.Sub(a.startedAt)
+	if age := a.world.Now.Sub(time.UnixMilli(a.Worker.Incarnation())); age < since {
+		since = age
+	}
+	return !a.Dead && since > pollInterval+3*callDelay
+}
+
 // callEnded passes the result of a call to the agent.
 func (a *Agent) callEnded(incarnation int, c exec.Call, err error) {
 	if a.Dead || incarnation != a.incarnations {
--- a/internal/proof/fleet/fault.go
+++ b/internal/proof/fleet/fault.go
@@ -127,14 +127,26 @@
 	}},
 	{"workers crash and agents restart", func(w *World) {
 		w.OrdersEndWithWorker = true
+		w.crashWorkersInTurn()
+	}},
+	{"workers start again under their ids and agents restart", (*World).crashWorkersInTurn},
+	{"workers start again under their ids", func(w *World) {
 		w.lateOrders(6 * time.Second)
-		w.killAgents(6 * time.Second)
 		for i, a := range w.Agents {
-			w.After(time.Duration(i)*900*time.Millisecond, func() { a.Crash(400 * time.Millisecond) })
+			w.After(time.Duration(i)*900*time.Millisecond, func() { a.Crash(100 * time.Millisecond) })
 		}
 	}},
 }
 
+// crashWorkersInTurn crashes each worker, while agents restart and orders are carried out late.
+func (w *World) crashWorkersInTurn() {
+	w.lateOrders(6 * time.Second)
+	w.killAgents(6 * time.Second)
+	for i, a := range w.Agents {
+		w.After(time.Duration(i)*900*time.Millisecond, func() { a.Crash(400 * time.Millisecond) })
+	}
+}
+
 // lateOrders makes a part of the orders go without response and be carried out late, for d.
 func (w *World) lateOrders(d time.Duration) {
 	w.DelayedShare = 0.3
