jobs/exec: a worker that starts again after the time of day was set back is known by its answers

What callers would see: a worker crashes and is back under its id within a moment, while the time of day was set back. Its heartbeats and answers are ignored for good, and the tasks on its VM hang.

Cause: processes of a worker were put in order by their start times alone, so the present one counted as earlier than the one that it had replaced.

Now the order of the agent's polls decides. Polls do not overlap, so an answer with another start time to a poll that began after the last answer is of a later process, whatever the times say. What the agent tells the leader as the incarnation is the start time or one more than before, so the leader's order by number stays true; fencing tokens rise with each restart. A deregistration names the start time, so the core compares it (Leave).

What remains: if the agent's process restarts as well, it knows only the lower start time, and the leader ignores it until the worker's lease has ended (4.4 s, 8.4 s after a change of leader). The worker gets no lease meanwhile, so nothing runs twice.

--- a/internal/fake/tasks/worker.go
+++ b/internal/fake/tasks/worker.go
@@ -40,7 +40,9 @@
 	id string
 	// startedAt is the time at which the incarnation started.
 	startedAt time.Time
-	capacity  place.Resources
+	// SetBack is how far the time of day was set back when the incarnation started.
+	SetBack  time.Duration
+	capacity place.Resources
 	// earlier holds the capacities before the latest changes, the oldest first.
 	earlier []earlierCapacity
 	// heartbeats is the number of heartbeats of the incarnation.
@@ -153,8 +155,12 @@
 	return used
 }
 
-// Incarnation returns the number of the incarnation: its start time in Unix milliseconds.
-func (w *Worker) Incarnation() int64 { return w.startedAt.UnixMilli() }
+// Incarnation returns the number of the incarnation: its start time in Unix milliseconds, by the
+// time of day then.
+func (w *Worker) Incarnation() int64 { return w.startedAt.Add(-w.SetBack).UnixMilli() }
+
+// Age returns the time since the incarnation started.
+func (w *Worker) Age(now time.Time) time.Duration { return now.Sub(w.startedAt) }
 
 // Heartbeat returns the heartbeat that the worker sends at now.
 func (w *Worker) Heartbeat(now time.Time) port.Heartbeat {
--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -41,7 +41,14 @@
 	log *slog.Logger
 	// node is the agent's name.
 	node string
-	vm   msgs.VM
+	// vm is what the leader is told of the worker. Its incarnation is higher than that of any
+	// earlier process under its id, and otherwise born.
+	vm msgs.VM
+	// born is the start time of the worker's process by its own account. It is lower than that
+	// of an earlier process if the time of day was set back in between.
+	born int64
+	// answeredAt is when the worker last answered a poll.
+	answeredAt time.Time
 	// present is set while the agent knows of a worker that is not gone, confirmed once that
 	// worker has answered a poll. The leader is told nothing of a worker that is not confirmed.
 	present, confirmed bool
@@ -178,11 +185,14 @@
 
 // Heartbeat processes a heartbeat of the worker.
 func (a *Agent) Heartbeat(now time.Time, h port.Heartbeat) {
-	known := a.vm.ID != ""
+	known, started := a.vm.ID != "", h.VM.Incarnation
+	if a.isKnown(h.VM) {
+		h.VM.Incarnation = a.vm.Incarnation
+	}
 	other := known && !sameIncarnation(h.VM, a.vm)
 	switch {
-	case known && a.confirmed && h.VM.Incarnation < a.vm.Incarnation:
-		a.log.Info("ignored a heartbeat of an earlier incarnation", "vm", h.VM.ID, "life", h.VM.Incarnation, "latest", a.vm.Incarnation)
+	case known && a.confirmed && started < a.born:
+		a.log.Info("ignored a heartbeat of an earlier incarnation", "vm", h.VM.ID, "life", started, "latest", a.born)
 		return
 	case known && !other && a.heartbeat.after(h):
 		a.log.Info("ignored an earlier heartbeat", "vm", h.VM.ID, "life", h.VM.Incarnation, "seq", h.Seq, "latest", a.heartbeat.seq)
@@ -210,7 +220,7 @@
 	if a.vm.Draining && h.VM.Incarnation == a.vm.Incarnation {
 		h.VM.Draining = true // draining is final for an incarnation
 	}
-	a.vm = h.VM
+	a.vm, a.born = h.VM, started
 	a.vm.Node = a.node
 	if changed && a.synced {
 		a.requestLease(now, false)
@@ -218,15 +228,14 @@
 }
 
 // newIncarnation discards the state of the worker's previous incarnation, of which
-// nothing runs any more.
-func (a *Agent) newIncarnation(now time.Time, incarnation int64) {
+// nothing runs any more. The next one started at born.
+func (a *Agent) newIncarnation(now time.Time, born int64) {
 	a.noteCrash(now)
-	a.log.Info("the worker has restarted", "vm", a.vm.ID, "life", incarnation, "before", a.vm.Incarnation, "runs", len(a.runs))
+	incarnation := max(born, a.vm.Incarnation+1)
+	a.log.Info("the worker has restarted", "vm", a.vm.ID, "life", incarnation, "before", a.vm.Incarnation, "born", born, "bornBefore", a.born, "runs", len(a.runs))
 	a.reset()
-	if a.tokenIncarnation >= incarnation {
-		a.tokenIncarnation += incarnationUnit
-	}
-	a.vm.Incarnation = incarnation
+	a.raiseToken(now, 1)
+	a.vm.Incarnation, a.born = incarnation, born
 	a.vm.Draining = false
 	a.workerClock, a.workerClockAt, a.knownSince = 0, now, now
 	a.synced = false
--- a/internal/jobs/exec/announce.go
+++ b/internal/jobs/exec/announce.go
@@ -28,23 +28,26 @@
 	}
 }
 
-// answered compares the known incarnation with the one that answered a poll, which is 0 if the
-// worker does not report it, and adopts a later one. It returns false if the answer is of an
-// earlier incarnation.
-func (a *Agent) answered(now time.Time, p port.Poll, incarnation int64) bool {
+// answered compares the known process of the worker with the one that answered a poll, by their
+// start times, and adopts another one. A later answer is of a later process, even if the time of
+// day was set back in between. The start time is 0 if the worker does not report it. answered
+// returns false if the poll started before an answer of the known process.
+func (a *Agent) answered(now time.Time, p port.Poll, started int64) bool {
 	switch {
-	case incarnation > a.vm.Incarnation:
-		a.newIncarnation(now, incarnation)
-		if sameIncarnation(a.announced.VM, a.vm) {
+	case started == 0, started == a.born:
+	case started < a.born && !a.confirmed:
+		a.log.Warn("the worker started earlier than its heartbeat says", "vm", a.vm.ID, "life", started, "heartbeat", a.born)
+		a.tokenIncarnation = max(a.tokenIncarnation, a.vm.Incarnation)
+		a.vm.Incarnation, a.born = started, started
+	case a.confirmed && p.StartedAt.Before(a.answeredAt):
+		return false
+	default:
+		a.newIncarnation(now, started)
+		if a.isKnown(a.announced.VM) {
 			a.adoptAnnounced(now)
 		}
-	case incarnation != 0 && incarnation < a.vm.Incarnation:
-		if a.confirmed {
-			return false
-		}
-		a.log.Warn("the worker started earlier than its heartbeat says", "vm", a.vm.ID, "life", incarnation, "heartbeat", a.vm.Incarnation)
-		a.tokenIncarnation, a.vm.Incarnation = max(a.tokenIncarnation, a.vm.Incarnation), incarnation
 	}
+	a.answeredAt = now
 	a.confirmed = true
 	if n := a.announced.VM; n.ID != "" && p.StartedAt.After(a.announcedAt) {
 		a.log.Warn("ignored a heartbeat of another worker, as the known one still answers", "vm", n.ID, "life", n.Incarnation,
@@ -54,5 +57,8 @@
 	return true
 }
 
+// isKnown reports whether a worker's description of itself is of the known process.
+func (a *Agent) isKnown(vm msgs.VM) bool { return vm.ID == a.vm.ID && vm.Incarnation == a.born }
+
 // sameIncarnation reports whether two descriptions are of the same incarnation of a worker.
 func sameIncarnation(a, b msgs.VM) bool { return a.ID == b.ID && a.Incarnation == b.Incarnation }
--- a/internal/jobs/exec/beat.go
+++ b/internal/jobs/exec/beat.go
@@ -36,3 +36,14 @@
 		a.heartbeat.clock = min(h.Clock, a.workerClock+now.Sub(a.workerClockAt))
 	}
 }
+
+// Leave processes a worker's message that it is about to exit. The start time is 0 if the worker
+// does not report it.
+func (a *Agent) Leave(now time.Time, id string, started int64) {
+	vm := a.vm
+	if vm.ID != id || (started != 0 && started != a.born) {
+		return
+	}
+	vm.Incarnation, vm.Draining = a.born, true
+	a.Heartbeat(now, port.Heartbeat{VM: vm})
+}
--- a/internal/jobs/exec/restart_test.go
+++ b/internal/jobs/exec/restart_test.go
@@ -114,3 +114,45 @@
 		}, nil),
 	)
 })
+
+var _ = Describe("A worker that starts again under its id after the time of day was set back", func() {
+	const back = 300
+	var h *harness
+	BeforeEach(func() {
+		h = newHarness()
+		h.agent.Started(h.now, h.order(), nil)
+		h.agent.Messages()
+	})
+
+	It("is known by its answer to a poll, and as a later incarnation", func() {
+		token := h.poll(port.PollResult{}).FencingToken
+		before := h.agent.VM().Incarnation
+		early, _ := h.agent.Poll(h.now, false)
+		h.incarnation -= back
+		h.poll(port.PollResult{})
+		Expect(h.agent.State()).To(And(HaveField("VM.Incarnation", BeNumerically(">", before)), HaveField("Runs", 0)))
+		Expect(h.poll(port.PollResult{}).FencingToken).To(BeNumerically(">", token))
+		Expect(h.vms()).To(ContainElement(HaveField("Incarnation", BeNumerically(">", before))))
+
+		after := h.agent.VM().Incarnation
+		h.agent.Polled(h.now, early, port.PollResult{Incarnation: h.incarnation + back, Clock: time.Hour}, nil)
+		h.heartbeat("vm-1", h.incarnation+back)
+		h.heartbeat("vm-1", h.incarnation)
+		h.poll(port.PollResult{})
+		Expect(h.agent.VM().Incarnation).To(Equal(after), "what the earlier process said is late")
+		h.agent.Leave(h.now, "vm-1", h.incarnation)
+		Expect(h.agent.VM()).To(And(HaveField("Incarnation", after), HaveField("Draining", true)))
+	})
+
+	It("takes another later incarnation each time", func() {
+		last := h.agent.VM().Incarnation
+		for _, d := range []int64{-back, 10, -20, 5 * back} {
+			h.incarnation += d
+			h.heartbeat("vm-1", h.incarnation)
+			h.poll(port.PollResult{})
+			h.heartbeat("vm-1", h.incarnation)
+			Expect(h.agent.VM().Incarnation).To(BeNumerically(">", last))
+			last = h.agent.VM().Incarnation
+		}
+	})
+})
--- a/internal/proof/fleet/agent.go
+++ b/internal/proof/fleet/agent.go
@@ -257,10 +257,7 @@
 // mayHavePolled reports whether the agent's process can have polled the worker's present
 // incarnation.
 func (a *Agent) mayHavePolled() bool {
-	since := a.world.Now.Sub(a.startedAt)
-	if age := a.world.Now.Sub(time.UnixMilli(a.Worker.Incarnation())); age < since {
-		since = age
-	}
+	since := min(a.world.Now.Sub(a.startedAt), a.Worker.Age(a.world.Now))
 	return !a.Dead && since > pollInterval+3*callDelay
 }
 
--- a/internal/proof/fleet/fault.go
+++ b/internal/proof/fleet/fault.go
@@ -136,6 +136,12 @@
 			w.After(time.Duration(i)*900*time.Millisecond, func() { a.Crash(100 * time.Millisecond) })
 		}
 	}},
+	{"workers start again under their ids after the time of day was set back", func(w *World) {
+		w.lateOrders(6 * time.Second)
+		for i, a := range w.Agents {
+			w.After(time.Duration(i)*900*time.Millisecond, func() { a.Worker.SetBack = 20 * time.Second; a.Crash(50 * time.Millisecond) })
+		}
+	}},
 }
 
 // crashWorkersInTurn crashes each worker, while agents restart and orders are carried out late.
--- a/internal/run/agent/agent.go
+++ b/internal/run/agent/agent.go
@@ -78,13 +78,7 @@
 // when no process listens at the worker's address any more.
 func (a *Agent) Leave(id string, incarnation int64) {
 	a.log.Info("worker deregistered", "vm", id, "life", incarnation)
-	a.update(func(now time.Time) {
-		vm := a.core.VM()
-		if vm.ID == id && (incarnation == 0 || incarnation == vm.Incarnation) {
-			vm.Draining = true
-			a.core.Heartbeat(now, port.Heartbeat{VM: vm})
-		}
-	})
+	a.update(func(now time.Time) { a.core.Leave(now, id, incarnation) })
 }
 
 // update calls fn, which may change the core, and carries out the core's decisions: it starts
