run/agent: the poll after a worker's heartbeat does not wait for the pause of a failed one

Cause: the pause after a failed poll was not cut short by a heartbeat.

Now both waits end with a request to poll. There is no test: it would have to tell 60 ms from less by the machine's clock.

--- a/internal/run/agent/worker.go
+++ b/internal/run/agent/worker.go
@@ -56,7 +56,7 @@
 	for a.ctx.Err() == nil {
 		poll, ctx, cancel, ok := a.nextPoll()
 		if !ok {
-			a.waitForPollRequest()
+			a.waitForPollRequest(time.Second)
 			continue
 		}
 		result, err := a.worker.Poll(ctx, poll)
@@ -70,7 +70,7 @@
 			unstoredEnds = a.core.HasUnstoredEnds()
 		})
 		if d := pause.After(clock.Now(), err); d > 0 {
-			a.pause(d)
+			a.waitForPollRequest(d)
 		} else if err == nil && unstoredEnds {
 			a.waitForEndsStored()
 		}
@@ -99,12 +99,12 @@
 	a.requestPoll()
 }
 
-// waitForPollRequest waits for requestPoll, at most for a second.
-func (a *Agent) waitForPollRequest() {
+// waitForPollRequest waits for requestPoll, at most for d.
+func (a *Agent) waitForPollRequest(d time.Duration) {
 	select {
 	case <-a.ctx.Done():
 	case <-a.pollRequested:
-	case <-time.After(time.Second):
+	case <-time.After(d):
 	}
 }
 
