jobs, msgs: an order that crosses the agent's list of runs does not start a run

What callers would see: two runs of one task (TWICE). A worker does not answer for the length of its lease, and answers again just after its agent has reported it as gone. An order that the leader had sent before it read this report reaches the agent after the agent has listed the runs of the worker again. The agent starts the run, and the leader has given it up.

Cause: after its list the agent took every order of its leader for one that follows the list. An order under way outlives what it was meant for. The window is as long as a message needs in both directions, which is seconds on a link with losses.

Now orders to start runs name the latest list that the leader knew when it released them. An agent that has sent a later one ignores them. No run is lost by that: the leader orders all runs that it wants again when it reads the list.

Ruled out, by reading: an order after a reconnect (it belongs to the earlier connection, and the leader ignores reports there); a run whose end is on its way (the agent still has the end, and the worker refuses the run); other incarnations (orders name theirs).

Evidence: lead "does not start the run beside the next one, if its order arrives after the agent has listed the runs again" failed before (the agent called the worker to start run 1) and holds now; the leader then starts run 2.

--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -101,6 +101,8 @@
 	// it was sent.
 	seq         uint64
 	requestedAt time.Time
+	// listSeq is the sequence number of the latest Synced lease request.
+	listSeq uint64
 	// noWorkerSince is when connections to the worker's address began to be refused,
 	// zero if they are not.
 	noWorkerSince time.Time
--- a/internal/jobs/exec/lease.go
+++ b/internal/jobs/exec/lease.go
@@ -59,6 +59,9 @@
 	a.seq++
 	req.Seq = a.seq
 	a.pendingRequests[req.Seq] = now
+	if req.Synced {
+		a.listSeq = req.Seq
+	}
 	m := &msgs.Message{LeaseRequest: req, Crashes: slices.Clone(a.crashes)}
 	if req.RunsListed {
 		m.Unproven = a.unproven()
--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -28,7 +28,7 @@
 		a.log.Info("ignored orders of another leader or for another incarnation", "epoch", o.Epoch, "latest", a.epoch, "vm", o.VM, "life", o.Incarnation, "starts", len(o.Starts))
 		return
 	}
-	if !a.synced && len(o.Starts) > 0 {
+	if stale := o.Follows != 0 && o.Follows < a.listSeq; len(o.Starts) > 0 && (stale || !a.synced) {
 		// The leader gave them before it knew of the present runs, and orders again what it wants.
 		a.log.Info("ignored orders to start runs until the leader knows the present ones", "epoch", o.Epoch, "vm", o.VM, "life", o.Incarnation, "starts", len(o.Starts))
 		o.Starts = nil
--- a/internal/jobs/lead/flush.go
+++ b/internal/jobs/lead/flush.go
@@ -94,3 +94,14 @@
 
 // tickInterval is how often a leader without changes checks its VMs.
 const tickInterval = 100 * time.Millisecond
+
+// takeStored removes and returns the held messages whose changes are all in a batch.
+func (l *Leader) takeStored() []OutboundMessage {
+	batched := l.table.Batched()
+	var ready []OutboundMessage
+	for len(l.heldForStore) > 0 && l.heldForStore[0].changes <= batched {
+		ready = append(ready, l.heldForStore[0].OutboundMessage)
+		l.heldForStore = l.heldForStore[1:]
+	}
+	return ready
+}
--- a/internal/jobs/lead/givenup_test.go
+++ b/internal/jobs/lead/givenup_test.go
@@ -205,4 +205,41 @@
 		Expect(a.startsElsewhere()).NotTo(BeEmpty(), "the leader has given the run up with the worker")
 		Expect(a.startCalls()).To(BeEmpty())
 	})
+
+	It("does not start the run beside the next one, if its order arrives after the agent has listed the runs again", func() {
+		h := newHarness()
+		a := h.startAgent(firstAgentConn)
+		Expect(a.LeaderConnected(epoch)).To(BeTrue())
+		a.LeaseRequest(h.now)
+		a.poll(port.PollResult{})
+		a.exchange()
+		var late *msgs.Orders
+		for began := h.now; a.VM().ID != ""; {
+			Expect(h.now.Sub(began)).To(BeNumerically("<", 10*time.Second))
+			a.LeaseRequest(h.now)
+			if late == nil && h.now.Sub(began) > 4*time.Second {
+				h.submit(job(1, smallStep))
+				h.advance(40 * time.Millisecond)
+				orders := h.orders()
+				Expect(orders).To(HaveLen(1))
+				late = &orders[0]
+				h.out = nil
+			}
+			a.exchange()
+			p, ok := a.Poll(h.now, false)
+			Expect(ok).To(BeTrue())
+			a.Polled(h.now, p, port.PollResult{}, port.ErrWorkerUnhealthy)
+		}
+		Expect(late).NotTo(BeNil())
+		Expect(a.startCalls()).To(BeEmpty())
+		a.Heartbeat(h.now, port.Heartbeat{VM: vmInfo(0), Clock: time.Hour + h.now.Sub(time.Unix(1000, 0))})
+		for range 2 {
+			a.poll(port.PollResult{})
+		}
+		Expect(a.State().Synced).To(BeTrue())
+		a.Orders(h.now, late)
+		Expect(a.startCalls()).To(BeEmpty(), "the worker would start it")
+		a.exchange()
+		Expect(a.startCalls()).To(ConsistOf(HaveField("Start.Run", uint32(2))), "the leader has given the run up with the worker")
+	})
 })
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -273,6 +273,9 @@
 			if len(o.Starts)+len(o.Stops)+len(o.Throttles) == 0 {
 				continue
 			}
+			if len(o.Starts) > 0 {
+				o.Follows = l.vms[o.VM].listSeq
+			}
 		}
 		l.outbound = append(l.outbound, m)
 	}
@@ -287,14 +290,3 @@
 	r := v.runs[key]
 	return r != nil && !r.unwanted()
 }
-
-// takeStored removes and returns the held messages whose changes are all in a batch.
-func (l *Leader) takeStored() []OutboundMessage {
-	batched := l.table.Batched()
-	var ready []OutboundMessage
-	for len(l.heldForStore) > 0 && l.heldForStore[0].changes <= batched {
-		ready = append(ready, l.heldForStore[0].OutboundMessage)
-		l.heldForStore = l.heldForStore[1:]
-	}
-	return ready
-}
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -44,7 +44,7 @@
 	v.conn, v.lastContact = conn, now
 	l.vmByConn[conn] = req.VM.ID
 	if req.Synced {
-		v.synced = true
+		v.synced, v.listSeq = true, req.Seq
 		l.placementDue = true
 		l.log.Info("VM joins", "vm", v.info.ID, "life", v.info.Incarnation, "zone", v.info.Zone, "service", v.info.Service, "runs", len(req.Runs))
 	}
--- a/internal/jobs/lead/vm.go
+++ b/internal/jobs/lead/vm.go
@@ -17,6 +17,8 @@
 	conn uint64
 	// synced is set while the agent is connected and has listed all present runs.
 	synced bool
+	// listSeq is the sequence number of the latest Synced lease request.
+	listSeq uint64
 	// lastContact is the time of the latest lease request.
 	lastContact time.Time
 	// leaseExpiry is when the VM's lease has ended even by the slowest allowed clock.
--- a/internal/jobs/msgs/agent.go
+++ b/internal/jobs/msgs/agent.go
@@ -201,4 +201,14 @@
 	Starts      []Start
 	Stops       []Stop
 	Throttles   []Throttle
+	// Follows is the sequence number of the latest Synced lease request that the leader knew
+	// when it released Starts, 0 if it does not say. The agent ignores Starts that do not
+	// follow its latest one: what they are based on may no longer hold.
+	Follows uint64
+}
+
+// UnmarshalCBOR implements cbor.Unmarshaler. It also decodes orders of earlier versions.
+func (o *Orders) UnmarshalCBOR(data []byte) error {
+	type orders Orders
+	return codec.UnmarshalArray(data, (*orders)(o))
 }
