jobs/table: only a run that was given up and has not ended since is taken back

A list may be older than the end that the leader has processed, and an agent's first list also names runs because of their ends.

Now the table's record of runs that were given up decides, and a run leaves it with its end, whichever that is.

--- a/internal/jobs/table/late_test.go
+++ b/internal/jobs/table/late_test.go
@@ -37,6 +37,50 @@
 	})
 })
 
+var _ = Describe("A run that a worker lists though its task waits", func() {
+	var tbl *table.Table
+	var e *table.Entry
+	BeforeEach(func() {
+		tbl = &table.Table{}
+		e = tbl.Add(job(model.Step{Tasks: 1}))
+		tbl.Assign(e, ref(0, 0), table.Run{VM: "vm-1"})
+	})
+	readopt := func() bool { return tbl.Readopt(ref(0, 0), table.Run{Number: 1, VM: "vm-1"}) }
+
+	It("is taken back once if it was given up", func() {
+		tbl.EndRun(now, ref(0, 0), 1, msgs.Lost, "")
+		Expect(readopt()).To(BeTrue())
+		Expect(e.Tasks[0].Runs).To(HaveLen(1))
+		Expect(e.Stages[0].Waiting).To(BeEmpty())
+		Expect(readopt()).To(BeFalse())
+		tbl.EndRun(now, ref(0, 0), 1, msgs.Failed, "")
+		tbl.EndRun(now, ref(0, 0), 1, msgs.Failed, "")
+		Expect(e.Tasks[0].Failures).To(BeEquivalentTo(1))
+	})
+
+	It("is not taken back if another run has started", func() {
+		tbl.EndRun(now, ref(0, 0), 1, msgs.Lost, "")
+		tbl.Assign(e, ref(0, 0), table.Run{VM: "vm-2"})
+		Expect(readopt()).To(BeFalse())
+	})
+
+	// The list may be older than the end, or name a run because of its end.
+	DescribeTable("is not taken back if it has ended", func(outcomes ...msgs.Outcome) {
+		for _, o := range outcomes {
+			tbl.EndRun(now, ref(0, 0), 1, o, "")
+		}
+		Expect(readopt()).To(BeFalse())
+	},
+		Entry("done", msgs.Done),
+		Entry("failed", msgs.Failed),
+		Entry("stopped", msgs.Stopped),
+		Entry("failed after it was given up", msgs.Lost, msgs.Failed),
+		Entry("stopped after it was given up", msgs.Lost, msgs.Stopped),
+		Entry("lapsed after it was given up", msgs.Lost, msgs.LeaseExpired),
+		Entry("done after it was given up", msgs.Lost, msgs.Done),
+	)
+})
+
 var _ = Describe("The failure of a copy", func() {
 	It("does not count once another run has completed its task", func() {
 		tbl := &table.Table{}
--- a/internal/jobs/table/runs.go
+++ b/internal/jobs/table/runs.go
@@ -29,22 +29,22 @@
 }
 
 // Readopt adds a run to a task that waits although a worker lists the run, which was given up
-// before. It returns false if the task does not wait for a run or if the run cannot be taken
-// back.
+// before and has not ended since. It returns false if the task does not wait for a run or if the
+// run cannot be taken back.
 func (tbl *Table) Readopt(ref model.TaskRef, run Run) bool {
 	e := tbl.entries[ref.Job]
 	if e == nil || e.State.Ended() {
 		return false
 	}
 	t := e.Task(ref)
-	if t == nil || t.Done || len(t.Runs) > 0 || run.Number == 0 || run.Number > t.LastRun {
+	if t == nil || t.Done || len(t.Runs) > 0 || !slices.Contains(t.GivenUp, run.Number) {
 		return false
 	}
 	st := e.Stage(ref)
 	if e.StepOf(st).Gang {
 		return false
 	}
-	t.GivenUp = slices.DeleteFunc(t.GivenUp, func(n uint32) bool { return n == run.Number })
+	t.forget(run.Number)
 	t.Runs = append(t.Runs, run)
 	e.RunCount++
 	st.Waiting = slices.DeleteFunc(st.Waiting, func(i int) bool { return i == ref.Index })
@@ -52,6 +52,11 @@
 	return true
 }
 
+// forget removes a run from those that were given up.
+func (t *Task) forget(number uint32) {
+	t.GivenUp = slices.DeleteFunc(t.GivenUp, func(n uint32) bool { return n == number })
+}
+
 // maxGivenUp is the maximum length of Task.GivenUp.
 const maxGivenUp = 16
 
@@ -71,6 +76,9 @@
 	if i < 0 && outcome == msgs.Failed {
 		return Run{}, tbl.countLateFailure(now, e, ref, number)
 	}
+	if i < 0 && outcome != msgs.Done && outcome != msgs.Lost {
+		t.forget(number) // it is certain that the run is over
+	}
 	if i < 0 {
 		return Run{}, outcome == msgs.Done && tbl.completeLate(now, e, ref, number)
 	}
