jobs/lead: the only suspect among several runs is not proven to have crashed the worker

What callers would see: jobs without any fault shown as failed, where workers crash one after the other for another reason. They earn nothing.

Cause: a crash counted as attributed to a task also if other runs were unproven on the worker, provided that no other was a suspect of an earlier crash. Two crashes, one attributed, fail the job. Where a third to half of the workers crash every 3 s, some task is the only suspect by chance.

Now only a crash that nothing else can have caused is attributed. The only suspect still excuses the others, and still fails its job at the third crash.

Evidence: lead "is not told by two crashes among other tasks, but by three" failed before (given up after the second).

--- a/internal/jobs/lead/crash.go
+++ b/internal/jobs/lead/crash.go
@@ -23,7 +23,7 @@
 // countCrash counts one crash at the tasks that may be its cause.
 func (l *Leader) countCrash(now time.Time, c *msgs.Crash) {
 	runs := slices.Concat(c.Runs, c.Unanswered)
-	cause := l.attribute(runs)
+	cause, alone := l.attribute(runs)
 	var counted []model.TaskRef
 	for i, run := range runs {
 		ref, err := model.ParseTaskRef(run.Task)
@@ -33,7 +33,7 @@
 		}
 		attributed := l.causeOf(run) == cause
 		excused := cause != "" && !attributed
-		if !l.table.AddCrash(now, ref, table.Crash{Run: run.Run, Attributed: attributed, Excused: excused, Doubtful: i >= len(c.Runs)}) {
+		if !l.table.AddCrash(now, ref, table.Crash{Run: run.Run, Attributed: attributed && alone, Excused: excused, Doubtful: i >= len(c.Runs)}) {
 			continue
 		}
 		counted = append(counted, ref)
@@ -41,7 +41,7 @@
 		l.stats.Crashes++
 		e := l.table.Get(ref.Job)
 		l.log.Info("worker crashed under a task", "req", ref.Job, "task", run.Task, "run", run.Run, "vm", c.VM, "life", c.Incarnation,
-			"suspects", len(runs), "unanswered", i >= len(c.Runs), "attributed", attributed, "excused", excused, "crashes", len(e.Crashes(ref)),
+			"suspects", len(runs), "unanswered", i >= len(c.Runs), "attributed", attributed, "alone", alone, "excused", excused, "crashes", len(e.Crashes(ref)),
 			"state", e.State, "reason", e.Reason, "epoch", l.epoch)
 		if e.State.Ended() {
 			l.stats.GivenUp++
@@ -51,9 +51,11 @@
 	l.noteCrash(now, c.VM, counted)
 }
 
-// attribute returns the cause of a crash: the only possible one, or else the only one that is a
-// suspect because of another crash. It returns an empty name if there is no such cause.
-func (l *Leader) attribute(runs []msgs.RunRef) string {
+// attribute returns the cause of a crash: the only possible one, in which case alone is set, or
+// else the only one that is a suspect because of another crash. The latter happens by chance if
+// workers crash for other reasons, so it excuses the others but is no proof. attribute returns an
+// empty name if there is no such cause.
+func (l *Leader) attribute(runs []msgs.RunRef) (cause string, alone bool) {
 	causes, suspects := map[string]bool{}, map[string]bool{}
 	for _, run := range runs {
 		cause := l.causeOf(run)
@@ -63,16 +65,17 @@
 			suspects[cause] = true
 		}
 	}
-	if len(causes) > 1 {
+	alone = len(causes) == 1
+	if !alone {
 		causes = suspects
 	}
 	if len(causes) > 1 {
-		return ""
+		return "", false
 	}
 	for cause := range causes {
-		return cause
+		return cause, alone
 	}
-	return ""
+	return "", false
 }
 
 // causeOf returns the name of a run's task, or that of the first task of its gang.
--- a/internal/jobs/lead/crash_test.go
+++ b/internal/jobs/lead/crash_test.go
@@ -171,6 +171,35 @@
 		Expect(total).To(Equal(40), "all tasks of the neighbours run")
 	})
 
+	// Workers crash one after the other for another reason, which makes some tasks the only
+	// suspects by chance.
+	It("is not told by two crashes among other tasks, but by three", func() {
+		c := newCrashes(2)
+		c.submit(job(1, step(1)))
+		c.wait(300 * time.Millisecond)
+		c.submit(job(2, step(4)))
+		c.wait(300 * time.Millisecond)
+		Expect(c.running[c.workerOf(deadly)]).To(HaveLen(3), "others run beside it")
+		c.crash(c.workerOf(deadly))
+		for i := range 2 {
+			for range 10 {
+				c.wait(300 * time.Millisecond)
+				c.settle(-1)
+			}
+			n := c.workerOf(deadly)
+			Expect(n).To(BeNumerically(">=", 0), "crash %d", i+2)
+			Expect(c.state(id)).To(Equal("running"))
+			c.number++
+			c.leader.Handle(c.now, uint64(firstAgentConn+n), &msgs.Message{Crashes: []msgs.Crash{{Number: c.number, VM: vmInfo(n).ID, Incarnation: vmInfo(n).Incarnation, Runs: []msgs.RunRef{
+				c.running[n][slices.IndexFunc(c.running[n], func(r msgs.RunRef) bool { return r.Task == deadly })],
+				{Task: "00000000000000ff.0.0.0", Run: 1},
+			}}}})
+			c.crash(n)
+		}
+		c.wait(300 * time.Millisecond)
+		Expect(c.state(id)).To(Equal("failed"))
+	})
+
 	It("is counted by a new leader as by the earlier one", func() {
 		c := newCrashes(3)
 		c.submit(job(1, step(1)))
--- a/internal/jobs/table/crash.go
+++ b/internal/jobs/table/crash.go
@@ -25,8 +25,7 @@
 	_ struct{} `cbor:",toarray"`
 	// Run is the number of the run.
 	Run uint32
-	// Attributed is set if nothing else than the task, or its gang, may be the cause, or if it
-	// is the only one that may have caused another crash as well.
+	// Attributed is set if nothing else than the task, or its gang, may be the cause.
 	Attributed bool
 	// Excused is set if the crash is attributed to another task. It makes the task no suspect.
 	Excused bool
