--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -29,6 +29,8 @@
 	noWorkerTimeout = 150 * time.Millisecond
 	// maxStartTries is the number of tries of a start before the agent stops the run.
 	maxStartTries = 3
+	// maxOrderDelay is how long after an order got no response a worker may still carry it out.
+	maxOrderDelay = 30 * time.Second
 	// maxLost bounds the number of lost runs that the agent remembers. Orders to start them are
 	// on their way for much less time than it takes to reach it.
 	maxLost = 4096
@@ -39,7 +41,14 @@
 	log *slog.Logger
 	// node is the agent's name.
 	node string
-	vm   msgs.VM
+	// vm is what the leader is told of the worker. Its incarnation is higher than that of any
+	// earlier process under its id, and otherwise born.
+	vm msgs.VM
+	// born is the start time of the worker's process by its own account. It is lower than that
+	// of an earlier process if the time of day was set back in between.
+	born int64
+	// answeredAt is when the worker last answered a poll.
+	answeredAt time.Time
 	// present is set while the agent knows of a worker that is not gone, confirmed once that
 	// worker has answered a poll. The leader is told nothing of a worker that is not confirmed.
 	present, confirmed bool
@@ -47,9 +56,17 @@
 	// has no ID if there is none. The first one of that incarnation arrived at announcedAt.
 	announced   port.Heartbeat
 	announcedAt time.Time
-	// tokenIncarnation is the least incarnation from which fencing tokens are derived. It is
-	// set if the worker was sent a token for an incarnation later than its own.
+	// tokenIncarnation is the least incarnation from which fencing tokens are derived. It never
+	// falls, so that no process at the worker's address accepts an order sent before its raise.
 	tokenIncarnation int64
+	// tokenUsed is set once the present fencing token was used for an order.
+	tokenUsed bool
+	// fencedPolls is the number of consecutive polls that the worker refused for their fencing
+	// tokens.
+	fencedPolls int
+	// searchUntil is until when the agent polls the worker's address while it knows of no
+	// worker, zero before the first such poll of this process.
+	searchUntil time.Time
 	// epoch is the highest epoch known. connected is set while the agent is connected to
 	// the leader of that epoch, and synced once that leader has been sent all runs.
 	epoch             uint64
@@ -84,6 +101,8 @@
 	// it was sent.
 	seq         uint64
 	requestedAt time.Time
+	// listSeq is the sequence number of the latest Synced lease request.
+	listSeq uint64
 	// noWorkerSince is when connections to the worker's address began to be refused,
 	// zero if they are not.
 	noWorkerSince time.Time
@@ -168,11 +187,14 @@
 
 // Heartbeat processes a heartbeat of the worker.
 func (a *Agent) Heartbeat(now time.Time, h port.Heartbeat) {
-	known := a.vm.ID != ""
+	known, started := a.vm.ID != "", h.VM.Incarnation
+	if a.isKnown(h.VM) {
+		h.VM.Incarnation = a.vm.Incarnation
+	}
 	other := known && !sameIncarnation(h.VM, a.vm)
 	switch {
-	case known && a.confirmed && h.VM.Incarnation < a.vm.Incarnation:
-		a.log.Info("ignored a heartbeat of an earlier incarnation", "vm", h.VM.ID, "life", h.VM.Incarnation, "latest", a.vm.Incarnation)
+	case known && a.confirmed && started < a.born:
+		a.log.Info("ignored a heartbeat of an earlier incarnation", "vm", h.VM.ID, "life", started, "latest", a.born)
 		return
 	case known && !other && a.heartbeat.after(h):
 		a.log.Info("ignored an earlier heartbeat", "vm", h.VM.ID, "life", h.VM.Incarnation, "seq", h.Seq, "latest", a.heartbeat.seq)
@@ -200,7 +222,7 @@
 	if a.vm.Draining && h.VM.Incarnation == a.vm.Incarnation {
 		h.VM.Draining = true // draining is final for an incarnation
 	}
-	a.vm = h.VM
+	a.vm, a.born = h.VM, started
 	a.vm.Node = a.node
 	if changed && a.synced {
 		a.requestLease(now, false)
@@ -208,15 +230,14 @@
 }
 
 // newIncarnation discards the state of the worker's previous incarnation, of which
-// nothing runs any more.
-func (a *Agent) newIncarnation(now time.Time, incarnation int64) {
+// nothing runs any more. The next one started at born.
+func (a *Agent) newIncarnation(now time.Time, born int64) {
 	a.noteCrash(now)
-	a.log.Info("the worker has restarted", "vm", a.vm.ID, "life", incarnation, "before", a.vm.Incarnation, "runs", len(a.runs))
+	incarnation := max(born, a.vm.Incarnation+1)
+	a.log.Info("the worker has restarted", "vm", a.vm.ID, "life", incarnation, "before", a.vm.Incarnation, "born", born, "bornBefore", a.born, "runs", len(a.runs))
 	a.reset()
-	if a.tokenIncarnation >= incarnation {
-		a.tokenIncarnation += incarnationUnit
-	}
-	a.vm.Incarnation = incarnation
+	a.raiseToken(now, 1)
+	a.vm.Incarnation, a.born = incarnation, born
 	a.vm.Draining = false
 	a.workerClock, a.workerClockAt, a.knownSince = 0, now, now
 	a.synced = false
@@ -243,9 +264,10 @@
 		a.sendLeaseRequest(now, &msgs.LeaseRequest{VM: gone})
 	}
 	a.reset()
+	a.fenceOrders(now)
+	a.searchUntil = now.Add(maxOrderDelay)
 	a.vm = msgs.VM{}
 	a.present, a.confirmed, a.synced = false, false, false
-	a.tokenIncarnation = 0
 	a.adoptAnnounced(now)
 }
 
--- a/internal/jobs/exec/lease.go
+++ b/internal/jobs/exec/lease.go
@@ -59,6 +59,9 @@
 	a.seq++
 	req.Seq = a.seq
 	a.pendingRequests[req.Seq] = now
+	if req.Synced {
+		a.listSeq = req.Seq
+	}
 	m := &msgs.Message{LeaseRequest: req, Crashes: slices.Clone(a.crashes)}
 	if req.RunsListed {
 		m.Unproven = a.unproven()
@@ -134,6 +137,9 @@
 	incarnationBits = 31
 	// incarnationUnit is the unit of these bits, in milliseconds of the worker's start time.
 	incarnationUnit = 128
+	// maxFencedPolls bounds the polls in a row that raise the token, and so the bits that are
+	// raised: they stay below the epoch's.
+	maxFencedPolls = 24
 )
 
 // fencingToken returns the token for orders to the current incarnation of the worker. It
@@ -142,3 +148,33 @@
 func (a *Agent) fencingToken() uint64 {
 	return a.epoch<<incarnationBits | uint64(max(a.vm.Incarnation, a.tokenIncarnation)/incarnationUnit)&(1<<incarnationBits-1)
 }
+
+// fenceOrders makes the next poll's fencing token higher than those of all orders before it,
+// also of an earlier process. Tokens stay close to the time, because the next process of the
+// agent starts from there.
+func (a *Agent) fenceOrders(now time.Time) {
+	units := int64(0)
+	if a.tokenUsed {
+		units = 1
+	}
+	a.raiseToken(now, units)
+}
+
+// raiseToken makes the fencing tokens rise by the given number of units, and at least to the
+// incarnation of a worker that starts now.
+func (a *Agent) raiseToken(now time.Time, units int64) {
+	a.tokenIncarnation = max(now.UnixMilli(), max(a.vm.Incarnation, a.tokenIncarnation)+units*incarnationUnit)
+	a.tokenUsed = false
+}
+
+// exceedFence raises the token after the worker has refused it. Only an earlier process of the
+// agent can have sent the higher one. If that one followed a later leader, polls are refused
+// until this process follows one too.
+func (a *Agent) exceedFence(now time.Time) {
+	if a.fencedPolls >= maxFencedPolls {
+		return
+	}
+	a.raiseToken(now, 1<<a.fencedPolls)
+	a.fencedPolls++
+	a.log.Info("raises its fencing token, as the worker has accepted a higher one", "vm", a.vm.ID, "life", a.vm.Incarnation, "polls", a.fencedPolls)
+}
--- a/internal/jobs/exec/restart_test.go
+++ b/internal/jobs/exec/restart_test.go
@@ -47,6 +47,25 @@
 		Entry("unhealthy worker", port.ErrWorkerUnhealthy),
 	)
 
+	It("exceeds the fencing token that its earlier process derived from a false heartbeat", func() {
+		h.agent = exec.New("node-1", slog.New(slog.DiscardHandler))
+		h.heartbeat("vm-1", h.incarnation+(24*time.Hour).Milliseconds())
+		Expect(h.agent.LeaderConnected(epoch)).To(BeTrue())
+		fence := h.poll(port.PollResult{}).FencingToken
+		h.restart()
+		polls := 0
+		for ; polls < 30; polls++ {
+			p, _ := h.agent.Poll(h.now, false)
+			if p.FencingToken >= fence {
+				break
+			}
+			h.agent.Polled(h.now, p, port.PollResult{}, port.ErrRunFenced)
+		}
+		Expect(polls).To(BeNumerically("<", 25))
+		Expect(h.agent.LeaderConnected(epoch + 1)).To(BeTrue())
+		Expect(h.poll(port.PollResult{}).FencingToken >> 31).To(Equal(uint64(epoch + 1)))
+	})
+
 	// The earlier process's start got no response and may still be carried out.
 	It("reports a run that it does not know as lost once the worker has confirmed its stop", func() {
 		h.restart()
@@ -95,3 +114,45 @@
 		}, nil),
 	)
 })
+
+var _ = Describe("A worker that starts again under its id after the time of day was set back", func() {
+	const back = 300
+	var h *harness
+	BeforeEach(func() {
+		h = newHarness()
+		h.agent.Started(h.now, h.order(), nil)
+		h.agent.Messages()
+	})
+
+	It("is known by its answer to a poll, and as a later incarnation", func() {
+		token := h.poll(port.PollResult{}).FencingToken
+		before := h.agent.VM().Incarnation
+		early, _ := h.agent.Poll(h.now, false)
+		h.incarnation -= back
+		h.poll(port.PollResult{})
+		Expect(h.agent.State()).To(And(HaveField("VM.Incarnation", BeNumerically(">", before)), HaveField("Runs", 0)))
+		Expect(h.poll(port.PollResult{}).FencingToken).To(BeNumerically(">", token))
+		Expect(h.vms()).To(ContainElement(HaveField("Incarnation", BeNumerically(">", before))))
+
+		after := h.agent.VM().Incarnation
+		h.agent.Polled(h.now, early, port.PollResult{Incarnation: h.incarnation + back, Clock: time.Hour}, nil)
+		h.heartbeat("vm-1", h.incarnation+back)
+		h.heartbeat("vm-1", h.incarnation)
+		h.poll(port.PollResult{})
+		Expect(h.agent.VM().Incarnation).To(Equal(after), "what the earlier process said is late")
+		h.agent.Leave(h.now, "vm-1", h.incarnation)
+		Expect(h.agent.VM()).To(And(HaveField("Incarnation", after), HaveField("Draining", true)))
+	})
+
+	It("takes another later incarnation each time", func() {
+		last := h.agent.VM().Incarnation
+		for _, d := range []int64{-back, 10, -20, 5 * back} {
+			h.incarnation += d
+			h.heartbeat("vm-1", h.incarnation)
+			h.poll(port.PollResult{})
+			h.heartbeat("vm-1", h.incarnation)
+			Expect(h.agent.VM().Incarnation).To(BeNumerically(">", last))
+			last = h.agent.VM().Incarnation
+		}
+	})
+})
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -44,7 +44,7 @@
 	v.conn, v.lastContact = conn, now
 	l.vmByConn[conn] = req.VM.ID
 	if req.Synced {
-		v.synced = true
+		v.synced, v.listSeq = true, req.Seq
 		l.placementDue = true
 		l.log.Info("VM joins", "vm", v.info.ID, "life", v.info.Incarnation, "zone", v.info.Zone, "service", v.info.Service, "runs", len(req.Runs))
 	}
@@ -106,6 +106,9 @@
 		key := runKey{status.Task, status.Run}
 		present[key] = true
 		r := v.runs[key]
+		if r == nil {
+			r = l.readopt(now, v, key)
+		}
 		if r == nil || r.unwanted() {
 			stops = append(stops, msgs.Stop{Task: status.Task, Run: status.Run})
 			continue
