jobs/exec: a run that is missing from an incomplete list still takes capacity

What callers would see: a VM given more than it has room for (LIMIT).

The agent counts no run that the worker listed before and no longer lists: it has ended. It did so also for lists that leave runs out, because a row could not be decoded or because there are more ends than a response holds. It matters when the VM has shrunk since the leader placed the next run, as the leader counts on.

Ruled out: the leader's own count, which knows no lists but ends.

Evidence: the new tests failed before, 2 of 2: the agent called the worker to start a run of 6,000 beside one of 6,000 with a capacity of 8,000.

A run counts as over once a complete list that follows one with the run does not name it. "seen" outlives lists that are incomplete, "listed" does not: it says what the latest list shows.

--- a/internal/jobs/exec/capacity_test.go
+++ b/internal/jobs/exec/capacity_test.go
@@ -1,6 +1,7 @@
 package exec_test
 
 import (
+	"errors"
 	"log/slog"
 	"math"
 	"time"
@@ -176,6 +177,26 @@
 		Expect(h.call().Stop).To(HaveValue(HaveField("Task", task)))
 	})
 
+	DescribeTable("counts a run that a list leaves out which is incomplete", func(res port.PollResult, err error) {
+		order(other, size)
+		h.agent.Started(h.now, h.call(), nil)
+		h.poll(port.PollResult{Running: []msgs.RunStatus{{Task: other, Run: 1}}})
+		h.now = h.now.Add(time.Millisecond)
+		p, ok := h.agent.Poll(h.now, false)
+		Expect(ok).To(BeTrue())
+		res.Incarnation, res.Clock = h.incarnation, h.clock()
+		h.agent.Polled(h.now, p, res, err)
+		h.say(2, h.clock(), place.Resources{CPU: 8000, Memory: 64000})
+		order(task, size)
+		Expect(h.call().Stop).To(HaveValue(HaveField("Task", task)))
+		h.poll(port.PollResult{})
+		order("00000000000000cc.0.0.0", place.Resources{CPU: 1000})
+		Expect(h.call().Start).NotTo(BeNil(), "a complete list shows that the other run has ended")
+	},
+		Entry("because a row could not be decoded", port.PollResult{}, errors.New("a row could not be decoded")),
+		Entry("because there are more ends than it holds", port.PollResult{Incomplete: true}, nil),
+	)
+
 	It("counts no run that the worker no longer lists, and starts what takes none of what is short", func() {
 		order(other, size)
 		h.agent.Started(h.now, h.call(), nil)
--- a/internal/jobs/exec/poll.go
+++ b/internal/jobs/exec/poll.go
@@ -66,10 +66,11 @@
 	if res.Clock >= a.workerClock {
 		a.workerClock, a.workerClockAt = res.Clock, now
 	}
-	a.updateRuns(res.Running, res.Ended)
+	complete := err == nil && !res.Incomplete
+	a.updateRuns(res.Running, res.Ended, complete)
 	a.proveRuns(now)
 	added := a.addEnds(res.Ended)
-	if err == nil && !res.Incomplete {
+	if complete {
 		a.resolveUnconfirmed(p.StartedAt)
 	}
 	if a.NeedsSync() && p.FencingToken == a.fencingToken() {
@@ -93,10 +94,13 @@
 }
 
 // updateRuns records which runs are present. It adds runs that this process did not
-// order: they were started before the agent restarted.
-func (a *Agent) updateRuns(statuses []msgs.RunStatus, ended []msgs.RunEnd) {
+// order: they were started before the agent restarted. A list that is not complete may leave
+// out a run that goes on.
+func (a *Agent) updateRuns(statuses []msgs.RunStatus, ended []msgs.RunEnd, complete bool) {
 	for _, r := range a.runs {
-		r.gone = r.gone || r.listed
+		if complete {
+			r.gone = r.seen
+		}
 		r.listed = false
 	}
 	for _, status := range statuses {
@@ -109,7 +113,7 @@
 			r = &run{start: msgs.Start{Task: status.Task, Run: status.Run}, proven: true}
 			a.runs[k] = r
 		}
-		r.status, r.present, r.listed, r.gone = status, true, true, false
+		r.status, r.present, r.seen, r.listed, r.gone = status, true, true, true, false
 	}
 }
 
--- a/internal/jobs/exec/run.go
+++ b/internal/jobs/exec/run.go
@@ -26,8 +26,9 @@
 	// present is set once the worker has confirmed the start or listed the run, listed
 	// if the result of the latest poll lists it.
 	present, listed bool
-	// gone is set if the result of the latest poll does not list the run any more: it has ended.
-	gone bool
+	// seen is set once a poll has listed the run, gone if the latest complete list does not name it
+	// any more: it has ended.
+	seen, gone bool
 	// tries is the number of calls made to start the run. It is reset if the worker
 	// refused a call because its fencing token was out of date.
 	tries int
