jobs: a restarted agent counts the runs that are being stopped

A restarted agent learns from the worker's list which runs are present, but not what they take. The leader's orders to start tell it that for the runs that are to go on. A run that is being stopped is not among these: it counted as nothing until it had ended, up to stop_grace_ms later. The leader counts it, so it takes a VM that has shrunk as well: the leader orders again what it had placed before, and the agent's check was the last one.

Ruled out: the leader's count (it keeps stopped runs until their end), and runs that the same process had started (it knows their sizes).

Evidence: "counts the runs that an earlier process was told to stop" failed before: with a capacity of 8,000 and a run of 6,000 being stopped, the agent called the worker to start another of 6,000. It holds now.

Orders to stop carry the size, and the agent notes the sizes of all orders of a message before it acts on the first. Shorter orders of an earlier leader are decoded without one (codec test).

Two tests compared whole orders to stop ("completes with the first run to finish", "is not started again by a later leader"); they now expect the size as well, so they are stricter.

--- a/internal/base/codec/codec_test.go
+++ b/internal/base/codec/codec_test.go
@@ -129,6 +129,14 @@
 		Expect(o.Starts).To(ConsistOf(msgs.Start{Task: "task", Run: 2, Payload: "work", Checkpoint: "c", Ticket: "t", Percent: 80}))
 	})
 
+	It("of an order to stop of an earlier version is decoded without a size", func() {
+		data, err := codec.Marshal([]any{uint64(3), "vm-1", int64(5), nil, []any{[]any{"task", uint32(2)}}, nil})
+		Expect(err).NotTo(HaveOccurred())
+		var o msgs.Orders
+		Expect(codec.Unmarshal(data, &o)).To(Succeed())
+		Expect(o.Stops).To(ConsistOf(msgs.Stop{Task: "task", Run: 2}))
+	})
+
 	DescribeTable("that does not fit the type is refused", func(v any) {
 		_, err := decode(v)
 		Expect(err).To(HaveOccurred())
--- a/internal/jobs/exec/capacity_test.go
+++ b/internal/jobs/exec/capacity_test.go
@@ -177,6 +177,19 @@
 		Expect(h.call().Stop).To(HaveValue(HaveField("Task", task)))
 	})
 
+	It("counts the runs that an earlier process was told to stop", func() {
+		h.agent = exec.New("node-1", slog.New(slog.DiscardHandler))
+		h.say(2, h.clock(), place.Resources{CPU: 8000, Memory: 64000})
+		Expect(h.agent.LeaderConnected(epoch)).To(BeTrue())
+		h.grant()
+		h.poll(port.PollResult{Running: []msgs.RunStatus{{Task: other, Run: 1}}})
+		h.agent.Orders(h.now, &msgs.Orders{
+			Epoch: epoch, VM: "vm-1", Incarnation: h.incarnation,
+			Starts: []msgs.Start{{Task: task, Run: 1, Percent: 100, Size: size}}, Stops: []msgs.Stop{{Task: other, Run: 1, Size: size}},
+		})
+		Expect(h.agent.Calls()).To(HaveEach(HaveField("Start", BeNil())))
+	})
+
 	DescribeTable("counts a run that a list leaves out which is incomplete", func(res port.PollResult, err error) {
 		order(other, size)
 		h.agent.Started(h.now, h.call(), nil)
--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -33,12 +33,12 @@
 		a.log.Info("ignored orders to start runs until the leader knows the present ones", "epoch", o.Epoch, "vm", o.VM, "life", o.Incarnation, "starts", len(o.Starts))
 		o.Starts = nil
 	}
-	a.noteSizes(o.Starts)
+	a.noteSizes(o)
 	for i := range o.Starts {
 		a.start(now, o.Starts[i])
 	}
 	for _, s := range o.Stops {
-		a.stop(runKey{s.Task, s.Run})
+		a.stop(s)
 	}
 	for _, p := range o.Throttles {
 		a.throttle(runKey{p.Task, p.Run}, p.Percent)
@@ -121,13 +121,14 @@
 
 // stop processes an order to stop a run. The run may be unknown to this process: the worker may
 // still carry out a start that an earlier one sent, until it has confirmed the stop.
-func (a *Agent) stop(k runKey) {
+func (a *Agent) stop(s msgs.Stop) {
+	k := runKey{s.Task, s.Run}
 	r := a.runs[k]
 	switch {
 	case r == nil && a.hasEnd(k):
 		return
 	case r == nil:
-		r = &run{start: msgs.Start{Task: k.task, Run: k.number}}
+		r = &run{start: msgs.Start{Task: s.Task, Run: s.Run, Size: s.Size}}
 		a.runs[k] = r
 	case r.stopping:
 		return
--- a/internal/jobs/exec/room.go
+++ b/internal/jobs/exec/room.go
@@ -3,16 +3,22 @@
 import (
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
+	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 )
 
-// noteSizes records the orders for runs that are known. Those for other runs depend on their
-// sizes.
-func (a *Agent) noteSizes(starts []msgs.Start) {
-	for _, s := range starts {
+// noteSizes records the sizes of the runs that are known. The orders to start others depend on
+// them.
+func (a *Agent) noteSizes(o *msgs.Orders) {
+	for _, s := range o.Starts {
 		if r := a.runs[runKey{s.Task, s.Run}]; r != nil {
 			r.start = s
 		}
 	}
+	for _, s := range o.Stops {
+		if r := a.runs[runKey{s.Task, s.Run}]; r != nil && s.Size != (place.Resources{}) {
+			r.start.Size = s.Size
+		}
+	}
 }
 
 // fits reports whether the worker's capacity, according to its latest heartbeat, covers a run
--- a/internal/jobs/lead/capacity_test.go
+++ b/internal/jobs/lead/capacity_test.go
@@ -77,6 +77,20 @@
 		Entry("everything, over a change of leader", place.Resources{}, true),
 	)
 
+	It("tells a restarted agent what the runs take that are being stopped", func() {
+		h.resize(0, true, full)
+		h.submit(job(1, bigStep))
+		h.advance(100 * time.Millisecond)
+		h.request(msgs.Cancel, nil, "0000000000000001")
+		h.advance(100 * time.Millisecond)
+		for _, present := range [][]msgs.RunStatus{{{Task: taskA, Run: 1}}, nil} {
+			h.stops()
+			h.resize(0, true, full, present...)
+			h.advance(100 * time.Millisecond)
+			Expect(h.stops()).To(ConsistOf(msgs.Stop{Task: taskA, Run: 1, Size: bigStep.Size}))
+		}
+	})
+
 	// refuse reports that the worker refused all starts of the orders because of its capacity.
 	refuse := func(orders []msgs.Orders) {
 		for _, o := range orders {
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -5,7 +5,6 @@
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
-	"github.com/ebonyarch/ebonyarch/internal/jobs/table"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 )
 
@@ -105,7 +104,7 @@
 		present[key] = true
 		r := v.runs[key]
 		if r == nil || r.unwanted() {
-			stops = append(stops, msgs.Stop{Task: status.Task, Run: status.Run})
+			stops = append(stops, l.stopOf(key))
 			continue
 		}
 		l.table.Checkpoint(r.ref, status.Run, status.Checkpoint)
@@ -121,7 +120,7 @@
 				orders.Starts = append(orders.Starts, startOf(r))
 			}
 		}
-		orders.Stops = append(orders.Stops, v.absentUnwanted(present)...)
+		orders.Stops = append(orders.Stops, l.absentUnwanted(v, present)...)
 	}
 	l.send(v.conn, l.throttleBestEffort(now, v, req.Runs))
 	if len(orders.Starts)+len(orders.Stops) > 0 {
@@ -129,19 +128,6 @@
 	}
 }
 
-// absentUnwanted returns stops for the runs that are not present and that were to be stopped, or
-// whose job has ended. The worker may still carry out a start that an earlier process of the
-// agent sent, so the agent reports such a run as lost once the worker has confirmed the stop.
-func (v *vm) absentUnwanted(present map[runKey]bool) []msgs.Stop {
-	var stops []msgs.Stop
-	for key, r := range v.runs {
-		if !present[key] && r.unwanted() {
-			stops = append(stops, msgs.Stop{Task: key.task, Run: key.number})
-		}
-	}
-	return stops
-}
-
 // handleReport processes an agent's report of run ends.
 func (l *Leader) handleReport(now time.Time, conn uint64, r *msgs.Report) {
 	v := l.vms[r.VM]
@@ -251,30 +237,6 @@
 	}
 }
 
-// stopSurplus orders the stop of a job's runs that are no longer needed.
-func (l *Leader) stopSurplus(now time.Time, e *table.Entry) {
-	for _, p := range e.Surplus() {
-		l.stopRun(now, p.Run.VM, runKey{p.Ref.String(), p.Run.Number}, "no longer wanted")
-	}
-}
-
-// stopRun orders the stop of a run, unless that was done before.
-func (l *Leader) stopRun(_ time.Time, id string, key runKey, reason string) {
-	v := l.vms[id]
-	if v == nil {
-		return
-	}
-	r := v.runs[key]
-	if r == nil || r.stopped {
-		return
-	}
-	r.stopped = true
-	l.log.Info("run is stopped", "req", r.ref.Job, "task", key.task, "run", key.number, "vm", id, "reason", reason)
-	l.sendWhenStored(v.conn, &msgs.Message{Orders: &msgs.Orders{
-		Epoch: l.epoch, VM: id, Incarnation: v.info.Incarnation, Stops: []msgs.Stop{{Task: key.task, Run: key.number}},
-	}})
-}
-
 // releaseGang releases the resources of all members of a gang, since only one of them
 // reports the end.
 func (l *Leader) releaseGang(done *run) {
--- a/internal/jobs/lead/speculative_test.go
+++ b/internal/jobs/lead/speculative_test.go
@@ -60,7 +60,7 @@
 	DescribeTable("completes with the first run to finish, and the other run is stopped", func(n int, run, other uint32) {
 		reportNoProgress(4 * time.Second)
 		end(n, run)
-		Expect(h.stops()).To(ConsistOf(msgs.Stop{Task: task, Run: other}))
+		Expect(h.stops()).To(ConsistOf(msgs.Stop{Task: task, Run: other, Size: step.Size}))
 		Expect(h.state(id)).To(Equal("completed"))
 	},
 		Entry("the copy", 1, uint32(2), uint32(1)),
--- a/internal/jobs/lead/surplus_test.go
+++ b/internal/jobs/lead/surplus_test.go
@@ -27,7 +27,7 @@
 		report(0, msgs.Lost)
 		Expect(h.starts()).To(ContainElement(And(HaveField("Task", task), HaveField("Run", uint32(2)))))
 		report(1, msgs.Done)
-		Expect(h.stops()).To(ConsistOf(msgs.Stop{Task: task, Run: 2}))
+		Expect(h.stops()).To(ConsistOf(msgs.Stop{Task: task, Run: 2, Size: smallStep.Size}))
 		h.lead(epoch + 1)
 		h.join(0)
 		h.advance(flushTime)
--- a/internal/jobs/msgs/agent.go
+++ b/internal/jobs/msgs/agent.go
@@ -179,6 +179,15 @@
 	_    struct{} `cbor:",toarray"`
 	Task string
 	Run  uint32
+	// Size is what the run takes of the worker's capacity until it has ended, zero if the leader
+	// does not know the run's job. The agent may have learned of the run from the worker alone.
+	Size place.Resources
+}
+
+// UnmarshalCBOR implements cbor.Unmarshaler. It also decodes orders of earlier versions.
+func (s *Stop) UnmarshalCBOR(data []byte) error {
+	type stop Stop
+	return codec.UnmarshalArray(data, (*stop)(s))
 }
 
 // Throttle orders the agent to set the speed limit of a run.
