jobs/lead: a run that the leader does not expect at a VM takes capacity

An agent lists all runs of its worker with each lease request. The leader ordered the stop of one that it didn't expect, but did not count it, so until its end was listed the VM got work for the capacity that it took.

Ruled out: runs that are to be stopped and those of ended jobs (the leader keeps them until their ends), ends that are listed in the first request after a poll (the report on the same connection follows at once and drops them), and members of a gang that is done, of which only one reports the end: these are left out, which has a test of its own.

Evidence: the four new entries of "starts nothing beside it that exceeds the capacity, until it has ended" failed before: the leader started 9,000 beside a run of 9,000 on a VM of 16,000. All hold now. With gangDone left out, the gang's test fails.

What such a run takes follows from its job; if its job is in no record, it takes all of the VM.

--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -6,6 +6,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
+	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 )
 
 // handleLeaseRequest processes an agent's lease request, which describes its VM and may
@@ -98,17 +99,22 @@
 // It also updates the estimates and speed limits from the listed measurements.
 func (l *Leader) reconcile(now time.Time, v *vm, req *msgs.LeaseRequest) {
 	present := make(map[runKey]bool, len(req.Runs))
+	unexpected := map[runKey]place.Resources{}
 	var stops []msgs.Stop
 	for _, status := range req.Runs {
 		key := runKey{status.Task, status.Run}
 		present[key] = true
 		r := v.runs[key]
+		if r == nil && !l.gangDone(key) {
+			unexpected[key] = l.sizeOrAll(v, key.task)
+		}
 		if r == nil || r.unwanted() {
 			stops = append(stops, l.stopOf(key))
 			continue
 		}
 		l.table.Checkpoint(r.ref, status.Run, status.Checkpoint)
 	}
+	l.noteUnexpected(v, unexpected)
 	v.estimateSpeeds(req.Runs)
 	l.interference.observe(now, v, req.Runs)
 	l.updateProgress(now, v, req.Runs)
@@ -182,6 +188,7 @@
 func (l *Leader) endRun(now time.Time, v *vm, key runKey, outcome msgs.Outcome, checkpoint, reason string) {
 	r := v.runs[key]
 	v.remove(key)
+	l.dropUnexpected(v, key)
 	ref, err := model.ParseTaskRef(key.task)
 	if err != nil {
 		l.log.Warn("ignored a run end with an invalid task reference", "vm", v.info.ID, "task", key.task, "err", err)
--- a/internal/jobs/lead/vm.go
+++ b/internal/jobs/lead/vm.go
@@ -7,6 +7,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/plan"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/table"
+	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 )
 
 // vm is the leader's state of one VM.
@@ -23,7 +24,11 @@
 	leaseExpiry time.Time
 	// runs holds the runs that may be present, by task and number.
 	runs map[runKey]*run
-	// placement is the VM's state for package plan.
+	// unexpected holds what the runs take that the agent lists and that this leader does not
+	// expect at the VM. They take capacity until they have ended.
+	unexpected map[runKey]place.Resources
+	// placement is the VM's state for package plan. What the runs take that are unexpected is
+	// part of placement.Used.
 	placement plan.VM
 	// unproven is the number of runs that are not proven, inQuarantine that of those among them
 	// which keep other work away.
