jobs/exec: a worker that starts again under its id gets nothing before it says what it holds

What callers would see: a VM given more than it has room for (LIMIT), and by the same cause a task on a worker without the label that it requires (ROUTE).

When a poll's response showed a new incarnation, the agent kept the earlier one's capacity until the next heartbeat, up to one beat later. The leader placed work by it at once, as the worker was empty, and the agent's own check used the same figure. docs/design/platform.md had this as an open question.

Ruled out: a worker that comes back under another id (the agent forgets the earlier one and waits for a heartbeat), and a heartbeat that arrives before the poll's response (it is kept, and taken as soon as a poll confirms it).

Until its first heartbeat, a new incarnation counts as one without capacity, so the leader sends nothing and the agent refuses what comes. It costs at most one beat, and only where the poll is faster than the worker's first heartbeat.

fake/tasks: a capacity from before a restart no longer counts for starts after it, so the witness is stricter than it was. All of proof/fleet holds.

--- a/internal/fake/tasks/worker.go
+++ b/internal/fake/tasks/worker.go
@@ -102,7 +102,7 @@
 		w.witness.ended(now, w.id, r.task, r.number, msgs.Lost)
 	}
 	w.startedAt, w.fencingToken, w.deadline, w.runs, w.ended, w.endCount, w.lastExpiredEnd = now, 0, 0, nil, nil, 0, 0
-	w.heartbeats = 0
+	w.heartbeats, w.earlier = 0, nil
 	w.lastOver, w.endedAt = map[string]uint32{}, map[int64]time.Time{}
 	w.Dead = false
 }
--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -12,6 +12,7 @@
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
+	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 )
 
 const (
@@ -218,6 +219,7 @@
 	}
 	a.vm.Incarnation = incarnation
 	a.vm.Draining = false
+	a.vm.Capacity = place.Resources{} // until a heartbeat tells that of the new incarnation
 	a.workerClock, a.workerClockAt, a.knownSince = 0, now, now
 	a.synced = false
 }
--- a/internal/jobs/exec/capacity_test.go
+++ b/internal/jobs/exec/capacity_test.go
@@ -100,6 +100,37 @@
 	})
 })
 
+var _ = Describe("An agent whose worker starts again under its id with less capacity", func() {
+	small := place.Resources{CPU: 4000, Memory: 64000}
+	var h *harness
+	BeforeEach(func() {
+		h = newHarness()
+		h.say(1, h.clock(), place.Resources{CPU: 16000, Memory: 64000})
+		h.agent.Messages()
+	})
+
+	It("starts nothing there until a heartbeat of the new incarnation has told its capacity", func() {
+		h.incarnation += 400
+		h.poll(port.PollResult{})
+		Expect(h.agent.VM()).To(And(HaveField("Incarnation", h.incarnation), HaveField("Capacity", place.Resources{})))
+		h.grant()
+		h.poll(port.PollResult{})
+		h.agent.Orders(h.now, &msgs.Orders{Epoch: epoch, VM: "vm-1", Incarnation: h.incarnation, Starts: []msgs.Start{
+			{Task: task, Run: 1, Percent: 100, Size: place.Resources{CPU: 6000}},
+		}})
+		Expect(h.agent.Calls()).To(HaveEach(HaveField("Start", BeNil())))
+		h.say(1, h.clock(), small)
+		Expect(h.agent.VM().Capacity).To(Equal(small))
+	})
+
+	It("takes the capacity from a heartbeat that came before the poll", func() {
+		h.incarnation += 400
+		h.say(1, h.clock(), small)
+		h.poll(port.PollResult{})
+		Expect(h.agent.VM().Capacity).To(Equal(small))
+	})
+})
+
 var _ = Describe("An agent and orders that no longer fit", func() {
 	const other = "00000000000000bb.0.0.0"
 	size := place.Resources{CPU: 6000, Memory: 1000}
--- a/internal/proof/fleet/agent.go
+++ b/internal/proof/fleet/agent.go
@@ -9,6 +9,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/jobs/exec"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
+	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 )
 
 const (
@@ -86,6 +87,15 @@
 	a.crash(downtime, func() { a.Worker.Restart(a.world.Now) })
 }
 
+// CrashResized ends the worker's incarnation. After the downtime, one with another capacity
+// starts, under the same id if World.KeepIDs is set.
+func (a *Agent) CrashResized(downtime time.Duration, capacity place.Resources) {
+	a.crash(downtime, func() {
+		a.Worker.Resize(a.world.Now, capacity)
+		a.restartWorker()
+	})
+}
+
 // crash ends the worker's incarnation and calls restart after the downtime.
 func (a *Agent) crash(downtime time.Duration, restart func()) {
 	a.Worker.Kill(a.world.Now)
@@ -101,13 +111,16 @@
 // crashByTask ends the worker's incarnation because of a task. Another worker takes its place,
 // or the worker starts again under its id if World.KeepIDs is set.
 func (a *Agent) crashByTask() {
-	a.crash(crashDowntime, func() {
-		if a.world.KeepIDs {
-			a.Worker.Restart(a.world.Now)
-			return
-		}
-		a.Worker.Replace(a.world.Now, fmt.Sprintf("vm-%s-%d", a.node, a.crashes))
-	})
+	a.crash(crashDowntime, a.restartWorker)
+}
+
+// restartWorker starts the worker again, or another one in its place.
+func (a *Agent) restartWorker() {
+	if a.world.KeepIDs {
+		a.Worker.Restart(a.world.Now)
+		return
+	}
+	a.Worker.Replace(a.world.Now, fmt.Sprintf("vm-%s-%d", a.node, a.crashes))
 }
 
 // disconnect ends the connection to the leader on both sides.
