proof/fleet: worlds that lose all power right after an acceptance

The fault "everything loses power" struck at any time, with calm workers that came back under their ids and with their size.

Two other mechanisms of restarted agents (repeated orders, the lease of the earlier process) can be switched off here unnoticed, since all leaders restart too and their fencing tokens end the earlier orders; the worlds of LateOrders are there for these.

--- a/internal/proof/fleet/callers.go
+++ b/internal/proof/fleet/callers.go
@@ -117,6 +117,9 @@
 		j.pending, j.cancelled = false, true
 	case resp.Code == codes.OK:
 		j.pending, j.accepted = false, true
+		if c.world.OnAccepted != nil {
+			c.world.OnAccepted()
+		}
 		if j.cancelAfter > 0 {
 			c.world.After(j.cancelAfter, func() { j.pending = true; c.request(j) })
 		}
--- a/internal/proof/fleet/world.go
+++ b/internal/proof/fleet/world.go
@@ -50,6 +50,8 @@
 	RefusedShare float64
 	// RefusalDelay is the longest time after which a refusal arrives; 0 means callDelay.
 	RefusalDelay time.Duration
+	// OnAccepted, if set, is called each time a caller has received the acceptance of a job.
+	OnAccepted func()
 	// TaskTime is the run time of the tasks of jobs that are submitted from now on; 0 means
 	// defaultTaskTime.
 	TaskTime time.Duration
