jobs/lead: the ends that a synced request lists are not logged as unexpected runs

Those traced were no runs: the first request after a reconnect also lists runs that have ended, and their report follows on the same connection; the leader had given up these runs with their VM's lease, and dropped them again within the millisecond. Their capacity is counted as before for that moment, only the line is left out, so that one that is written means a run that nobody expected.

--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -114,7 +114,7 @@
 		}
 		l.table.Checkpoint(r.ref, status.Run, status.Checkpoint)
 	}
-	l.noteUnexpected(v, unexpected)
+	l.noteUnexpected(v, unexpected, req.Synced)
 	v.estimateSpeeds(req.Runs)
 	l.interference.observe(now, v, req.Runs)
 	l.updateProgress(now, v, req.Runs)
--- a/internal/jobs/lead/unexpected.go
+++ b/internal/jobs/lead/unexpected.go
@@ -6,10 +6,11 @@
 )
 
 // noteUnexpected accounts for the runs that an agent lists and that the leader does not expect
-// at its VM, in place of those of the list before.
-func (l *Leader) noteUnexpected(v *vm, sizes map[runKey]place.Resources) {
+// at its VM, in place of those of the list before. A synced request also lists runs that have
+// ended, whose report follows, so those of it are not logged.
+func (l *Leader) noteUnexpected(v *vm, sizes map[runKey]place.Resources, synced bool) {
 	for key, size := range sizes {
-		if _, known := v.unexpected[key]; !known {
+		if _, known := v.unexpected[key]; !known && !synced {
 			l.log.Info("a run is not expected at its VM", "task", key.task, "run", key.number, "vm", v.info.ID, "size", size)
 		}
 	}
