jobs/exec: a stop that arrives late does not bring back a run that was reported as lost

What callers saw: nothing yet. Each start got no response, the run was to be moved, the worker confirmed its stop, and the run was reported as lost at 29.97 s. The store was down from 29.6 s, and a second order to stop, which the leader gave while the agent still listed the run, waited for it until 32 s. The agent knew the run no longer and took it up again as one to stop: it listed it from 32.38 s until the worker had confirmed the second stop at 33.02 s. So capacity counted as taken that was free.

Ruled out: a start that was carried out late (the worker listed neither run).

Evidence: "does not count a run again that it has reported as lost, when a stop arrives late" failed before (a call to stop, and the run in the next request), and holds now.

As with orders to start, the agent ignores the order if it has reported the run as lost on this connection: what is reported so can't start any more.

--- a/internal/jobs/exec/givenup_test.go
+++ b/internal/jobs/exec/givenup_test.go
@@ -29,6 +29,16 @@
 		}
 	})
 
+	It("does not count a run again that it has reported as lost, when a stop arrives late", func() {
+		h.agent.Started(h.now, h.order(), port.ErrRunCapacity)
+		Expect(h.ends()).To(ConsistOf(HaveField("Outcome", msgs.Lost)))
+		h.agent.Orders(h.now, &msgs.Orders{Epoch: epoch, VM: "vm-1", Incarnation: h.incarnation, Stops: []msgs.Stop{{Task: task, Run: 1}}})
+		Expect(h.agent.Calls()).To(BeEmpty())
+		h.now = h.now.Add(time.Second)
+		h.agent.LeaseRequest(h.now)
+		Expect(h.agent.Messages()).To(ConsistOf(HaveField("LeaseRequest.Runs", BeEmpty())))
+	})
+
 	It("does not start a run that it has reported as lost for want of a lease", func() {
 		h.now = h.now.Add(2 * lease)
 		h.agent.Orders(h.now, &msgs.Orders{Epoch: epoch, VM: "vm-1", Incarnation: h.incarnation, Starts: []msgs.Start{{Task: task, Run: 1, Percent: 100}}})
--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -125,7 +125,7 @@
 	k := runKey{s.Task, s.Run}
 	r := a.runs[k]
 	switch {
-	case r == nil && a.hasEnd(k):
+	case r == nil && (a.hasEnd(k) || a.lost[k]):
 		return
 	case r == nil:
 		r = &run{start: msgs.Start{Task: s.Task, Run: s.Run, Size: s.Size}}
