--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -12,6 +12,7 @@
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
+	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 )
 
 const (
@@ -239,6 +240,7 @@
 	a.raiseToken(now, 1)
 	a.vm.Incarnation, a.born = incarnation, born
 	a.vm.Draining = false
+	a.vm.Capacity = place.Resources{} // until a heartbeat tells that of the new incarnation
 	a.workerClock, a.workerClockAt, a.knownSince = 0, now, now
 	a.synced = false
 }
--- a/internal/jobs/exec/capacity_test.go
+++ b/internal/jobs/exec/capacity_test.go
@@ -1,6 +1,7 @@
 package exec_test
 
 import (
+	"errors"
 	"log/slog"
 	"math"
 	"time"
@@ -99,6 +100,37 @@
 	})
 })
 
+var _ = Describe("An agent whose worker starts again under its id with less capacity", func() {
+	small := place.Resources{CPU: 4000, Memory: 64000}
+	var h *harness
+	BeforeEach(func() {
+		h = newHarness()
+		h.say(1, h.clock(), place.Resources{CPU: 16000, Memory: 64000})
+		h.agent.Messages()
+	})
+
+	It("starts nothing there until a heartbeat of the new incarnation has told its capacity", func() {
+		h.incarnation += 400
+		h.poll(port.PollResult{})
+		Expect(h.agent.VM()).To(And(HaveField("Incarnation", h.incarnation), HaveField("Capacity", place.Resources{})))
+		h.grant()
+		h.poll(port.PollResult{})
+		h.agent.Orders(h.now, &msgs.Orders{Epoch: epoch, VM: "vm-1", Incarnation: h.incarnation, Starts: []msgs.Start{
+			{Task: task, Run: 1, Percent: 100, Size: place.Resources{CPU: 6000}},
+		}})
+		Expect(h.agent.Calls()).To(HaveEach(HaveField("Start", BeNil())))
+		h.say(1, h.clock(), small)
+		Expect(h.agent.VM().Capacity).To(Equal(small))
+	})
+
+	It("takes the capacity from a heartbeat that came before the poll", func() {
+		h.incarnation += 400
+		h.say(1, h.clock(), small)
+		h.poll(port.PollResult{})
+		Expect(h.agent.VM().Capacity).To(Equal(small))
+	})
+})
+
 var _ = Describe("An agent and orders that no longer fit", func() {
 	const other = "00000000000000bb.0.0.0"
 	size := place.Resources{CPU: 6000, Memory: 1000}
@@ -176,6 +208,39 @@
 		Expect(h.call().Stop).To(HaveValue(HaveField("Task", task)))
 	})
 
+	It("counts the runs that an earlier process was told to stop", func() {
+		h.agent = exec.New("node-1", slog.New(slog.DiscardHandler))
+		h.say(2, h.clock(), place.Resources{CPU: 8000, Memory: 64000})
+		Expect(h.agent.LeaderConnected(epoch)).To(BeTrue())
+		h.grant()
+		h.poll(port.PollResult{Running: []msgs.RunStatus{{Task: other, Run: 1}}})
+		h.agent.Orders(h.now, &msgs.Orders{
+			Epoch: epoch, VM: "vm-1", Incarnation: h.incarnation,
+			Starts: []msgs.Start{{Task: task, Run: 1, Percent: 100, Size: size}}, Stops: []msgs.Stop{{Task: other, Run: 1, Size: size}},
+		})
+		Expect(h.agent.Calls()).To(HaveEach(HaveField("Start", BeNil())))
+	})
+
+	DescribeTable("counts a run that a list leaves out which is incomplete", func(res port.PollResult, err error) {
+		order(other, size)
+		h.agent.Started(h.now, h.call(), nil)
+		h.poll(port.PollResult{Running: []msgs.RunStatus{{Task: other, Run: 1}}})
+		h.now = h.now.Add(time.Millisecond)
+		p, ok := h.agent.Poll(h.now, false)
+		Expect(ok).To(BeTrue())
+		res.Incarnation, res.Clock = h.incarnation, h.clock()
+		h.agent.Polled(h.now, p, res, err)
+		h.say(2, h.clock(), place.Resources{CPU: 8000, Memory: 64000})
+		order(task, size)
+		Expect(h.call().Stop).To(HaveValue(HaveField("Task", task)))
+		h.poll(port.PollResult{})
+		order("00000000000000cc.0.0.0", place.Resources{CPU: 1000})
+		Expect(h.call().Start).NotTo(BeNil(), "a complete list shows that the other run has ended")
+	},
+		Entry("because a row could not be decoded", port.PollResult{}, errors.New("a row could not be decoded")),
+		Entry("because there are more ends than it holds", port.PollResult{Incomplete: true}, nil),
+	)
+
 	It("counts no run that the worker no longer lists, and starts what takes none of what is short", func() {
 		order(other, size)
 		h.agent.Started(h.now, h.call(), nil)
--- a/internal/proof/fleet/callers.go
+++ b/internal/proof/fleet/callers.go
@@ -116,6 +116,9 @@
 		c.retry(j, retryInterval)
 	case resp.Code == codes.OK:
 		j.pending, j.accepted = false, true
+		if c.world.OnAccepted != nil {
+			c.world.OnAccepted()
+		}
 		if j.cancelAfter > 0 {
 			c.world.After(j.cancelAfter, func() { j.pending = true; c.request(j) })
 		}
