fake/tasks: crashes of workers under a task count, for whatever reason

proof/fleet permits a job to be shown as failed if two workers have crashed under one of its tasks, as the users' rule does, but its witness counted only crashes that a task had caused.

The witness now counts each crash under a task. For tasks that crash workers this is stricter: fewer starts are left to them. A job that fails with one crashed worker is a fault as before. The whole of proof/fleet passes.

--- a/internal/fake/tasks/witness.go
+++ b/internal/fake/tasks/witness.go
@@ -151,7 +151,7 @@
 // workers have crashed under it.
 const maxCrashes, maxStartsAfter = 3, 2
 
-// crashed records that a task crashed the worker of a run.
+// crashed records that the worker of a run crashed, for whatever reason.
 func (x *Witness) crashed(r *run) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -159,8 +159,7 @@
 	x.crashes[r.task]++
 }
 
-// Crashes returns the number of workers that crashed under a task because of one beside it, or
-// because of itself.
+// Crashes returns the number of workers that crashed under a task, for whatever reason.
 func (x *Witness) Crashes(task string) int {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/internal/fake/tasks/worker.go
+++ b/internal/fake/tasks/worker.go
@@ -117,6 +117,9 @@
 
 // Kill ends the incarnation. No process listens until the next Restart.
 func (w *Worker) Kill(now time.Time) {
+	for _, r := range w.runs {
+		w.witness.crashed(r)
+	}
 	w.Restart(now)
 	w.Dead = true
 }
@@ -127,9 +130,6 @@
 	if !slices.ContainsFunc(w.runs, func(r *run) bool { return r.plan.Crashes && now.Sub(r.startedAt) >= crashDelay }) {
 		return false
 	}
-	for _, r := range w.runs {
-		w.witness.crashed(r)
-	}
 	w.Kill(now)
 	return true
 }
