jobs/lead: a new leader keeps the later end of a lease until its VM is synced

Callers could see two runs of one task (TWICE): a new leader counts with leases that the earlier one may still grant, 8.4 s in all, but the first request of a VM's agent set the end to 4.4 s from then, also if the agent had not polled its worker for this leader yet. If its process ends then, the next one may follow the earlier leader, which grants leases until it has missed the store for 4 s, and the worker accepts them: nothing has raised its fencing token.

The same class as the lease of an agent that names no worker: what the leader counts with is not tied to what makes it true, which is the poll.

Before: the test failed (given up 4.4 s after the change of leader, 8 s may be granted). After: the later end stays in force until the VM is synced.

--- a/internal/jobs/lead/lease_test.go
+++ b/internal/jobs/lead/lease_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/ebonyarch/ebonyarch/internal/jobs/lead"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 )
@@ -43,6 +44,25 @@
 		Expect(h.now).To(BeTemporally(">", leaseEnd))
 	})
 
+	// The agent restarts before it has polled the worker, and follows the earlier leader again, which
+	// grants leases until it misses the store.
+	It("may still be extended by an earlier leader until the agent has listed the runs for the present one", func() {
+		h := newHarness()
+		h.join(0)
+		h.submit(job(1, smallStep))
+		h.advance(100 * time.Millisecond)
+		h.lead(epoch + 1)
+		began := h.now
+		h.requestLease(0, false)
+		earlierLeaderEnd := began.Add(lead.StoreTimeout + lead.LeaseDuration)
+		for len(h.starts()) == 0 {
+			Expect(h.now.Sub(began)).To(BeNumerically("<", 20*time.Second))
+			h.join(1)
+			h.advance(100 * time.Millisecond)
+		}
+		Expect(h.now).To(BeTemporally(">", earlierLeaderEnd))
+	})
+
 	It("precedes the orders to start runs that are missing", func() {
 		h := newHarness()
 		_, c := h.startingAgent()
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -90,7 +90,7 @@
 	}
 	lease := &msgs.Lease{Seq: req.Seq}
 	if v != nil {
-		v.leaseExpiry = now.Add(leaseWait(LeaseDuration))
+		v.extendLease(now.Add(leaseWait(LeaseDuration)))
 		lease.ValidFor, lease.Resync = LeaseDuration, !v.synced && req.RunsListed
 	}
 	l.send(conn, &msgs.Message{Lease: lease})
--- a/internal/jobs/lead/vm.go
+++ b/internal/jobs/lead/vm.go
@@ -99,6 +99,14 @@
 	v.placement.Labels, v.placement.Capacity = info.Labels, info.Capacity
 }
 
+// extendLease records when the lease that is granted now ends. Until the VM is synced, its worker
+// may accept a lease of an earlier leader too, so a later end stays in force.
+func (v *vm) extendLease(expiry time.Time) {
+	if v.synced || expiry.After(v.leaseExpiry) {
+		v.leaseExpiry = expiry
+	}
+}
+
 // unwanted reports whether the run must end: the order to stop it was given, its task is
 // completed, or its job has ended.
 func (r *run) unwanted() bool {
