jobs/lead: no run of a task starts while a VM still runs another that is to be stopped

Callers could see two runs of one task (TWICE): the next process of a worker carries out an order that was meant for the earlier one, of a run that has ended as failed. The agent lists the run, the leader orders its stop, and starts the task's next run meanwhile.

Before: the test failed (run 2 was ordered beside the stop of run 1). After: the tasks of its step wait until no VM lists the run any more. A run that was given up and has not ended is taken back instead, as before; runs of completed tasks hold nothing up.

--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -81,9 +81,11 @@
 	return float64(used) / float64(max(1, capacity))
 }
 
-// waitingStages returns the stages with tasks that may start now.
+// waitingStages returns the stages with tasks that may start now. It leaves out those of which a
+// VM still runs a task that is to be stopped there, so that no task runs twice.
 func (l *Leader) waitingStages(now time.Time) []plan.WaitingStage {
 	var stages []plan.WaitingStage
+	unexpected := l.unexpectedStages()
 	for _, e := range l.table.Active() {
 		l.trackIdle(now, e)
 		for i := range e.Stages {
@@ -92,7 +94,7 @@
 				continue
 			}
 			w := l.describeStage(e, st)
-			if l.backoffs.elapsed(now, w.Key) {
+			if !unexpected[w.Key] && l.backoffs.elapsed(now, w.Key) {
 				stages = append(stages, w)
 			}
 		}
--- a/internal/jobs/lead/unexpected.go
+++ b/internal/jobs/lead/unexpected.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/plan"
 	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 )
 
@@ -32,6 +33,24 @@
 	}
 }
 
+// unexpectedStages returns the stages of which VMs run tasks that the leader does not expect there
+// and that are not completed.
+func (l *Leader) unexpectedStages() map[plan.StageKey]bool {
+	stages := map[plan.StageKey]bool{}
+	for _, v := range l.vms {
+		for key := range v.unexpected {
+			ref, err := model.ParseTaskRef(key.task)
+			if err != nil {
+				continue
+			}
+			if e := l.table.Get(ref.Job); e != nil && e.Stage(ref) != nil && !e.Task(ref).Done {
+				stages[stageKey(ref)] = true
+			}
+		}
+	}
+	return stages
+}
+
 // sizeOrAll returns what a run of a task takes of a VM's capacity, all of it if that is unknown.
 func (l *Leader) sizeOrAll(v *vm, task string) place.Resources {
 	if size, known := l.sizeOf(task); known {
--- a/internal/jobs/lead/unexpected_test.go
+++ b/internal/jobs/lead/unexpected_test.go
@@ -73,6 +73,22 @@
 		Expect(h.starts()).To(ConsistOf(HaveField("Task", taskB), HaveField("Task", "0000000000000004.0.0.0")))
 	})
 
+	// The next process of the worker has carried out an order that was meant for the earlier one.
+	It("starts no other run of its task until it has ended", func() {
+		h.submit(job(2, smallStep))
+		h.advance(100 * time.Millisecond)
+		Expect(h.starts()).To(ConsistOf(HaveField("Task", taskB)))
+		h.leader.Handle(h.now, firstAgentConn, &msgs.Message{Report: &msgs.Report{VM: "vm-0", Incarnation: 5, Ends: []msgs.RunEnd{
+			{Number: 2, Task: taskB, Run: 1, Outcome: msgs.Failed},
+		}}})
+		h.requestLease(0, false, msgs.RunStatus{Task: taskB, Run: 1})
+		h.advance(300 * time.Millisecond)
+		Expect(h.orders()).To(ConsistOf(And(HaveField("Starts", BeEmpty()), HaveField("Stops", ConsistOf(HaveField("Task", taskB))))))
+		h.requestLease(0, false)
+		h.advance(100 * time.Millisecond)
+		Expect(h.starts()).To(ConsistOf(And(HaveField("Task", taskB), HaveField("Run", uint32(2)))))
+	})
+
 	It("starts what fits beside it", func() {
 		h.requestLease(0, false, msgs.RunStatus{Task: taskA, Run: 2})
 		h.submit(job(2, smallStep))
