jobs/exec: a run that the agent did not know is listed to the leader at once

Callers could see two runs of one task (TWICE): the worker carries out an order late, and the leader hears of the run only with the next lease request, up to 0.33 s after the agent's poll. Until then it takes the task for waiting and starts its next run.

Before: the test failed (no message after the poll that lists the run). After: the lease request that lists it leaves with the poll's result.

--- a/internal/jobs/exec/fence_test.go
+++ b/internal/jobs/exec/fence_test.go
@@ -89,3 +89,18 @@
 		Expect(a.Messages()).To(BeEmpty())
 	})
 })
+
+var _ = Describe("A run that the worker started by a late order", func() {
+	// The leader started the task's next run until it heard of this one.
+	It("is listed to the leader at once", func() {
+		h := newHarness()
+		h.grant()
+		h.agent.Messages()
+		h.poll(port.PollResult{})
+		Expect(h.agent.Messages()).To(BeEmpty())
+		h.poll(port.PollResult{Running: []msgs.RunStatus{{Task: task, Run: 1}}})
+		Expect(h.agent.Messages()).To(ConsistOf(HaveField("LeaseRequest.Runs", ConsistOf(HaveField("Task", task)))))
+		h.poll(port.PollResult{Running: []msgs.RunStatus{{Task: task, Run: 1}}})
+		Expect(h.agent.Messages()).To(BeEmpty())
+	})
+})
--- a/internal/jobs/exec/poll.go
+++ b/internal/jobs/exec/poll.go
@@ -95,7 +95,7 @@
 		a.workerClock, a.workerClockAt = res.Clock, now
 	}
 	complete := err == nil && !res.Incomplete
-	a.updateRuns(res.Running, res.Ended, complete)
+	unknown := a.updateRuns(res.Running, res.Ended, complete)
 	a.proveRuns(now)
 	added := a.addEnds(res.Ended)
 	if complete {
@@ -108,7 +108,7 @@
 	if added {
 		a.reportEnds()
 	}
-	if a.synced && now.Sub(a.requestedAt) >= requestAfterPoll {
+	if a.synced && (unknown || now.Sub(a.requestedAt) >= requestAfterPoll) {
 		a.requestLease(now, false)
 	}
 }
@@ -121,10 +121,11 @@
 	a.reportEnds()
 }
 
-// updateRuns records which runs are present. It adds runs that this process did not
-// order: they were started before the agent restarted. A list that is not complete may leave
-// out a run that goes on.
-func (a *Agent) updateRuns(statuses []msgs.RunStatus, ended []msgs.RunEnd, complete bool) {
+// updateRuns records which runs are present. It adds runs that this process did not order, and
+// reports whether there are any: they were started before the agent restarted, or by an order
+// that the worker carried out late. A list that is not complete may leave out a run that goes on.
+func (a *Agent) updateRuns(statuses []msgs.RunStatus, ended []msgs.RunEnd, complete bool) bool {
+	unknown := false
 	for _, r := range a.runs {
 		if complete {
 			r.gone = r.seen
@@ -140,9 +141,11 @@
 		if r == nil {
 			r = &run{start: msgs.Start{Task: status.Task, Run: status.Run}, proven: true}
 			a.runs[k] = r
+			unknown = true
 		}
 		r.status, r.present, r.seen, r.listed, r.gone = status, true, true, true, false
 	}
+	return unknown
 }
 
 // addEnds adds the ends that are new and reports whether there are any.
