jobs/lead: a late request does not remove the worker that its agent named later

The time of day of a machine is set back between the starts of two workers there, so that the later one has the lower start time, and the agent is restarted. A lease request that the agent's earlier process sent, and that names the earlier worker, arrives after the next process has named the later one: the leader takes the later worker for gone and starts its tasks elsewhere at once, while it goes on under its lease.

Cause: of the workers on one node the leader removed those with lower start times than that of the latest request. The check for requests on earlier connections compares those that name the same VM only.

Ruled out: late requests on the same connection (the agent names the next worker only once the earlier one is gone), and without a step of the clock (the later worker has the higher start time).

A worker that a later connection of the node's agent has named is kept. The earlier worker's tasks then wait until its lease has ended, as after every unclear loss.

--- a/internal/jobs/lead/remove.go
+++ b/internal/jobs/lead/remove.go
@@ -21,7 +21,8 @@
 }
 
 // removeReplaced removes VMs of earlier workers on the same node: each of them must have
-// ended before the next could listen at its address.
+// ended before the next could listen at its address. It keeps those that the node's agent named
+// on a later connection: if the time of day was set back, a lower incarnation may be the later one.
 func (l *Leader) removeReplaced(now time.Time, v *vm) {
 	node := v.info.Node
 	if node == "" {
@@ -35,7 +36,7 @@
 	}
 	l.vmsByNode[node] = present
 	for _, other := range present {
-		if other.info.Incarnation < v.info.Incarnation {
+		if other.info.Incarnation < v.info.Incarnation && !l.replaced(other, v.conn) {
 			l.removeVM(now, other, "a newer worker runs on its node")
 		}
 	}
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -40,8 +40,8 @@
 		l.endRunsBefore(now, v, req.VM.Incarnation, "the worker was restarted")
 	}
 	l.updateInfo(v, req.VM)
-	l.removeReplaced(now, v)
 	v.conn, v.lastContact = conn, now
+	l.removeReplaced(now, v)
 	l.vmByConn[conn] = req.VM.ID
 	if req.Synced {
 		v.synced, v.listSeq = true, req.Seq
--- a/internal/jobs/lead/restart_test.go
+++ b/internal/jobs/lead/restart_test.go
@@ -78,6 +78,32 @@
 	})
 })
 
+var _ = Describe("A lease request on an agent's earlier connection", func() {
+	// The time of day was set back between the starts of the two workers on the node.
+	It("does not remove the worker that the agent has named on the later one", func() {
+		h := newHarness()
+		named := func(conn uint64, synced bool, id string, incarnation int64, runs ...msgs.RunStatus) {
+			h.seq++
+			vm := vmInfo(0)
+			vm.ID, vm.Incarnation = id, incarnation
+			h.leader.Handle(h.now, conn, &msgs.Message{LeaseRequest: &msgs.LeaseRequest{Seq: h.seq, Synced: synced, RunsListed: true, VM: vm, Runs: runs}})
+			h.advance(flushTime)
+		}
+		named(firstAgentConn, true, "vm-0", 50)
+		named(firstAgentConn+5, true, "vm-9", 40)
+		h.leader.Disconnected(h.now, firstAgentConn)
+		h.submit(job(1, smallStep))
+		h.advance(flushTime)
+		Expect(h.out).To(ContainElement(And(HaveField("Conn", uint64(firstAgentConn+5)), HaveField("Message.Orders.Starts", HaveLen(1)))))
+		named(firstAgentConn+5, false, "vm-9", 40, msgs.RunStatus{Task: "0000000000000001.0.0.0", Run: 1, Percent: 10})
+		h.join(1)
+		h.advance(flushTime)
+		h.out = nil
+		named(firstAgentConn, false, "vm-0", 50)
+		Expect(h.starts()).To(BeEmpty(), "the run goes on")
+	})
+})
+
 // A restarted worker has no fencing token yet, so it executes orders that were in transit to
 // its earlier incarnation. The leader must keep such a run and not start it a second time.
 // Found by a soak run with seed 304.
