jobs/lead: orders on an agent's next connection wait for its list of runs there

An agent restarts, and its list of runs on its first connection is lost with that connection. On the next one it names its worker before it lists the runs again. If the leader has not noticed the end of the earlier process's connection, it places a run there. The worker is then silent until its lease ends, is reported as gone and answers again; the order arrives after the agent's next list, and the agent starts the run beside the next one.

Cause: a VM counted as listed although the list came from an earlier connection. So orders named the list of another process of the agent. The requests of a process are numbered from 1, so the number of the longer-lived earlier process is above those of all lists of the present one, and the order does not count as stale.

Ruled out: agents that keep their process (the numbers go on, the order is ignored until the list); connections whose end the leader has noticed (the VM no longer counts as listed).

A request on another connection now ends the VM's being listed until its list arrives. The agent ignored orders until then anyway, so no start is later.

--- a/internal/jobs/lead/givenup_test.go
+++ b/internal/jobs/lead/givenup_test.go
@@ -242,4 +242,53 @@
 		a.exchange()
 		Expect(a.startCalls()).To(ConsistOf(HaveField("Start.Run", uint32(2))), "the leader has given the run up with the worker")
 	})
+
+	// The agent's next process has sent fewer requests, so its numbers are lower.
+	It("does not start the run beside the next one, if it follows a list of the agent's earlier process", func() {
+		h := newHarness()
+		first := h.startAgent(firstAgentConn)
+		Expect(first.LeaderConnected(epoch)).To(BeTrue())
+		for range 30 {
+			first.LeaseRequest(h.now)
+			h.advance(time.Second)
+		}
+		first.poll(port.PollResult{})
+		first.exchange()
+
+		a := h.startAgent(firstAgentConn + 5)
+		Expect(a.LeaderConnected(epoch)).To(BeTrue())
+		a.poll(port.PollResult{})
+		a.Messages() // lost with the connection
+		a.LeaderDisconnected()
+		a.conn++
+		Expect(a.LeaderConnected(epoch)).To(BeTrue())
+		a.LeaseRequest(h.now)
+		for _, m := range a.Messages() {
+			h.leader.Handle(h.now, a.conn, m)
+		}
+		h.submit(job(1, smallStep))
+		h.advance(40 * time.Millisecond)
+		late := h.orders()
+		for began := h.now; a.VM().ID != ""; {
+			Expect(h.now.Sub(began)).To(BeNumerically("<", 10*time.Second))
+			a.LeaseRequest(h.now)
+			a.exchange()
+			p, ok := a.Poll(h.now, false)
+			Expect(ok).To(BeTrue())
+			a.Polled(h.now, p, port.PollResult{}, port.ErrWorkerUnhealthy)
+		}
+		Expect(a.startCalls()).To(BeEmpty())
+		a.Heartbeat(h.now, port.Heartbeat{VM: vmInfo(0), Clock: time.Hour + h.now.Sub(time.Unix(1000, 0))})
+		for range 2 {
+			a.poll(port.PollResult{})
+		}
+		Expect(a.State().Synced).To(BeTrue())
+		for i := range late {
+			a.Orders(h.now, &late[i])
+		}
+		starts := a.startCalls()
+		a.exchange()
+		starts = append(starts, a.startCalls()...)
+		Expect(starts).To(HaveLen(1), "the worker would carry out each of them")
+	})
 })
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -40,6 +40,9 @@
 		l.endRunsBefore(now, v, req.VM.Incarnation, "the worker was restarted")
 	}
 	l.updateInfo(v, req.VM)
+	if conn != v.conn {
+		v.synced = false // orders refer to lists, which count from the start with each process of the agent
+	}
 	v.conn, v.lastContact = conn, now
 	l.removeReplaced(now, v)
 	l.vmByConn[conn] = req.VM.ID
