--- a/internal/fake/tasks/worker.go
+++ b/internal/fake/tasks/worker.go
@@ -206,7 +206,8 @@
 	w.witness.ended(now, w.id, r.task, r.number, o)
 }
 
-// check returns the error if an order is refused, which may name no worker, and records its fencing token otherwise.
+// check returns the error if an order is refused, and records its fencing token otherwise. The
+// order may name no worker.
 func (w *Worker) check(id string, fencingToken uint64) error {
 	switch {
 	case w.Dead:
--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -42,12 +42,12 @@
 	log *slog.Logger
 	// node is the agent's name.
 	node string
-	// vm is what the leader is told of the worker. Its incarnation is higher than that of any
-	// earlier process under its id, and otherwise born.
+	// vm is what the leader is told of the worker. Its incarnation is startTime, or a higher
+	// number if an earlier process under the worker's id had a later start time.
 	vm msgs.VM
-	// born is the start time of the worker's process by its own account. It is lower than that
-	// of an earlier process if the time of day was set back in between.
-	born int64
+	// startTime is when the worker's process started, in Unix milliseconds by its own account.
+	// It is lower than that of an earlier process if the time of day was set back in between.
+	startTime int64
 	// answeredAt is when the worker last answered a poll.
 	answeredAt time.Time
 	// present is set while the agent knows of a worker that is not gone, confirmed once that
@@ -194,8 +194,8 @@
 	}
 	other := known && !sameIncarnation(h.VM, a.vm)
 	switch {
-	case known && a.confirmed && started < a.born:
-		a.log.Info("ignored a heartbeat of an earlier incarnation", "vm", h.VM.ID, "life", started, "latest", a.born)
+	case known && a.confirmed && started < a.startTime:
+		a.log.Info("ignored a heartbeat of an earlier incarnation", "vm", h.VM.ID, "life", started, "latest", a.startTime)
 		return
 	case known && !other && a.heartbeat.after(h):
 		a.log.Info("ignored an earlier heartbeat", "vm", h.VM.ID, "life", h.VM.Incarnation, "seq", h.Seq, "latest", a.heartbeat.seq)
@@ -223,7 +223,7 @@
 	if a.vm.Draining && h.VM.Incarnation == a.vm.Incarnation {
 		h.VM.Draining = true // draining is final for an incarnation
 	}
-	a.vm, a.born = h.VM, started
+	a.vm, a.startTime = h.VM, started
 	a.vm.Node = a.node
 	if changed && a.synced {
 		a.requestLease(now, false)
@@ -231,14 +231,14 @@
 }
 
 // newIncarnation discards the state of the worker's previous incarnation, of which
-// nothing runs any more. The next one started at born.
-func (a *Agent) newIncarnation(now time.Time, born int64) {
+// nothing runs any more. startTime is that of the next one.
+func (a *Agent) newIncarnation(now time.Time, startTime int64) {
 	a.noteCrash(now)
-	incarnation := max(born, a.vm.Incarnation+1)
-	a.log.Info("the worker has restarted", "vm", a.vm.ID, "life", incarnation, "before", a.vm.Incarnation, "born", born, "bornBefore", a.born, "runs", len(a.runs))
+	incarnation := max(startTime, a.vm.Incarnation+1)
+	a.log.Info("the worker has restarted", "vm", a.vm.ID, "life", incarnation, "before", a.vm.Incarnation, "start", startTime, "startBefore", a.startTime, "runs", len(a.runs))
 	a.reset()
 	a.raiseToken(now, 1)
-	a.vm.Incarnation, a.born = incarnation, born
+	a.vm.Incarnation, a.startTime = incarnation, startTime
 	a.vm.Draining = false
 	a.vm.Capacity = place.Resources{} // until a heartbeat tells that of the new incarnation
 	a.workerClock, a.workerClockAt, a.knownSince = 0, now, now
--- a/internal/jobs/exec/announce.go
+++ b/internal/jobs/exec/announce.go
@@ -34,11 +34,11 @@
 // returns false if the poll started before an answer of the known process.
 func (a *Agent) answered(now time.Time, p port.Poll, started int64) bool {
 	switch {
-	case started == 0, started == a.born:
-	case started < a.born && !a.confirmed:
-		a.log.Warn("the worker started earlier than its heartbeat says", "vm", a.vm.ID, "life", started, "heartbeat", a.born)
+	case started == 0, started == a.startTime:
+	case started < a.startTime && !a.confirmed:
+		a.log.Warn("the worker started earlier than its heartbeat says", "vm", a.vm.ID, "life", started, "heartbeat", a.startTime)
 		a.tokenIncarnation = max(a.tokenIncarnation, a.vm.Incarnation)
-		a.vm.Incarnation, a.born = started, started
+		a.vm.Incarnation, a.startTime = started, started
 	case a.confirmed && p.StartedAt.Before(a.answeredAt):
 		return false
 	default:
@@ -58,7 +58,7 @@
 }
 
 // isKnown reports whether a worker's description of itself is of the known process.
-func (a *Agent) isKnown(vm msgs.VM) bool { return vm.ID == a.vm.ID && vm.Incarnation == a.born }
+func (a *Agent) isKnown(vm msgs.VM) bool { return vm.ID == a.vm.ID && vm.Incarnation == a.startTime }
 
 // sameIncarnation reports whether two descriptions are of the same incarnation of a worker.
 func sameIncarnation(a, b msgs.VM) bool { return a.ID == b.ID && a.Incarnation == b.Incarnation }
--- a/internal/jobs/exec/beat.go
+++ b/internal/jobs/exec/beat.go
@@ -41,9 +41,9 @@
 // does not report it.
 func (a *Agent) Leave(now time.Time, id string, started int64) {
 	vm := a.vm
-	if vm.ID != id || (started != 0 && started != a.born) {
+	if vm.ID != id || (started != 0 && started != a.startTime) {
 		return
 	}
-	vm.Incarnation, vm.Draining = a.born, true
+	vm.Incarnation, vm.Draining = a.startTime, true
 	a.Heartbeat(now, port.Heartbeat{VM: vm})
 }
--- a/internal/jobs/msgs/agent.go
+++ b/internal/jobs/msgs/agent.go
@@ -14,7 +14,8 @@
 	// ID is the worker's id.
 	ID string
 	// Incarnation identifies the worker's incarnation, that is one start of a worker
-	// process under this id. It is the start time in Unix milliseconds.
+	// process under this id. It is the start time in Unix milliseconds by the worker's own
+	// account; what agents tell leaders is higher if an earlier process had a later start time.
 	Incarnation int64 `json:"Life"`
 	// Service is the name of the pool that the VM belongs to.
 	Service string
