Review case 2: a stale leader answers 410 to the cancelling of accepted jobs

Cause: the leader answers from memory that a job does not exist, also when it wakes from a freeze in which another entry has come to lead.

--- a/review/_standin/drive.go
+++ b/review/_standin/drive.go
@@ -18,7 +18,7 @@
 // for the disruption.
 func drive(name, deployFile, recordFile string) int {
 	trouble := os.Getenv("TROUBLE") != "0"
-	cases := map[string]func(*fleet, bool) int{"flap": flap, "pending": pending}
+	cases := map[string]func(*fleet, bool) int{"flap": flap, "pending": pending, "cancel": cancel}
 	play := cases[name]
 	if play == nil {
 		fail("unknown case " + name)
--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -37,15 +37,15 @@
 // fleet is a small deployment on loopback. Each VM has an address of its own.
 type fleet struct {
 	// commands holds the commands of the deploy file by role, without the settings file.
-	commands    map[string][]string
-	self, dir   string
-	startedAt   time.Time
-	store       string
-	entries     []*process
-	callers     []string
-	workers     []*process
-	workerAddrs []string
-	peerPort    int
+	commands        map[string][]string
+	self, dir       string
+	startedAt       time.Time
+	store           string
+	entries         []*process
+	callers, admins []string
+	workers         []*process
+	workerAddrs     []string
+	peerPort        int
 
 	mu     sync.Mutex
 	out    io.Writer
@@ -141,6 +141,32 @@
 	<-p.exited
 }
 
+// signal sends a signal to a process.
+func (f *fleet) signal(p *process, s syscall.Signal) {
+	if err := p.cmd.Process.Signal(s); err != nil {
+		f.log("cannot send %s to %s: %v", s, p.name, err)
+	}
+}
+
+// leader returns the index of the entry that leads, by its administrative interface, or -1.
+func (f *fleet) leader() int {
+	for i, addr := range f.admins {
+		resp, err := http.Get("http://" + addr + "/v1/state")
+		if err != nil {
+			continue
+		}
+		var state struct {
+			Leading bool `json:"leading"`
+		}
+		err = json.NewDecoder(resp.Body).Decode(&state)
+		resp.Body.Close()
+		if err == nil && state.Leading {
+			return i
+		}
+	}
+	return -1
+}
+
 // close ends all processes that the driver started.
 func (f *fleet) close() {
 	f.mu.Lock()
@@ -268,6 +294,7 @@
 		})
 		p := &process{name: name, args: f.command("entry", file)}
 		f.entries, f.callers = append(f.entries, p), append(f.callers, fmt.Sprintf("%s:%d", addr, callers))
+		f.admins = append(f.admins, fmt.Sprintf("%s:%d", addr, admin))
 		f.start(p)
 	}
 	registry, app := freePort(), freePort()
@@ -326,8 +353,15 @@
 	time.Sleep(time.Second)
 }
 
-// call sends a client's request to an entry and returns the status, 0 if there is no response.
+// call sends a client's request to an entry over a new connection and returns the status, 0 if
+// there is no response.
 func (f *fleet) call(entry int, method, path, body string) (int, map[string]any) {
+	client := http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	return f.callWith(&client, entry, method, path, body)
+}
+
+// callWith is call with a client that may have an open connection.
+func (f *fleet) callWith(client *http.Client, entry int, method, path, body string) (int, map[string]any) {
 	req, err := http.NewRequest(method, "http://"+f.callers[entry]+path, bytes.NewReader([]byte(body)))
 	if err != nil {
 		fail(err.Error())
@@ -335,7 +369,6 @@
 	req.Host = host
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("X-Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
-	client := http.Client{Timeout: callTimeout}
 	f.log("client to front-%d: %s %s %s", entry+1, method, path, body)
 	resp, err := client.Do(req)
 	if err != nil {
