--- a/internal/jobs/msgs/agent.go
+++ b/internal/jobs/msgs/agent.go
@@ -101,6 +101,9 @@
 	// Lost is the only outcome that the worker did not report: the worker's incarnation
 	// is over, or the start of the run has had no effect and never will.
 	Lost
+	// Unknown is the outcome of a run that is over by the worker's report, which does not say
+	// how. As after Stopped, the task runs again and no failure is counted.
+	Unknown
 )
 
 func (o Outcome) String() string {
--- a/internal/jobs/table/late_test.go
+++ b/internal/jobs/table/late_test.go
@@ -144,3 +144,28 @@
 		Expect(p.Tasks).To(ConsistOf(table.Task{LastRun: 3, Failures: 1, Checkpoint: "c"}))
 	})
 })
+
+var _ = Describe("The end of a run with an unknown outcome", func() {
+	It("lets the task run again, and counts neither as done nor as a failure", func() {
+		tbl := &table.Table{}
+		e := tbl.Add(job(model.Step{Tasks: 1}))
+		assign := func() uint32 { return tbl.Assign(e, ref(0, 0), table.Run{VM: "vm-1", Incarnation: 7}).Number }
+		for range 5 {
+			_, found := tbl.EndRun(now, ref(0, 0), assign(), msgs.Unknown, "c")
+			Expect(found).To(BeTrue())
+			Expect(e.State).To(Equal(table.Running))
+			Expect(e.Stages[0].Waiting).To(ConsistOf(0))
+			Expect(e.RunCount).To(BeZero())
+		}
+		Expect(e.Tasks[0]).To(And(HaveField("Failures", BeZero()), HaveField("Done", BeFalse()), HaveField("Checkpoint", "c")))
+	})
+
+	It("is no reason to take back a run that was given up", func() {
+		tbl := &table.Table{}
+		e := tbl.Add(job(model.Step{Tasks: 1}))
+		run := tbl.Assign(e, ref(0, 0), table.Run{VM: "vm-1", Incarnation: 7})
+		tbl.EndRun(now, ref(0, 0), run.Number, msgs.Lost, "")
+		tbl.EndRun(now, ref(0, 0), run.Number, msgs.Unknown, "")
+		Expect(tbl.Readopt(ref(0, 0), run)).To(BeFalse(), "it is certain that the run is over")
+	})
+})
