jobs/exec: an end without a readable number is reported and kept until stored

What callers saw: an end whose number could not be decoded was left out. Storing a later one made the worker forget it, so a task that was done stayed listed as running, or started again after a restart of the agent. Of two ends with the same number only the first counted, whatever its run.

Now such an end gets the lowest number that it may have: one more than the highest that was listed before. Ends are listed in the order of their numbers, so its own is not lower: acknowledging it acknowledges no end that is not listed yet. And every report with that number or a higher one holds the end, so it does not count as stored with a report that lacks it. If its own number is higher, the worker lists it on, and the agent ignores it until a later end is acknowledged.

Ends are told apart by number and run.

--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -91,6 +91,8 @@
 	// number of an end that it has.
 	ends      []msgs.RunEnd
 	storedEnd int64
+	// unnumbered holds the runs of which the worker has listed an end without a number.
+	unnumbered map[runKey]bool
 	// crashes holds the crashes of workers that the leader has not stored, lastCrash the
 	// number of the latest one. Neither belongs to an incarnation of the worker.
 	crashes   []msgs.Crash
@@ -137,7 +139,7 @@
 
 // New returns an agent with the given name that knows of no worker yet.
 func New(node string, log *slog.Logger) *Agent {
-	return &Agent{node: node, log: log, runs: map[runKey]*run{}, pendingRequests: map[uint64]time.Time{}}
+	return &Agent{node: node, log: log, runs: map[runKey]*run{}, unnumbered: map[runKey]bool{}, pendingRequests: map[uint64]time.Time{}}
 }
 
 // Epoch returns the highest epoch known.
@@ -247,7 +249,7 @@
 
 // reset discards the state of the worker's incarnation.
 func (a *Agent) reset() {
-	a.runs = map[runKey]*run{}
+	a.runs, a.unnumbered = map[runKey]*run{}, map[runKey]bool{}
 	a.ends, a.storedEnd, a.deadline = nil, 0, 0
 	a.heartbeat = heartbeat{}
 	a.workerClock, a.workerClockAt = 0, time.Time{}
--- a/internal/jobs/exec/poll.go
+++ b/internal/jobs/exec/poll.go
@@ -148,14 +148,31 @@
 	return unknown
 }
 
-// addEnds adds the ends that are new and reports whether there are any.
+// addEnds adds the ends that are new and reports whether there are any. An end whose number
+// could not be decoded gets the lowest that it may have, as ends are listed in the order of
+// their numbers: it was not listed before, so its number is higher than those that were. Then no
+// report that lacks the end makes it count as stored, and storing it acknowledges no later end.
 func (a *Agent) addEnds(ended []msgs.RunEnd) bool {
+	lowest := a.storedEnd + 1
+	for _, e := range a.ends {
+		lowest = max(lowest, e.Number+1)
+	}
 	added := false
 	for _, e := range ended {
-		if e.Number <= a.storedEnd || slices.ContainsFunc(a.ends, func(x msgs.RunEnd) bool { return x.Number == e.Number }) {
+		k := runKey{e.Task, e.Run}
+		if e.Number == 0 {
+			if a.unnumbered[k] || a.hasEnd(k) {
+				continue
+			}
+			a.unnumbered[k] = true
+			e.Number = lowest
+		}
+		if e.Number <= a.storedEnd || slices.ContainsFunc(a.ends, func(x msgs.RunEnd) bool {
+			return x.Number == e.Number && x.Task == e.Task && x.Run == e.Run
+		}) {
 			continue
 		}
-		delete(a.runs, runKey{e.Task, e.Run})
+		delete(a.runs, k)
 		a.ends = append(a.ends, e)
 		added = true
 		a.log.Info("run ended at the worker", "task", e.Task, "run", e.Run, "vm", a.vm.ID, "outcome", e.Outcome, "number", e.Number,
--- a/internal/plat/port/exec.go
+++ b/internal/plat/port/exec.go
@@ -92,7 +92,8 @@
 	Running []msgs.RunStatus
 	// Incomplete is set if there may be more ends than those in Ended.
 	Incomplete bool
-	// Ended holds the ends with numbers above Poll.Seen, in the order of their numbers.
+	// Ended holds the ends with numbers above Poll.Seen, in the order of their numbers. A number
+	// that could not be decoded is 0.
 	Ended []msgs.RunEnd
 }
 
