jobs/exec: an odd end does not make a list of runs incomplete

What callers saw: a run that the worker refused to start as over, or whose stop it had confirmed, stayed undecided as long as the worker listed an end that could not be decoded: until the end of another run was stored, so without end if none came. Its task did not run.

Cause: any odd row made the list count as incomplete, and only complete lists decide.

Whether a run is present depends on the list of the present runs. If that one was decoded and the ends fit in the response, a run that neither list names is not present, and the run is decided. An odd row among the present runs, or 500 ends, still decides nothing.

What it costs: if the odd row that names no run is the end of that very run, and was `done`, the task runs again. The same followed before once the next end was stored.

Tests: before, "shows that a run has ended which the worker refuses to start" failed; "does not show it if more is missing" held.

--- a/internal/jobs/exec/poll.go
+++ b/internal/jobs/exec/poll.go
@@ -61,7 +61,8 @@
 func (a *Agent) NeedsSync() bool { return a.connected && a.present && !a.synced }
 
 // Polled processes the result of a poll. If err is not nil but the worker's clock is set,
-// the result is valid except for runs that could not be decoded.
+// the result is valid except for runs that could not be decoded. If only ends could not, a run
+// that the result does not name is not present all the same.
 func (a *Agent) Polled(now time.Time, p port.Poll, res port.PollResult, err error) {
 	if p.Worker != a.vm.ID {
 		return
@@ -94,7 +95,7 @@
 	if res.Clock >= a.workerClock {
 		a.workerClock, a.workerClockAt = res.Clock, now
 	}
-	complete := err == nil && !res.Incomplete
+	complete := (err == nil || errors.Is(err, port.ErrOddEnds)) && !res.Incomplete
 	unknown := a.updateRuns(res.Running, res.Ended, complete)
 	a.proveRuns(now)
 	added := a.addEnds(res.Ended)
