jobs/exec: a run that lists no longer name is stopped, and lost once that is confirmed

What callers saw: a run whose end could not be decoded, and that storing a later end made the worker forget, stayed listed at its agent until the worker's incarnation ended. Its task hung.

Cause: the agent forgot a run only with its end or after a stop.

Now a run that was present, and that complete lists name neither as present nor as ended for 10 s, is stopped. Once the worker has confirmed the stop and a later list does not name the run either, it is lost, as after any other stop. A worker runs nothing again that was stopped or has ended there, so no two runs of a task go on; if the lists were wrong, the run is stopped and its end is listed.

Ruled out: reporting it as lost from the lists alone, and at once. One end stands for all members of a gang, so the others are missing without one until the leader stops them; a gang starts again only once all members are over, and 10 s is longer than the lease of the VM that lists its end.

A run that a late response named after its end has been listed is dropped.

--- a/internal/jobs/exec/poll.go
+++ b/internal/jobs/exec/poll.go
@@ -12,6 +12,11 @@
 // pollWait is how long the worker waits for a run to end before it responds to a poll.
 const pollWait = 400 * time.Millisecond
 
+// missingTimeout is how long a run that was present must be missing from the lists before it is
+// stopped. One end stands for all members of a gang: by then, the leader has heard of that end, or
+// the lease of the VM where it is listed has expired.
+const missingTimeout = 10 * time.Second
+
 // Poll returns the next poll of the worker, or false if there is no worker to poll. If
 // mayWait is not set, the worker responds without waiting for a run to end. The poll after a
 // failed one only asks, because another incarnation of the worker may respond to it. That one
@@ -101,6 +106,7 @@
 	added := a.addEnds(res.Ended)
 	if complete {
 		a.resolveUnconfirmed(p.StartedAt)
+		a.stopMissing(now)
 	}
 	if a.NeedsSync() && p.FencingToken == a.fencingToken() {
 		a.sync(now)
@@ -145,6 +151,7 @@
 			unknown = true
 		}
 		r.status, r.present, r.seen, r.listed, r.gone = status, true, true, true, false
+		r.missingSince = time.Time{}
 	}
 	return unknown
 }
@@ -198,6 +205,23 @@
 	}
 }
 
+// stopMissing stops the runs that were present, but that no complete list has named for
+// missingTimeout, neither as present nor as ended: their ends could not be decoded or were
+// forgotten. If the worker runs one nevertheless, it is listed as stopped.
+func (a *Agent) stopMissing(now time.Time) {
+	for k, r := range a.runs {
+		switch {
+		case r.listed, !r.present, r.stopping:
+		case a.hasEnd(k):
+			delete(a.runs, k) // a list that arrived late named it after its end
+		case r.missingSince.IsZero():
+			r.missingSince = now
+		case now.Sub(r.missingSince) >= missingTimeout:
+			a.abandon(k, r, "the worker lists neither the run nor its end")
+		}
+	}
+}
+
 // handlePollError decides whether the worker is gone after a poll that failed.
 func (a *Agent) handlePollError(now time.Time, err error) {
 	switch {
--- a/internal/jobs/exec/run.go
+++ b/internal/jobs/exec/run.go
@@ -29,6 +29,9 @@
 	// seen is set once a poll has listed the run, gone if the latest complete list does not name it
 	// any more: it has ended.
 	seen, gone bool
+	// missingSince is when the first complete list arrived that does not name the run although it
+	// was present, zero if a later list does.
+	missingSince time.Time
 	// tries is the number of calls made to start the run. It is reset if the worker
 	// refused a call because its fencing token was out of date.
 	tries int
