proof/fleet: workers list run ends that cannot be decoded

Simulated workers can list ends of which the number, the outcome or the whole row is odd, as long as they are not acknowledged. The witness expects nothing of an acknowledged end that does not say that its run was done; two runs of a task at a time, and jobs that never end, remain faults.

--- a/internal/fake/tasks/worker.go
+++ b/internal/fake/tasks/worker.go
@@ -66,6 +66,10 @@
 	// lastExpiredEnd is the number of the last run end before the latest expiry of the lease.
 	// The witness ignores later acknowledgements of ends up to this number.
 	lastExpiredEnd int64
+	// odd holds the incarnation's run ends that cannot be decoded, by number. Oddity, if set,
+	// returns what cannot be decoded of the next one.
+	odd    map[int64]Oddity
+	Oddity func() Oddity
 	// Dead is set while no process listens at the worker's address.
 	Dead bool
 	// GuardsCapacity is set if the worker refuses to start what exceeds its capacity.
@@ -106,6 +110,7 @@
 	w.startedAt, w.fencingToken, w.deadline, w.runs, w.ended, w.endCount, w.lastExpiredEnd = now, 0, 0, nil, nil, 0, 0
 	w.heartbeats, w.earlier = 0, nil
 	w.lastOver, w.endedAt = map[string]uint32{}, map[int64]time.Time{}
+	w.odd = map[int64]Oddity{}
 	w.Dead = false
 }
 
@@ -201,6 +206,9 @@
 func (w *Worker) endRun(now time.Time, r *run, o msgs.Outcome) {
 	w.endCount++
 	w.endedAt[w.endCount] = now
+	if w.Oddity != nil {
+		w.odd[w.endCount] = w.Oddity()
+	}
 	w.ended = append(w.ended, msgs.RunEnd{Number: w.endCount, Task: r.task, Run: r.number, Outcome: o})
 	w.lastOver[r.task] = max(w.lastOver[r.task], r.number)
 	w.witness.ended(now, w.id, r.task, r.number, o)
@@ -264,7 +272,7 @@
 }
 
 // Poll returns the present runs and the run ends without acknowledgement. It also extends
-// the lease.
+// the lease. The result is valid beside port.ErrOddEnds.
 func (w *Worker) Poll(now time.Time, poll port.Poll) (port.PollResult, error) {
 	w.Advance(now)
 	if err := w.check(poll.Worker, poll.FencingToken); err != nil {
@@ -273,7 +281,8 @@
 	w.deadline = max(w.deadline, poll.Deadline)
 	w.witness.recordAck(w, poll.Seen)
 	w.ended = slices.DeleteFunc(w.ended, func(e msgs.RunEnd) bool { return e.Number <= poll.Seen })
-	result := port.PollResult{Incarnation: w.Incarnation(), Clock: w.clock(now), Ended: slices.Clone(w.ended)}
+	ended, err := w.listEnds()
+	result := port.PollResult{Incarnation: w.Incarnation(), Clock: w.clock(now), Ended: ended}
 	for _, r := range w.runs {
 		status := msgs.RunStatus{Task: r.task, Run: r.number, Percent: 100}
 		if r.plan.Work > 0 {
@@ -282,5 +291,5 @@
 		result.Running = append(result.Running, status)
 	}
 	slices.SortFunc(result.Running, func(a, b msgs.RunStatus) int { return cmp.Compare(a.Task, b.Task) })
-	return result, nil
+	return result, err
 }
--- a/internal/proof/fleet/fleet_test.go
+++ b/internal/proof/fleet/fleet_test.go
@@ -46,6 +46,9 @@
 // lateAppendSeeds is the number of seeds of each fault beside late appends.
 const lateAppendSeeds = 24
 
+// oddEndSeeds is the number of seeds of each fault beside odd run ends.
+const oddEndSeeds = 8
+
 var _ = Describe("Leaders and agents", func() {
 	It("finish all work without faults", func() {
 		Expect(run(1).Check()).To(BeEmpty())
@@ -90,6 +93,16 @@
 		})
 	}
 
+	for _, f := range fleet.OddEnds {
+		It("survive run ends that cannot be decoded while "+f.Name, func() {
+			for i := range oddEndSeeds {
+				t := time.Second + time.Duration(i)*477*time.Millisecond
+				w := run(uint64(i+1), at(t, f))
+				Expect(w.Check()).To(BeEmpty(), "seed %d, at %s", i+1, t)
+			}
+		})
+	}
+
 	It("do not start a task again after its end was acknowledged, in series of late orders, refusals and restarts", func() {
 		for seed := range uint64(8) {
 			w := run(seed, func(w *fleet.World) {
