jobs/lead: a test that a gang is not started again before all members are over

One end stands for all members of a gang, so the others' agents may report them as lost before the leader has heard of the end. The test holds without a change, and fails if members are placed while others may be present.

--- a/internal/jobs/lead/surplus_test.go
+++ b/internal/jobs/lead/surplus_test.go
@@ -1,12 +1,15 @@
 package lead_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 )
 
 var _ = Describe("A task that is done", func() {
@@ -68,3 +71,38 @@
 		Expect(h.starts()).NotTo(ContainElement(HaveField("Task", task)))
 	})
 })
+
+// One end stands for all members of a gang that is done. Another member's agent only sees that
+// its run is missing from the lists.
+var _ = Describe("A gang that is done on a VM whose agent is cut off", func() {
+	It("is not started again although the other members count as lost, and is completed by the end", func() {
+		h := newHarness()
+		for n := range 4 {
+			h.join(n)
+		}
+		h.submit(job(1, model.Step{Tasks: 2, Gang: true, Size: place.Resources{CPU: 12000, Memory: 100}, Estimate: time.Second}))
+		h.advance(flushTime)
+		vmOf := map[string]string{}
+		for _, o := range h.orders() {
+			for _, s := range o.Starts {
+				vmOf[s.Task] = o.VM
+			}
+		}
+		Expect(vmOf).To(HaveLen(2))
+		end := func(task string, number int64, outcome msgs.Outcome) {
+			var n int
+			_, err := fmt.Sscanf(vmOf[task], "vm-%d", &n)
+			Expect(err).NotTo(HaveOccurred())
+			h.leader.Handle(h.now, uint64(firstAgentConn+n), &msgs.Message{Report: &msgs.Report{VM: vmOf[task], Incarnation: 5, Ends: []msgs.RunEnd{
+				{Number: number, Task: task, Run: 1, Outcome: outcome},
+			}}})
+		}
+		end("0000000000000001.0.0.1", 0, msgs.Lost)
+		h.advance(3 * time.Second)
+		Expect(h.starts()).To(BeEmpty())
+		end("0000000000000001.0.0.0", 1, msgs.Done)
+		h.advance(3 * time.Second)
+		Expect(h.starts()).To(BeEmpty())
+		Expect(h.state("0000000000000001")).To(Equal("completed"))
+	})
+})
