--- a/internal/jobs/exec/poll.go
+++ b/internal/jobs/exec/poll.go
@@ -12,6 +12,11 @@
 // pollWait is how long the worker waits for a run to end before it responds to a poll.
 const pollWait = 400 * time.Millisecond
 
+// missingTimeout is how long a run that was present must be missing from the lists before it is
+// stopped. One end stands for all members of a gang: by then, the leader has heard of that end, or
+// the lease of the VM where it is listed has expired.
+const missingTimeout = 10 * time.Second
+
 // Poll returns the next poll of the worker, or false if there is no worker to poll. If
 // mayWait is not set, the worker responds without waiting for a run to end. The poll after a
 // failed one only asks, because another incarnation of the worker may respond to it. That one
@@ -61,7 +66,8 @@
 func (a *Agent) NeedsSync() bool { return a.connected && a.present && !a.synced }
 
 // Polled processes the result of a poll. If err is not nil but the worker's clock is set,
-// the result is valid except for runs that could not be decoded.
+// the result is valid except for runs that could not be decoded. If only ends could not, a run
+// that the result does not name is not present all the same.
 func (a *Agent) Polled(now time.Time, p port.Poll, res port.PollResult, err error) {
 	if p.Worker != a.vm.ID {
 		return
@@ -94,12 +100,13 @@
 	if res.Clock >= a.workerClock {
 		a.workerClock, a.workerClockAt = res.Clock, now
 	}
-	complete := err == nil && !res.Incomplete
+	complete := (err == nil || errors.Is(err, port.ErrOddEnds)) && !res.Incomplete
 	unknown := a.updateRuns(res.Running, res.Ended, complete)
 	a.proveRuns(now)
 	added := a.addEnds(res.Ended)
 	if complete {
 		a.resolveUnconfirmed(p.StartedAt)
+		a.stopMissing(now)
 	}
 	if a.NeedsSync() && p.FencingToken == a.fencingToken() {
 		a.sync(now)
@@ -144,18 +151,36 @@
 			unknown = true
 		}
 		r.status, r.present, r.seen, r.listed, r.gone = status, true, true, true, false
+		r.missingSince = time.Time{}
 	}
 	return unknown
 }
 
-// addEnds adds the ends that are new and reports whether there are any.
+// addEnds adds the ends that are new and reports whether there are any. An end whose number
+// could not be decoded gets the lowest that it may have, as ends are listed in the order of
+// their numbers: it was not listed before, so its number is higher than those that were. Then no
+// report that lacks the end makes it count as stored, and storing it acknowledges no later end.
 func (a *Agent) addEnds(ended []msgs.RunEnd) bool {
+	lowest := a.storedEnd + 1
+	for _, e := range a.ends {
+		lowest = max(lowest, e.Number+1)
+	}
 	added := false
 	for _, e := range ended {
-		if e.Number <= a.storedEnd || slices.ContainsFunc(a.ends, func(x msgs.RunEnd) bool { return x.Number == e.Number }) {
+		k := runKey{e.Task, e.Run}
+		if e.Number == 0 {
+			if a.unnumbered[k] || a.hasEnd(k) {
+				continue
+			}
+			a.unnumbered[k] = true
+			e.Number = lowest
+		}
+		if e.Number <= a.storedEnd || slices.ContainsFunc(a.ends, func(x msgs.RunEnd) bool {
+			return x.Number == e.Number && x.Task == e.Task && x.Run == e.Run
+		}) {
 			continue
 		}
-		delete(a.runs, runKey{e.Task, e.Run})
+		delete(a.runs, k)
 		a.ends = append(a.ends, e)
 		added = true
 		a.log.Info("run ended at the worker", "task", e.Task, "run", e.Run, "vm", a.vm.ID, "outcome", e.Outcome, "number", e.Number,
@@ -180,6 +205,23 @@
 	}
 }
 
+// stopMissing stops the runs that were present, but that no complete list has named for
+// missingTimeout, neither as present nor as ended: their ends could not be decoded or were
+// forgotten. If the worker runs one nevertheless, it is listed as stopped.
+func (a *Agent) stopMissing(now time.Time) {
+	for k, r := range a.runs {
+		switch {
+		case r.listed, !r.present, r.stopping:
+		case a.hasEnd(k):
+			delete(a.runs, k) // a list that arrived late named it after its end
+		case r.missingSince.IsZero():
+			r.missingSince = now
+		case now.Sub(r.missingSince) >= missingTimeout:
+			a.abandon(k, r, "the worker lists neither the run nor its end")
+		}
+	}
+}
+
 // handlePollError decides whether the worker is gone after a poll that failed.
 func (a *Agent) handlePollError(now time.Time, err error) {
 	switch {
