platform: an order is sent only to the incarnation of the worker that it is for

A worker may start again under its id. The next incarnation has seen no fencing token, and X-Expect-Instance holds the same id, so it carried out an order that was decided for the earlier one if the order reached it before the first poll did: each order opened a connection if none was free. A repeated start could so run a task again that was done, and a run that ended with its process could run beside the task's next one. Polls already send leases and acknowledgements only over the connection of the latest response.

Ruled out: the fencing token (a process that has seen none accepts any until the first poll), and orders only over connections that were open before the latest poll (each new connection would wait for a poll's response, up to 400 ms).

An order is sent only over a connection of its incarnation, which the agent names by the start time that the worker itself tells. If the connection is of another one, the order's body is never sent, and the error says that the worker was replaced: it was certainly not carried out. A worker that tells no start time gets orders as before.

--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -117,7 +117,7 @@
 // order returns the part that all orders for a run have in common.
 func (a *Agent) order(k runKey) port.Order {
 	a.tokenUsed = true
-	return port.Order{Worker: a.vm.ID, Task: k.task, Run: k.number, FencingToken: a.fencingToken()}
+	return port.Order{Worker: a.vm.ID, Task: k.task, Run: k.number, FencingToken: a.fencingToken(), Incarnation: a.startTime}
 }
 
 // stop processes an order to stop a run. The run may be unknown to this process: the worker may
--- a/internal/jobs/exec/restart_test.go
+++ b/internal/jobs/exec/restart_test.go
@@ -144,6 +144,17 @@
 		Expect(h.agent.VM()).To(And(HaveField("Incarnation", after), HaveField("Draining", true)))
 	})
 
+	// The worker itself only knows its own start time.
+	It("is sent orders for the process that it is", func() {
+		h.incarnation -= back
+		h.poll(port.PollResult{})
+		h.grant()
+		h.poll(port.PollResult{})
+		o := &msgs.Orders{Epoch: epoch, VM: "vm-1", Incarnation: h.agent.VM().Incarnation, Starts: []msgs.Start{{Task: task, Run: 2, Percent: 100}}}
+		h.agent.Orders(h.now, o)
+		Expect(h.call().Start.Incarnation).To(Equal(h.incarnation))
+	})
+
 	It("takes another later incarnation each time", func() {
 		last := h.agent.VM().Incarnation
 		for _, d := range []int64{-back, 10, -20, 5 * back} {
--- a/internal/plat/port/exec.go
+++ b/internal/plat/port/exec.go
@@ -28,7 +28,8 @@
 	ErrRunInvalid = errors.New("the worker cannot read the order")
 	// ErrWorkerUnhealthy means that the worker is unhealthy and did nothing.
 	ErrWorkerUnhealthy = errors.New("the worker is unhealthy and did nothing")
-	// ErrWorkerReplaced means that another worker listens at the address.
+	// ErrWorkerReplaced means that another worker listens at the address, or another
+	// incarnation of the worker than the order is for.
 	ErrWorkerReplaced = errors.New("another worker answers")
 	// ErrNoWorker means that no process listens at the worker's address.
 	ErrNoWorker = errors.New("no worker listens")
@@ -47,6 +48,9 @@
 	// FencingToken increases with the leader's epoch and the worker's incarnation. The
 	// worker refuses an order with a lower token than one it has accepted.
 	FencingToken uint64
+	// Incarnation is the worker's incarnation that the order is for, as in PollResult. No
+	// other one receives the order. 0 means any incarnation.
+	Incarnation int64
 }
 
 // StartOrder is an order to start a run.
