jobs/lead: a suspect that is taken back keeps other work away from its VM

What callers saw: a task beside such a suspect could be counted with it when the worker crashes, and the crash proved nothing against the suspect, so that it took a third one. No rule is known to break by it. Cause: a run that was given up and is present is taken back without quarantine, unlike a run that a new leader restores. Ruled out: a run that the agent does not know; it is listed as proven, which ends the quarantine with the same request. Before: another task starts on the VM while the suspect is not proven. After: it starts once it is. Why: the run is quarantined as in restoreRuns, and noteProven or its end lifts that.

--- a/internal/jobs/lead/readopt.go
+++ b/internal/jobs/lead/readopt.go
@@ -8,7 +8,8 @@
 )
 
 // readopt takes back a run that was given up and is present nevertheless, so that its task does
-// not run a second time beside it. It returns nil if the task waits for no run.
+// not run a second time beside it. A suspect keeps other work away from its VM again until it is
+// proven. readopt returns nil if the task waits for no run.
 func (l *Leader) readopt(now time.Time, v *vm, key runKey) *run {
 	ref, err := model.ParseTaskRef(key.task)
 	if err != nil {
@@ -19,7 +20,12 @@
 		return nil
 	}
 	l.log.Info("takes back a run that was given up", "req", ref.Job, "task", key.task, "run", key.number, "vm", v.info.ID, "life", v.info.Incarnation)
-	r := v.add(l.table.Get(ref.Job), ref, assigned, now)
+	e := l.table.Get(ref.Job)
+	r := v.add(e, ref, assigned, now)
 	r.restored, r.speedUnknown, r.ordered = true, r.step.BestEffort, true
+	if e.Suspect(ref, 0) {
+		delete(l.suspectSince, ref)
+		v.quarantine(r)
+	}
 	return r
 }
