jobs/lead: the end of a gang's member that was given up releases the other members

What callers saw: less room than there is on the VMs of the other members, until their agents list their runs to the leader anew; a waiting task stays waiting. No rule on starts is broken. Cause: all members were released only if the one that reports the end was expected at its VM. A member that was given up and that the next process of its worker runs is not. Ruled out: two runs of a member at once. Why: the end of a run that is done is that of all members with its number.

--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -5,6 +5,7 @@
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/plan"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 )
@@ -218,8 +219,8 @@
 	}
 	l.log.Info("run ended", "req", ref.Job, "task", key.task, "run", key.number, "vm", v.info.ID, "outcome", outcome,
 		"took", took, "reason", reason, "state", e.State, "epoch", l.epoch)
-	if r != nil && r.step.Gang && outcome == msgs.Done {
-		l.releaseGang(r)
+	if outcome == msgs.Done && e.Job.Steps[ref.Step].Gang {
+		l.releaseGang(stageKey(ref), key.number)
 	}
 	if r != nil {
 		expected := l.durations.expect(r.entry, r.ref.Step)
@@ -253,12 +254,12 @@
 	}
 }
 
-// releaseGang releases the resources of all members of a gang, since only one of them
-// reports the end.
-func (l *Leader) releaseGang(done *run) {
+// releaseGang releases the resources of all members of a gang's run that is done, since the end
+// that one of them reports is enough. That one may have been given up before.
+func (l *Leader) releaseGang(stage plan.StageKey, number uint32) {
 	for _, v := range l.vms {
 		for key, r := range v.runs {
-			if stageKey(r.ref) == stageKey(done.ref) && r.number == done.number {
+			if r.number == number && stageKey(r.ref) == stage {
 				v.remove(key)
 			}
 		}
