jobs/exec: the latest speed limit is set again after a call that failed

Cause: the leader sends a limit only when it changes. A call that was refused was not repeated, and one without a response may be carried out seconds later, after a newer one. Ruled out: rules on starts. Calls of an agent's earlier process: the worker refuses their fencing token from the next process's first poll on. Before (the repetition disabled): no further call. Calls to an agent's own worker are not priced. Remains: two calls on different connections may overtake each other though both get a response.

--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -45,24 +45,6 @@
 	}
 }
 
-// throttle sets the speed limit of a run, once the run has started.
-func (a *Agent) throttle(k runKey, percent int) {
-	r := a.runs[k]
-	if r == nil || r.stopping {
-		return
-	}
-	r.start.Percent = percent
-	if r.present {
-		a.callThrottle(k, percent)
-	}
-}
-
-// callThrottle adds a call that sets the speed limit of a run.
-func (a *Agent) callThrottle(k runKey, percent int) {
-	order := a.order(k)
-	a.calls = append(a.calls, Call{Incarnation: a.vm.Incarnation, Throttle: &order, Percent: percent})
-}
-
 // start processes an order to start a run, which may have been given before.
 func (a *Agent) start(now time.Time, s msgs.Start) {
 	k := runKey{s.Task, s.Run}
--- a/internal/jobs/exec/poll.go
+++ b/internal/jobs/exec/poll.go
@@ -97,6 +97,7 @@
 	complete := err == nil && !res.Incomplete
 	unknown := a.updateRuns(res.Running, res.Ended, complete)
 	a.proveRuns(now)
+	a.repeatLimits(now)
 	added := a.addEnds(res.Ended)
 	if complete {
 		a.resolveUnconfirmed(p.StartedAt)
--- a/internal/jobs/exec/run.go
+++ b/internal/jobs/exec/run.go
@@ -46,6 +46,9 @@
 	// is present. The next poll that starts later shows it.
 	unconfirmedReason string
 	unconfirmedAt     time.Time
+	// limitDue is when the speed limit is to be set again, zero if it is not. An earlier call to
+	// set one may be carried out until limitUnsureUntil.
+	limitDue, limitUnsureUntil time.Time
 }
 
 // markUnconfirmed records that it is unknown whether a run is present.
--- a/internal/proof/fleet/calls.go
+++ b/internal/proof/fleet/calls.go
@@ -78,6 +78,8 @@
 		a.core.Started(a.world.Now, c, err)
 	case c.Stop != nil:
 		a.core.Stopped(a.world.Now, c, err)
+	case c.Throttle != nil:
+		a.core.Throttled(a.world.Now, c, err)
 	}
 	a.act()
 }
--- a/internal/run/agent/worker.go
+++ b/internal/run/agent/worker.go
@@ -47,6 +47,7 @@
 		if err != nil {
 			a.log.Warn("cannot throttle a run", "task", c.Throttle.Task, "run", c.Throttle.Run, "percent", c.Percent, "err", err)
 		}
+		a.update(func(now time.Time) { a.core.Throttled(now, c, err) })
 	}
 }
 
