jobs/exec: a crash is not blamed on a run that only the worker's next process has started

What callers saw: in virtual time, a job shown as failed under which one worker had crashed, while its run went on: a worker started again under its id and carried out a start before a poll showed that. The agent counted the earlier process's crash against that run. Cause: the response to a start was taken for one of the known process. Nothing in it names the process that responds. Ruled out: gangs and late orders; a first start that the next process answers is enough (the test). Why: the next process lists what it has started. A run that it lists and that no poll of the known process listed counts as not confirmed there; one whose call's connection broke off stays a doubtful suspect, and one that a poll listed stays a suspect.

--- a/internal/jobs/exec/announce.go
+++ b/internal/jobs/exec/announce.go
@@ -32,7 +32,8 @@
 // start times, and adopts another one. A later answer is of a later process, even if the time of
 // day was set back in between. The start time is 0 if the worker does not report it. answered
 // returns false if the poll started before an answer of the known process.
-func (a *Agent) answered(now time.Time, p port.Poll, started int64) bool {
+func (a *Agent) answered(now time.Time, p port.Poll, res port.PollResult) bool {
+	started := res.Incarnation
 	switch {
 	case started == 0, started == a.startTime:
 	case started < a.startTime && !a.confirmed:
@@ -42,6 +43,7 @@
 	case a.confirmed && p.StartedAt.Before(a.answeredAt):
 		return false
 	default:
+		a.noteStartedNext(res)
 		a.newIncarnation(now, started)
 		if a.isKnown(a.announced.VM) {
 			a.adoptAnnounced(now)
--- a/internal/jobs/exec/crash.go
+++ b/internal/jobs/exec/crash.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 )
 
 const (
@@ -59,6 +60,23 @@
 	}
 }
 
+// noteStartedNext records that the known process of the worker may not have started the runs that
+// the next one lists and that no poll of the known one has listed: the next process has responded
+// to their starts.
+func (a *Agent) noteStartedNext(next port.PollResult) {
+	note := func(k runKey) {
+		if r := a.runs[k]; r != nil && !r.seen {
+			r.present, r.presentSince = false, time.Time{}
+		}
+	}
+	for _, status := range next.Running {
+		note(runKey{status.Task, status.Run})
+	}
+	for _, e := range next.Ended {
+		note(runKey{e.Task, e.Run})
+	}
+}
+
 // CrashesStored processes the leader's message that it has stored crashes.
 func (a *Agent) CrashesStored(m *msgs.CrashesStored) {
 	a.crashes = slices.DeleteFunc(a.crashes, func(c msgs.Crash) bool { return c.Number <= m.Number })
--- a/internal/jobs/exec/crash_test.go
+++ b/internal/jobs/exec/crash_test.go
@@ -87,6 +87,28 @@
 		Expect(h.reported()).To(BeEmpty())
 	})
 
+	// No poll shows the next process before it has carried out the start.
+	DescribeTable("does not blame a run that only the worker's next process has started", func(res port.PollResult) {
+		h.agent.Started(h.now, h.order(), nil)
+		h.incarnation += 400
+		h.poll(res)
+		h.poll(res)
+		Expect(h.reported()).To(BeEmpty())
+	},
+		Entry("and runs", port.PollResult{Running: []msgs.RunStatus{{Task: task, Run: 1}}}),
+		Entry("and that has ended there", port.PollResult{Ended: []msgs.RunEnd{{Number: 1, Task: task, Run: 1, Outcome: msgs.Done}}}),
+	)
+
+	It("blames a run that a poll had listed, though the worker's next process has started it again", func() {
+		h.agent.Started(h.now, h.order(), nil)
+		listed := port.PollResult{Running: []msgs.RunStatus{{Task: task, Run: 1}}}
+		h.poll(listed)
+		h.incarnation += 400
+		h.poll(listed)
+		h.poll(listed)
+		Expect(h.reported()).To(crashed)
+	})
+
 	It("reports no run that has worked for half a second, even if no poll has listed it since", func() {
 		h.agent.Started(h.now, h.order(), nil)
 		h.now = h.now.Add(500 * time.Millisecond)
--- a/internal/jobs/exec/poll.go
+++ b/internal/jobs/exec/poll.go
@@ -86,7 +86,7 @@
 		a.log.Warn("left out runs that could not be decoded from the worker's response", "vm", a.vm.ID, "err", err)
 	}
 	a.noWorkerSince = time.Time{}
-	if !a.answered(now, p, res.Incarnation) {
+	if !a.answered(now, p, res) {
 		return
 	}
 	// The reading was taken before now, so a lease computed from it ends early rather
