proof/fleet, fake/tasks: worlds in which the first step of each job is a gang

Virtual time had no gangs. Its workers now let the members of a gang work once all of them are present, and end them together: done, broken, or alone after 3 s. A job whose gang is given up may have as many crashes under it as its members together. Worlds without gangs are unchanged.

--- a/internal/fake/tasks/worker.go
+++ b/internal/fake/tasks/worker.go
@@ -33,6 +33,9 @@
 	Fails bool
 	// Crashes is set if the run crashes the worker crashDelay after its start.
 	Crashes bool
+	// Members is the number of members of the gang that the run belongs to, 0 if it belongs to
+	// none.
+	Members int
 }
 
 // Worker is a simulated worker with its successive incarnations. Create it with New.
@@ -88,6 +91,8 @@
 	startedAt time.Time
 	// stoppingSince is the time of the first order to stop, zero before it.
 	stoppingSince time.Time
+	// gangOutcome is the outcome of the run's gang, 0 until another member has ended.
+	gangOutcome msgs.Outcome
 }
 
 // New returns a worker whose first incarnation starts at now. The plan function returns the
@@ -101,6 +106,7 @@
 // Restart starts a new incarnation, which keeps no state of the earlier one.
 func (w *Worker) Restart(now time.Time) {
 	for _, r := range w.runs {
+		w.witness.leave(r, msgs.Lost)
 		w.witness.ended(now, w.id, r.task, r.number, msgs.Lost)
 	}
 	w.startedAt, w.fencingToken, w.deadline, w.runs, w.ended, w.endCount, w.lastExpiredEnd = now, 0, 0, nil, nil, 0, 0
@@ -185,11 +191,12 @@
 		switch {
 		case w.clock(now) > w.deadline:
 			w.endRun(now, r, msgs.LeaseExpired)
+		case w.advanceMember(now, r):
 		case !r.stoppingSince.IsZero() && now.Sub(r.stoppingSince) >= stopDuration:
 			w.endRun(now, r, msgs.Stopped)
-		case r.plan.Work > 0 && now.Sub(r.startedAt) >= r.plan.Work && r.plan.Fails:
+		case r.plan.Work > 0 && w.witness.worked(now, r) >= r.plan.Work && r.plan.Fails:
 			w.endRun(now, r, msgs.Failed)
-		case r.plan.Work > 0 && now.Sub(r.startedAt) >= r.plan.Work:
+		case r.plan.Work > 0 && w.witness.worked(now, r) >= r.plan.Work:
 			w.endRun(now, r, msgs.Done)
 		default:
 			remaining = append(remaining, r)
@@ -199,6 +206,7 @@
 }
 
 func (w *Worker) endRun(now time.Time, r *run, o msgs.Outcome) {
+	w.witness.leave(r, o)
 	w.endCount++
 	w.endedAt[w.endCount] = now
 	w.ended = append(w.ended, msgs.RunEnd{Number: w.endCount, Task: r.task, Run: r.number, Outcome: o})
@@ -244,6 +252,7 @@
 	}
 	w.runs = append(w.runs, r)
 	w.witness.started(now, w, r)
+	w.witness.join(now, r)
 	return nil
 }
 
@@ -277,7 +286,7 @@
 	for _, r := range w.runs {
 		status := msgs.RunStatus{Task: r.task, Run: r.number, Percent: 100}
 		if r.plan.Work > 0 {
-			status.Percent = int(100 * now.Sub(r.startedAt) / r.plan.Work)
+			status.Percent = int(100 * w.witness.worked(now, r) / r.plan.Work)
 		}
 		result.Running = append(result.Running, status)
 	}
--- a/internal/proof/fleet/callers.go
+++ b/internal/proof/fleet/callers.go
@@ -73,6 +73,7 @@
 	firstStep := model.Step{Tasks: 4, Size: place.Resources{CPU: 3000, Memory: 8000}, Estimate: cmp.Or(c.world.TaskTime, defaultTaskTime), Checkpoints: n%2 == 0}
 	secondStep := firstStep
 	secondStep.After, secondStep.MaxPerVM = []int{0}, 2
+	firstStep.Gang = c.world.Gangs
 	id := model.ID(fmt.Sprintf("%016x", n+1))
 	j := &submission{pending: true, retries: n % 3, cancelAfter: cancelAfter, deadly: deadly, spec: model.Job{ID: id, Queue: q, Payload: "work", Steps: []model.Step{firstStep, secondStep}}}
 	c.jobs[id] = j
@@ -153,6 +154,7 @@
 	for id, j := range w.Callers.jobs {
 		started, done, crashed := 0, 0, 0
 		for s := range j.spec.Steps {
+			gangCrashes := 0
 			for i := range j.spec.Steps[s].Tasks {
 				task := model.TaskRef{Job: id, Step: s, Index: i}.String()
 				if w.Witness.Starts(task) > 0 {
@@ -161,8 +163,11 @@
 				if w.Witness.Done(task) {
 					done++
 				}
-				crashed = max(crashed, w.Witness.Crashes(task))
+				if crashed = max(crashed, w.Witness.Crashes(task)); j.spec.Steps[s].Gang {
+					gangCrashes += w.Witness.Crashes(task)
+				}
 			}
+			crashed = max(crashed, gangCrashes)
 		}
 		switch {
 		case j.refused && !j.unknown && started > 0:
