jobs/exec: guard a restarted agent's first heartbeat that is a delayed one

A test only; the code was right. A restarted agent whose first heartbeat is a delayed one of the worker's earlier incarnation, with a larger capacity, starts nothing beyond what the present one has: the first poll answers with another start time, and the capacity counts as none until a heartbeat of that incarnation.

--- a/internal/jobs/exec/capacity_test.go
+++ b/internal/jobs/exec/capacity_test.go
@@ -123,6 +123,20 @@
 		Expect(h.agent.VM().Capacity).To(Equal(small))
 	})
 
+	It("starts nothing there if the first heartbeat that a restarted agent gets is a delayed one of the earlier incarnation", func() {
+		h.agent = exec.New("node-1", slog.New(slog.DiscardHandler))
+		Expect(h.agent.LeaderConnected(epoch)).To(BeTrue())
+		h.say(9, h.clock(), place.Resources{CPU: 16000, Memory: 64000})
+		h.incarnation += 400
+		h.poll(port.PollResult{})
+		h.grant()
+		h.poll(port.PollResult{})
+		h.agent.Orders(h.now, &msgs.Orders{Epoch: epoch, VM: "vm-1", Incarnation: h.incarnation, Starts: []msgs.Start{
+			{Task: task, Run: 1, Percent: 100, Size: place.Resources{CPU: 6000}},
+		}})
+		Expect(h.agent.Calls()).To(ConsistOf(And(HaveField("Start", BeNil()), HaveField("Stop.Task", task))))
+	})
+
 	It("takes the capacity from a heartbeat that came before the poll", func() {
 		h.incarnation += 400
 		h.say(1, h.clock(), small)
