jobs/exec, run/agent: a start that waited leaves only if it still holds

Callers could see a task run twice: a start that got no response is repeated 30 ms later, whatever has become of its run by then. The end of the first try may have been stored and acknowledged; if the worker starts again under its id in between, it has seen no fencing token and runs the task again. The same holds for any call whose goroutine gets its turn late.

Cause: the core decided on the call when it queued it, and the process never asked again. Ruled out: a new token for the waiting call, since the worker's next process would then accept it even after the first poll; holding starts back while polls fail, since a run without a stored end may start there.

The core is asked just before each call is made and lets a start go only while its run is known, not confirmed, not to be stopped, and the incarnation is the one meant. Virtual time asks in the same way; a dead process there makes no waiting calls any more.

--- a/internal/proof/fleet/calls.go
+++ b/internal/proof/fleet/calls.go
@@ -11,7 +11,7 @@
 func (a *Agent) act() {
 	incarnation := a.incarnations
 	for _, c := range a.core.Calls() {
-		a.world.After(c.After+callDelay, func() { a.call(incarnation, c) })
+		a.world.After(c.After, func() { a.sendCall(incarnation, c) })
 	}
 	for _, m := range a.core.Messages() {
 		conn, e := a.conn, a.entry
@@ -22,6 +22,17 @@
 	}
 }
 
+// sendCall makes a call to the worker if the agent's process still runs and the call still holds.
+func (a *Agent) sendCall(incarnation int, c exec.Call) {
+	if a.Dead || incarnation != a.incarnations {
+		return
+	}
+	if a.core.Sends(a.world.Now, c) {
+		a.world.After(callDelay, func() { a.call(incarnation, c) })
+	}
+	a.act()
+}
+
 // call makes a call to the worker. A random part of the calls, by World.DelayedShare, gets no
 // response and is executed late, and a part, by World.RefusedShare, is refused.
 func (a *Agent) call(incarnation int, c exec.Call) {
--- a/internal/run/agent/worker.go
+++ b/internal/run/agent/worker.go
@@ -20,13 +20,13 @@
 	leaseCheckInterval = 300 * time.Millisecond
 )
 
-// call makes one call to the worker and reports the outcome to the core. Once the agent is
-// closed it does neither, since the core would repeat the failed call at once.
+// call makes one call to the worker, if it still holds then, and reports the outcome to the core.
+// Once the agent is closed it does neither, since the core would repeat the failed call at once.
 func (a *Agent) call(c exec.Call) {
 	if c.After > 0 {
 		a.pause(c.After)
 	}
-	if a.ctx.Err() != nil {
+	if a.ctx.Err() != nil || !a.sends(c) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(a.ctx, callTimeout)
@@ -50,6 +50,13 @@
 	}
 }
 
+// sends asks the core whether a call still holds.
+func (a *Agent) sends(c exec.Call) bool {
+	sends := false
+	a.update(func(now time.Time) { sends = a.core.Sends(now, c) })
+	return sends
+}
+
 // pollLoop polls the worker for running and ended runs until the agent is closed.
 func (a *Agent) pollLoop() {
 	var pause exec.PollPause
