jobs/exec: polls reach the worker's next process within 10 ms while orders may be late

A worker that starts again under its id carries out a late order to its earlier process until the first poll with a raised fencing token reaches it. A start cannot carry a guard against that: only the poll can, and it came up to 60 ms after the start, whatever was at stake.

Cause: one delay after all failed polls. Now polls follow each other after 10 ms (300 times, then after 30 ms) while connections are refused and a start of the last 30 s got no response, is under way, or may have been sent by the agent's earlier process. Not built: shorter pauses after other errors, since a process listens then.

--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -68,6 +68,8 @@
 	// searchUntil is until when the agent polls the worker's address while it knows of no
 	// worker, zero before the first such poll of this process.
 	searchUntil time.Time
+	// lateUntil is until when the worker may carry out a start that got no response.
+	lateUntil time.Time
 	// epoch is the highest epoch known. connected is set while the agent is connected to
 	// the leader of that epoch, and synced once that leader has been sent all runs.
 	epoch             uint64
--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -153,12 +153,14 @@
 func (a *Agent) Started(now time.Time, c Call, err error) {
 	k := runKey{c.Start.Task, c.Start.Run}
 	r := a.runs[k]
+	unanswered := err != nil && !errors.Is(err, port.ErrRunFenced) && !permanentRefusal(err)
+	if unanswered {
+		a.noteLate(now, maxOrderDelay)
+	}
 	if r == nil || c.Incarnation != a.vm.Incarnation {
 		return
 	}
-	if err != nil && !errors.Is(err, port.ErrRunFenced) && !permanentRefusal(err) {
-		r.unanswered = true
-	}
+	r.unanswered = r.unanswered || unanswered
 	switch {
 	case err == nil:
 		a.started(now, k, r)
--- a/internal/jobs/exec/poll.go
+++ b/internal/jobs/exec/poll.go
@@ -24,6 +24,7 @@
 	case a.tokenIncarnation == 0:
 		a.fenceOrders(now)
 		a.searchUntil = now.Add(maxOrderDelay)
+		a.noteLate(now, maxOrderDelay)
 	case a.pollFailed:
 		a.fenceOrders(now)
 	}
--- a/internal/run/agent/worker.go
+++ b/internal/run/agent/worker.go
@@ -71,12 +71,12 @@
 			err = port.ErrNewConnection // the interrupted poll's connection is closed
 		}
 		cancel()
-		unstoredEnds := false
+		unstoredEnds, ordersLate := false, false
 		a.update(func(now time.Time) {
 			a.core.Polled(now, poll, result, err)
-			unstoredEnds = a.core.HasUnstoredEnds()
+			unstoredEnds, ordersLate = a.core.HasUnstoredEnds(), a.core.OrdersLate(now)
 		})
-		if d := pause.After(clock.Now(), err); d > 0 {
+		if d := pause.After(clock.Now(), err, ordersLate); d > 0 {
 			a.waitForPollRequest(d)
 		} else if err == nil && unstoredEnds {
 			a.waitForEndsStored()
