--- a/internal/run/agent/repeat_test.go
+++ b/internal/run/agent/repeat_test.go
@@ -42,8 +42,12 @@
 	return errors.New("no response")
 }
 
-func (w *quickWorker) Poll(_ context.Context, p port.Poll) (port.PollResult, error) {
-	time.Sleep(time.Millisecond)
+func (w *quickWorker) Poll(ctx context.Context, p port.Poll) (port.PollResult, error) {
+	select {
+	case <-ctx.Done():
+		return port.PollResult{}, ctx.Err()
+	case <-time.After(time.Millisecond):
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.acknowledged = w.acknowledged || p.Seen > 0
