--- a/internal/run/agent/restart_test.go
+++ b/internal/run/agent/restart_test.go
@@ -210,8 +210,9 @@
 				s.agent.Close()
 				s.agent.Wait()
 			}
-			time.Sleep(down)
-			listening := s.listen()
+			started := make(chan time.Time)
+			time.AfterFunc(down, func() { started <- s.listen() })
+			listening := <-started
 			if restartAgent {
 				s.startAgent()
 			}
