--- a/internal/run/agent/restart_test.go
+++ b/internal/run/agent/restart_test.go
@@ -210,9 +210,13 @@
 				s.agent.Close()
 				s.agent.Wait()
 			}
-			started := make(chan time.Time)
-			time.AfterFunc(down, func() { started <- s.listen() })
-			listening := <-started
+			started := make(chan time.Time, 1)
+			time.AfterFunc(down, func() {
+				defer GinkgoRecover()
+				started <- s.listen()
+			})
+			var listening time.Time
+			Eventually(started, responseTimeout).Should(Receive(&listening))
 			if restartAgent {
 				s.startAgent()
 			}
