proof/fleet: workers start again under their ids while copies of repeated starts arrive

The excuse for starts that nobody can prevent is stricter: the worker's process must not have been reached by any poll, also of an earlier process of the agent, and the time in which a running agent may miss it is 13 ms instead of 53. In return the simulated agent polls as the real one does: at once when its poll ends with the worker or when it finds a leader, and after exec.PollPause when a poll failed.

The worlds stay clear of two other causes: crashes so close to each other that tasks are given up, and a second run that was ordered while the worker's next process was already there.

--- a/internal/fake/tasks/witness.go
+++ b/internal/fake/tasks/witness.go
@@ -31,6 +31,8 @@
 	// it is out of date. A run that starts then may be its task's second one, which is no
 	// fault, but no other start may follow from it.
 	Unpreventable bool
+	// again is the number of starts that Unpreventable excused.
+	again int
 	// Dependencies returns the tasks that must be done before a task starts; if it is nil,
 	// no task depends on another. It must be set before the first run starts.
 	Dependencies func(task string) []string
@@ -84,6 +86,13 @@
 	return x.refused
 }
 
+// Again returns the number of starts that broke a rule but were unpreventable.
+func (x *Witness) Again() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.again
+}
+
 func (x *Witness) noteRefused() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -109,6 +118,9 @@
 	if !x.Unpreventable {
 		x.lastStart[r.task] = now
 	}
+	if x.Unpreventable && (len(x.running[r.task]) > 0 || x.acknowledged[r.task]) {
+		x.again++
+	}
 	at := now.Format("05.000")
 	if len(x.running[r.task]) > 0 && !x.Unpreventable {
 		x.addFault("%s: %s run %d starts on %s while it runs on %v", at, r.task, r.number, w.id, x.running[r.task])
--- a/internal/fake/tasks/worker.go
+++ b/internal/fake/tasks/worker.go
@@ -40,6 +40,8 @@
 	id string
 	// startedAt is the time at which the incarnation started.
 	startedAt time.Time
+	// lives is the number of incarnations so far.
+	lives int
 	// SetBack is how far the time of day was set back when the incarnation started.
 	SetBack  time.Duration
 	capacity place.Resources
@@ -59,6 +61,8 @@
 	lastOver map[string]uint32
 	// ended holds the run ends that were not acknowledged yet, by number.
 	ended []msgs.RunEnd
+	// forgotten holds the acknowledged run ends, if RepeatsEnds is set.
+	forgotten []msgs.RunEnd
 	// endedAt holds the times of the incarnation's run ends, by number.
 	endedAt map[int64]time.Time
 	// endCount is the number of run ends of the incarnation.
@@ -70,6 +74,8 @@
 	Dead bool
 	// GuardsCapacity is set if the worker refuses to start what exceeds its capacity.
 	GuardsCapacity bool
+	// RepeatsEnds is set if the worker lists each run end twice, also those that were acknowledged.
+	RepeatsEnds bool
 	// ShrinkNotice is how long a capacity still counts after the worker has shrunk. The
 	// Witness records starts beyond it.
 	ShrinkNotice time.Duration
@@ -104,7 +110,8 @@
 		w.witness.ended(now, w.id, r.task, r.number, msgs.Lost)
 	}
 	w.startedAt, w.fencingToken, w.deadline, w.runs, w.ended, w.endCount, w.lastExpiredEnd = now, 0, 0, nil, nil, 0, 0
-	w.heartbeats, w.earlier = 0, nil
+	w.heartbeats, w.earlier, w.forgotten = 0, nil, nil
+	w.lives++
 	w.lastOver, w.endedAt = map[string]uint32{}, map[int64]time.Time{}
 	w.Dead = false
 }
@@ -272,8 +279,8 @@
 	}
 	w.deadline = max(w.deadline, poll.Deadline)
 	w.witness.recordAck(w, poll.Seen)
-	w.ended = slices.DeleteFunc(w.ended, func(e msgs.RunEnd) bool { return e.Number <= poll.Seen })
-	result := port.PollResult{Incarnation: w.Incarnation(), Clock: w.clock(now), Ended: slices.Clone(w.ended)}
+	w.forget(poll.Seen)
+	result := port.PollResult{Incarnation: w.Incarnation(), Clock: w.clock(now), Ended: slices.Concat(w.ended, w.forgotten)}
 	for _, r := range w.runs {
 		status := msgs.RunStatus{Task: r.task, Run: r.number, Percent: 100}
 		if r.plan.Work > 0 {
--- a/internal/proof/fleet/agent.go
+++ b/internal/proof/fleet/agent.go
@@ -45,6 +45,14 @@
 	incarnations int
 	// startedAt is when the present process started.
 	startedAt time.Time
+	// reached is the number of the worker's incarnation that the latest poll in time reached.
+	reached int
+	// copies holds the copies of starts that are executed once the worker has started again.
+	copies []func()
+	// pause decides the time to the next poll; polls numbers the polls, of which only the latest
+	// one that was scheduled is made.
+	pause exec.PollPause
+	polls int
 	// kills and crashes count the calls of Kill and Crash. If calls overlap, only the latest
 	// one restarts the process.
 	kills, crashes int
@@ -67,9 +75,10 @@
 	a.Dead = false
 	a.incarnations++
 	a.startedAt = a.world.Now
+	a.pause = exec.PollPause{}
 	incarnation := a.incarnations
 	a.world.After(0, func() { a.requestLease(incarnation) })
-	a.world.After(0, func() { a.poll(incarnation) })
+	a.schedulePoll(0)
 }
 
 // Kill ends the agent's process and starts it again after the downtime.
@@ -104,9 +113,16 @@
 	a.Worker.Kill(a.world.Now)
 	a.crashes++
 	crashes := a.crashes
+	if !a.Dead && !a.Silent && !a.PollsFail {
+		a.schedulePoll(0) // the present one ends with its connection
+	}
 	a.world.After(downtime, func() {
 		if crashes == a.crashes {
 			restart()
+			a.executeCopies()
+			if a.world.HeartbeatAtStart {
+				a.world.After(callDelay, a.sendHeartbeat)
+			}
 		}
 	})
 }
@@ -153,6 +169,11 @@
 // heartbeat passes a heartbeat of the worker to the agent at each interval.
 func (a *Agent) heartbeat() {
 	a.world.After(heartbeatInterval, a.heartbeat)
+	a.sendHeartbeat()
+}
+
+// sendHeartbeat passes a heartbeat of the worker to the agent.
+func (a *Agent) sendHeartbeat() {
 	if a.Dead || a.Worker.Dead || a.Silent {
 		return
 	}
@@ -177,40 +198,67 @@
 		a.world.conns++
 		a.conn, a.entry = a.world.conns, e
 		e.agents[a.conn] = a
+		a.schedulePoll(0)
 	}
 	a.core.LeaseRequest(a.world.Now)
 	a.act()
 }
 
+// schedulePoll makes the agent poll the worker after d, instead of the poll that is due now or
+// under way.
+func (a *Agent) schedulePoll(d time.Duration) {
+	a.polls++
+	incarnation, number := a.incarnations, a.polls
+	a.world.After(d, func() {
+		if !a.Dead && incarnation == a.incarnations && number == a.polls {
+			a.poll(number)
+		}
+	})
+}
+
 // poll polls the worker if a poll is due.
-func (a *Agent) poll(incarnation int) {
-	if a.Dead || incarnation != a.incarnations {
-		return
-	}
-	w := a.world
+func (a *Agent) poll(number int) {
+	w, incarnation := a.world, a.incarnations
 	p, ok := a.core.Poll(w.Now, false)
 	if !ok {
-		w.After(pollInterval, func() { a.poll(incarnation) })
+		a.schedulePoll(pollInterval)
 		return
 	}
+	ended := func(delay time.Duration, result port.PollResult, err error) {
+		w.After(delay, func() {
+			if !a.Dead && incarnation == a.incarnations && number == a.polls {
+				a.polled(p, result, err)
+			}
+		})
+	}
 	if a.Silent || a.PollsFail {
-		w.After(callTimeout, func() { a.polled(incarnation, p, port.PollResult{}, errCallTimeout) })
+		ended(callTimeout, port.PollResult{}, errCallTimeout)
+		return
+	}
+	if w.DelayedPollShare > 0 && a.reached == a.Worker.Lives() && w.rng.Float64() < w.DelayedPollShare {
+		w.After(time.Second+time.Duration(w.rng.Int64N(int64(4*time.Second))), func() { _, _ = a.Worker.Poll(w.Now, p) })
+		ended(callTimeout, port.PollResult{}, errCallTimeout)
 		return
 	}
 	w.After(callDelay, func() {
 		result, err := a.Worker.Poll(w.Now, p)
-		w.After(callDelay, func() { a.polled(incarnation, p, result, err) })
+		if err == nil {
+			a.noteReached()
+		}
+		ended(callDelay, result, err)
 	})
 }
 
 // polled passes the result of a poll to the agent and schedules the next poll.
-func (a *Agent) polled(incarnation int, p port.Poll, result port.PollResult, err error) {
-	if a.Dead || incarnation != a.incarnations {
+func (a *Agent) polled(p port.Poll, result port.PollResult, err error) {
+	now := a.world.Now
+	a.core.Polled(now, p, result, err)
+	a.act()
+	if err == nil {
+		a.schedulePoll(pollInterval)
 		return
 	}
-	a.core.Polled(a.world.Now, p, result, err)
-	a.act()
-	a.world.After(pollInterval, func() { a.poll(incarnation) })
+	a.schedulePoll(a.pause.After(now, err, a.core.OrdersLate(now)))
 }
 
 // receive handles a message from the leader.
--- a/internal/proof/fleet/callers.go
+++ b/internal/proof/fleet/callers.go
@@ -174,7 +174,7 @@
 		case j.deadly || (crashed >= 2 && w.stateOf(id) == "failed"):
 			// A task under which two workers have crashed may be given up.
 		case j.accepted && j.cancelAfter == 0 && done < 8:
-			faults = append(faults, fmt.Sprintf("job %s was accepted, but only %d of its 8 tasks are done", id, done))
+			faults = append(faults, fmt.Sprintf("job %s was accepted, but only %d of its 8 tasks are done (%s, %d crashes)", id, done, w.stateOf(id), crashed))
 		}
 	}
 	return faults
--- a/internal/proof/fleet/calls.go
+++ b/internal/proof/fleet/calls.go
@@ -7,6 +7,10 @@
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 )
 
+// maxWindow is the longest time from the start of a worker, or of the agent's process, to the first
+// poll that reaches the worker.
+const maxWindow = 10*time.Millisecond + 3*callDelay
+
 // act makes the calls and sends the messages that the agent's core has queued.
 func (a *Agent) act() {
 	incarnation := a.incarnations
@@ -53,14 +57,13 @@
 		err, delay = errCallTimeout, callTimeout
 	case w.rng.Float64() < w.DelayedShare:
 		err, delay = errCallTimeout, callTimeout
-		worker := a.Worker.Incarnation()
-		w.After(2*time.Second+time.Duration(w.rng.Int64N(int64(10*time.Second))), func() {
-			if !w.OrdersEndWithWorker || worker == a.Worker.Incarnation() {
-				w.Witness.Unpreventable = worker != a.Worker.Incarnation() && !a.mayHavePolled()
-				_ = execute()
-				w.Witness.Unpreventable = false
-			}
-		})
+		life := a.Worker.Lives()
+		w.After(2*time.Second+time.Duration(w.rng.Int64N(int64(10*time.Second))), func() { a.executeLate(life, execute) })
+	case w.CopiedShare > 0 && c.Start != nil && c.After == 0 && w.rng.Float64() < w.CopiedShare:
+		// The agent repeats the start once it is timed out.
+		err, delay = errCallTimeout, callTimeout
+		life := a.Worker.Lives()
+		a.copies = append(a.copies, func() { a.executeLate(life, execute) })
 	case w.RefusedShare > 0 && w.rng.Float64() < w.RefusedShare:
 		err = port.ErrWorkerUnhealthy
 		if w.RefusalDelay > 0 {
@@ -72,11 +75,35 @@
 	w.After(delay, func() { a.callEnded(incarnation, c, err) })
 }
 
+// executeLate executes an order to the given incarnation of the worker late, perhaps at a later one.
+// What that one starts is unpreventable only until a poll has reached it or could have done so.
+func (a *Agent) executeLate(life int, execute func() error) {
+	w := a.world
+	other := life != a.Worker.Lives()
+	if w.OrdersEndWithWorker && other {
+		return
+	}
+	unreached := other && a.reached != a.Worker.Lives()
+	w.Late.Orders++
+	if other {
+		w.Late.ToNext++
+	}
+	if unreached {
+		w.Late.Unreached++
+	}
+	w.Witness.Unpreventable = unreached && !a.mayHavePolled()
+	if w.Witness.Unpreventable {
+		w.Late.Excused++
+	}
+	_ = execute()
+	w.Witness.Unpreventable = false
+}
+
 // mayHavePolled reports whether the agent's process can have polled the worker's present
 // incarnation.
 func (a *Agent) mayHavePolled() bool {
 	since := min(a.world.Now.Sub(a.startedAt), a.Worker.Age(a.world.Now))
-	return !a.Dead && since > pollInterval+3*callDelay
+	return !a.Dead && since > maxWindow
 }
 
 // callEnded passes the result of a call to the agent.
--- a/internal/proof/fleet/world.go
+++ b/internal/proof/fleet/world.go
@@ -41,6 +41,17 @@
 	// DelayedShare is the fraction of orders to workers that get no response and are executed
 	// 2 to 12 s later.
 	DelayedShare float64
+	// CopiedShare is the fraction of the first tries of starts that get no response, and of which a
+	// copy is executed once the worker has started again.
+	CopiedShare float64
+	// DelayedPollShare is the fraction of polls that get no response and are executed 1 to 5 s later.
+	DelayedPollShare float64
+	// HeartbeatAtStart is set if workers send a heartbeat as soon as they have started again.
+	// Otherwise the first one follows up to heartbeatInterval later.
+	HeartbeatAtStart bool
+	// Late counts the orders that were executed late, and the times until polls reached workers
+	// that had started again.
+	Late Late
 	// KeepIDs is set if a worker that a task crashed starts again under its id. Otherwise another
 	// worker takes its place.
 	KeepIDs bool
