--- a/internal/fake/tasks/worker.go
+++ b/internal/fake/tasks/worker.go
@@ -43,6 +43,8 @@
 	id string
 	// startedAt is the time at which the incarnation started.
 	startedAt time.Time
+	// lives is the number of incarnations so far.
+	lives int
 	// SetBack is how far the time of day was set back when the incarnation started.
 	SetBack  time.Duration
 	capacity place.Resources
@@ -62,6 +64,8 @@
 	lastOver map[string]uint32
 	// ended holds the run ends that were not acknowledged yet, by number.
 	ended []msgs.RunEnd
+	// forgotten holds the acknowledged run ends, if RepeatsEnds is set.
+	forgotten []msgs.RunEnd
 	// endedAt holds the times of the incarnation's run ends, by number.
 	endedAt map[int64]time.Time
 	// endCount is the number of run ends of the incarnation.
@@ -77,17 +81,13 @@
 	Dead bool
 	// GuardsCapacity is set if the worker refuses to start what exceeds its capacity.
 	GuardsCapacity bool
+	// RepeatsEnds is set if the worker lists each run end twice, also those that were acknowledged.
+	RepeatsEnds bool
 	// ShrinkNotice is how long a capacity still counts after the worker has shrunk. The
 	// Witness records starts beyond it.
 	ShrinkNotice time.Duration
 }
 
-// earlierCapacity is a capacity that a worker had until a time.
-type earlierCapacity struct {
-	capacity place.Resources
-	until    time.Time
-}
-
 type run struct {
 	task      string
 	number    uint32
@@ -114,7 +114,8 @@
 		w.witness.ended(now, w.id, r.task, r.number, msgs.Lost)
 	}
 	w.startedAt, w.fencingToken, w.deadline, w.runs, w.ended, w.endCount, w.lastExpiredEnd = now, 0, 0, nil, nil, 0, 0
-	w.heartbeats, w.earlier = 0, nil
+	w.heartbeats, w.earlier, w.forgotten = 0, nil, nil
+	w.lives++
 	w.lastOver, w.endedAt = map[string]uint32{}, map[int64]time.Time{}
 	w.odd = map[int64]Oddity{}
 	w.Dead = false
@@ -145,27 +146,6 @@
 	return true
 }
 
-// Resize changes the worker's capacity. Runs beyond it go on.
-func (w *Worker) Resize(now time.Time, capacity place.Resources) {
-	w.earlier = append(w.earlier, earlierCapacity{w.capacity, now})
-	w.capacity = capacity
-}
-
-// covers reports whether the capacity covers used, or an earlier one that still counts.
-func (w *Worker) covers(now time.Time, used place.Resources) bool {
-	w.earlier = slices.DeleteFunc(w.earlier, func(e earlierCapacity) bool { return now.Sub(e.until) > w.ShrinkNotice })
-	return w.capacity.Covers(used) || slices.ContainsFunc(w.earlier, func(e earlierCapacity) bool { return e.capacity.Covers(used) })
-}
-
-// used returns what the present runs take of the capacity.
-func (w *Worker) used() place.Resources {
-	var used place.Resources
-	for _, r := range w.runs {
-		used = used.Plus(r.plan.Size)
-	}
-	return used
-}
-
 // Incarnation returns the number of the incarnation: its start time in Unix milliseconds, by the
 // time of day then.
 func (w *Worker) Incarnation() int64 { return w.startedAt.Add(-w.SetBack).UnixMilli() }
@@ -289,9 +269,9 @@
 	}
 	w.deadline = max(w.deadline, poll.Deadline)
 	w.witness.recordAck(w, poll.Seen)
-	w.ended = slices.DeleteFunc(w.ended, func(e msgs.RunEnd) bool { return e.Number <= poll.Seen })
+	w.forget(poll.Seen)
 	ended, err := w.listEnds()
-	result := port.PollResult{Incarnation: w.Incarnation(), Clock: w.clock(now), Ended: ended}
+	result := port.PollResult{Incarnation: w.Incarnation(), Clock: w.clock(now), Ended: slices.Concat(ended, w.forgotten)}
 	for _, r := range w.runs {
 		status := msgs.RunStatus{Task: r.task, Run: r.number, Percent: 100}
 		if r.plan.Work > 0 {
