jobs/exec: a worker that is back is known by its first answer, not by its heartbeat

Callers could see a task run twice: a worker was gone for over 150 ms, so its tasks started elsewhere, and it started again under its id. It carried out a late copy of a start before the first poll reached it, which nobody can prevent. But that poll was only to raise the fencing token: what it listed was told to nobody until the worker's first heartbeat, up to 1.1 s later, and the leader started the task's next run beside the one that was present, or after it had ended as done.

Cause: polls while no worker was known named none, so their answers said of no worker what it runs. Ruled out: a stop by the agent itself; it would leave the leader to start the next run meanwhile.

Now such polls name the worker that is gone: only a process under its id accepts its earlier orders. Its answer makes the worker known again, without capacity until its heartbeat, and lists its runs to the leader. If another worker answers, the agent asks whatever worker listens, as before. The test that polls name no worker expects the gone one's id; that protects as much, since others refuse the orders.

--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -68,6 +68,8 @@
 	// searchUntil is until when the agent polls the worker's address while it knows of no
 	// worker, zero before the first such poll of this process.
 	searchUntil time.Time
+	// gone is the latest confirmed worker that is gone. Its next process may start under its id.
+	gone msgs.VM
 	// lateUntil is until when the worker may carry out a start that got no response.
 	lateUntil time.Time
 	// epoch is the highest epoch known. connected is set while the agent is connected to
@@ -264,10 +266,11 @@
 	a.log.Info("the worker is gone", "vm", a.vm.ID, "life", a.vm.Incarnation, "runs", len(a.runs), "unstoredEnds", len(a.ends), "reason", reason,
 		"leaseLeft", a.leaseLeft(now))
 	if a.confirmed {
-		gone := a.vm
-		gone.Down = true
+		a.gone = a.vm
+		down := a.vm
+		down.Down = true
 		a.reportEnds()
-		a.sendLeaseRequest(now, &msgs.LeaseRequest{VM: gone})
+		a.sendLeaseRequest(now, &msgs.LeaseRequest{VM: down})
 	}
 	a.reset()
 	a.fenceOrders(now)
--- a/internal/jobs/exec/fence_test.go
+++ b/internal/jobs/exec/fence_test.go
@@ -46,7 +46,8 @@
 		for range 10 {
 			p, ok := h.agent.Poll(h.now, true)
 			Expect(ok).To(BeTrue())
-			Expect(p).To(And(HaveField("Worker", ""), HaveField("FencingToken", BeNumerically(">", late)), HaveField("Seen", BeZero()), HaveField("Deadline", BeZero())))
+			// Only a process under the same id accepts the earlier orders.
+			Expect(p).To(And(HaveField("Worker", "vm-1"), HaveField("FencingToken", BeNumerically(">", late)), HaveField("Seen", BeZero()), HaveField("Deadline", BeZero())))
 			h.agent.Polled(h.now, p, port.PollResult{}, port.ErrNoWorker)
 			h.now = h.now.Add(time.Second)
 		}
--- a/internal/jobs/exec/poll.go
+++ b/internal/jobs/exec/poll.go
@@ -53,16 +53,6 @@
 	return p, true
 }
 
-// searchPoll returns a poll of whatever worker listens at the address. It does not wait for long,
-// because the poll that follows the worker's first heartbeat starts only after it.
-func (a *Agent) searchPoll(now time.Time, mayWait bool) port.Poll {
-	p := port.Poll{FencingToken: a.fencingToken(), StartedAt: now}
-	if mayWait && !a.pollFailed {
-		p.Wait = PollRetryDelay
-	}
-	return p
-}
-
 // NeedsSync reports whether the connected leader has not been sent the present runs yet.
 func (a *Agent) NeedsSync() bool { return a.connected && a.present && !a.synced }
 
@@ -70,7 +60,8 @@
 // the result is valid except for runs that could not be decoded. If only ends could not, a run
 // that the result does not name is not present all the same.
 func (a *Agent) Polled(now time.Time, p port.Poll, res port.PollResult, err error) {
-	if p.Worker != a.vm.ID {
+	search := !a.present && p.Worker == a.gone.ID
+	if p.Worker != a.vm.ID && !search {
 		return
 	}
 	failed := err != nil && res.Clock == 0
@@ -78,6 +69,9 @@
 		a.exceedFence(now)
 	}
 	a.pollFailed = failed
+	if search {
+		a.searched(now, res, err)
+	}
 	switch {
 	case !a.present:
 		return
--- a/internal/proof/fleet/restart.go
+++ b/internal/proof/fleet/restart.go
@@ -70,6 +70,11 @@
 		w.DelayedPollShare = 0.05
 		w.After(6*time.Second, func() { w.DelayedPollShare = 0 })
 	}}},
+	{AgentsRun: true, Fault: Fault{"their first heartbeats are late", func(w *World) {
+		w.copyStarts()
+		w.HeartbeatAtStart = false
+		w.crashInTurn(func(a *Agent, i int) { a.Crash(time.Duration(170+20*i) * time.Millisecond) })
+	}}},
 	{Fault: Fault{"leaders and agents restart", func(w *World) {
 		w.copyStarts()
 		w.crashInTurn(nil)
