jobs/exec: a stored end that an earlier poll lists without its number is no later one

What callers could see: a task that is done starts again. A poll that is sent before an end is stored lists that end once more. If its number cannot be decoded in that list, it counted as a new end, with the number after the latest stored one. Storing it acknowledged the next end, which no leader had heard of: the agent left that one out, the worker forgot it, its run was given up as missing, and its task started again.

Cause: that an end is not among the unstored ones was taken as proof that it is later than all stored ones. The list proves it only if its poll acknowledged all stored ends.

Ruled out: ends whose number is never readable. They are known by run from the first list on.

Before: the new test failed, the next end was not reported. After: it passes, as does the package. An end without its number is taken from the next list, whose poll names the latest stored end.

--- a/internal/jobs/exec/oddend_test.go
+++ b/internal/jobs/exec/oddend_test.go
@@ -107,6 +107,23 @@
 		Expect(h.agent.HasUnstoredEnds()).To(BeTrue())
 	})
 
+	// The worker lists ends above Poll.Seen, so a poll that was sent before they were stored may
+	// list stored ones.
+	It("lets the worker forget no other end if it was stored with its number while a poll was under way", func() {
+		h.poll(list(end(1, task)))
+		p, ok := h.agent.Poll(h.now, false)
+		Expect(ok).To(BeTrue())
+		h.stored(1)
+		h.agent.Messages()
+		h.respond(p, list(end(0, task)))
+		for _, e := range h.ends() {
+			h.stored(e.Number) // as the leader does, which has no such run any more
+		}
+		h.poll(list(end(2, other)))
+		Expect(h.ends()).To(ConsistOf(HaveField("Task", other)))
+		Expect(h.seen()).To(Equal(int64(1)), "the worker would forget an end that no leader has stored")
+	})
+
 	It("is not needed if the same end is listed with its number too", func() {
 		h.poll(list(end(1, task), end(0, task)))
 		Expect(h.ends()).To(ConsistOf(HaveField("Number", int64(1))))
--- a/internal/jobs/exec/poll.go
+++ b/internal/jobs/exec/poll.go
@@ -105,7 +105,7 @@
 	unknown := a.updateRuns(res.Running, res.Ended, complete)
 	a.proveRuns(now)
 	a.repeatLimits(now)
-	added := a.addEnds(res.Ended)
+	added := a.addEnds(res.Ended, p.Seen)
 	if complete {
 		a.resolveUnconfirmed(p.StartedAt)
 		a.stopMissing(now)
@@ -162,7 +162,9 @@
 // could not be decoded gets the lowest that it may have, as ends are listed in the order of
 // their numbers: it was not listed before, so its number is higher than those that were. Then no
 // report that lacks the end makes it count as stored, and storing it acknowledges no later end.
-func (a *Agent) addEnds(ended []msgs.RunEnd) bool {
+// The list holds the ends with numbers above seen. If others were stored meanwhile, an end without
+// its number may be one of them, which the next list does not hold any more.
+func (a *Agent) addEnds(ended []msgs.RunEnd, seen int64) bool {
 	lowest := a.storedEnd + 1
 	for _, e := range a.ends {
 		lowest = max(lowest, e.Number+1)
@@ -171,7 +173,7 @@
 	for _, e := range ended {
 		k := runKey{e.Task, e.Run}
 		if e.Number == 0 {
-			if a.unnumbered[k] || a.hasEnd(k) {
+			if seen < a.storedEnd || a.unnumbered[k] || a.hasEnd(k) {
 				continue
 			}
 			a.unnumbered[k] = true
