jobs/exec: a run that is listed after its stop was confirmed is lost once lists name it no more

What callers could see: a task that was stopped to be moved, or to make room, never runs again. A stop takes a while, so the worker lists the run after it has confirmed the stop. If the end that follows cannot be decoded, or was forgotten, no list names the run again.

Cause: the list after the confirmation settled for good that the run was present, and runs that are to be stopped were left out of those that count as missing. A further order to stop the run changed nothing.

Ruled out: losing it with the first list that does not name it. Its end may be in a row that the next list shows, and one end stands for all members of a gang; so it is missing for as long as any other run.

Before: the new test failed, no end was reported. After: it passes, as does the package. This is safe since a worker starts nothing again whose stop it has confirmed, and lists what it runs.

--- a/internal/jobs/exec/missing_test.go
+++ b/internal/jobs/exec/missing_test.go
@@ -122,6 +122,18 @@
 		Expect(calls).To(BeEmpty())
 	})
 
+	It("is lost if it was listed after the worker had confirmed its stop", func() {
+		h.poll(running)
+		h.agent.Orders(h.now, &msgs.Orders{Epoch: epoch, VM: "vm-1", Incarnation: h.incarnation, Stops: []msgs.Stop{{Task: task, Run: 1}}})
+		h.agent.Stopped(h.now, h.call(), nil)
+		h.poll(running) // a stop takes a while
+		_, ends := pass(8*time.Second, port.PollResult{})
+		Expect(ends).To(BeEmpty())
+		calls, ends := pass(8*time.Second, port.PollResult{})
+		Expect(calls).To(BeEmpty())
+		Expect(ends).To(ConsistOf(HaveField("Outcome", msgs.Lost)), "its task would not start again")
+	})
+
 	It("is present no more if a list that arrives late names it after its end", func() {
 		ended := port.PollResult{Ended: []msgs.RunEnd{{Number: 1, Task: task, Run: 1, Outcome: msgs.Done}}}
 		early, _ := h.agent.Poll(h.now, false)
--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -226,6 +226,7 @@
 	switch {
 	case r == nil:
 	case err == nil, errors.Is(err, port.ErrRunOver):
+		r.stopConfirmed = true
 		r.markUnconfirmed(now, cmp.Or(r.stopReason, "stopped before it started"))
 	default:
 		// If the fencing token was out of date, the next call carries the present one.
--- a/internal/jobs/exec/poll.go
+++ b/internal/jobs/exec/poll.go
@@ -211,17 +211,23 @@
 
 // stopMissing stops the runs that were present, but that no complete list has named for
 // missingTimeout, neither as present nor as ended: their ends could not be decoded or were
-// forgotten. If the worker runs one nevertheless, it is listed as stopped.
+// forgotten. If the worker runs one nevertheless, it is listed as stopped. One whose stop is
+// confirmed is lost.
 func (a *Agent) stopMissing(now time.Time) {
 	for k, r := range a.runs {
 		switch {
-		case r.listed, !r.present, r.stopping:
+		case r.listed, !r.present:
 		case a.hasEnd(k):
 			delete(a.runs, k) // a list that arrived late named it after its end
 		case r.missingSince.IsZero():
 			r.missingSince = now
 		case now.Sub(r.missingSince) >= missingTimeout:
-			a.abandon(k, r, "the worker lists neither the run nor its end")
+			const reason = "the worker lists neither the run nor its end"
+			if !r.stopping {
+				a.abandon(k, r, reason)
+			} else if r.stopConfirmed {
+				a.reportLost(k, reason)
+			}
 		}
 	}
 }
--- a/internal/jobs/exec/run.go
+++ b/internal/jobs/exec/run.go
@@ -38,8 +38,9 @@
 	// unanswered is set once a call to start the run got no response. The worker may still
 	// carry it out until it has confirmed a stop.
 	unanswered bool
-	// stopping is set once the run is to be stopped.
-	stopping bool
+	// stopping is set once the run is to be stopped, stopConfirmed once the worker has confirmed
+	// that it stops.
+	stopping, stopConfirmed bool
 	// stopDelay is the delay before the latest repeated call to stop the run.
 	stopDelay time.Duration
 	// stopReason is why the run is stopped although it is not present, empty if the leader
