platform, jobs/exec: an order that was not sent does not count as one without response

What callers could see: a job shown as failed after crashes of workers that its task cannot have caused, and a run that takes a stop and a poll to be lost though it never began. If a worker ended while it was asked for its incarnation, the order behind that was not sent, but its run counted as one that the worker may have started: it was listed with the crash, and polls were frequent for 30 s.

Cause: all errors of a call counted alike, whether the order had left or not.

Ruled out: a call that is given up while the question is open. Its error is that of its context, and it still counts as without response. A retry of the transport: it sends no body twice, so an order whose opening of a connection failed was not sent over another one.

Before: the new test of the crash failed, as did the entry of the one of pauses. After: they pass, as do platform, jobs/exec and run/agent. An order leaves only after the worker has told its incarnation, so an error before that means that it was not sent.

--- a/internal/jobs/exec/crash_test.go
+++ b/internal/jobs/exec/crash_test.go
@@ -87,6 +87,13 @@
 		Expect(h.reported()).To(BeEmpty())
 	})
 
+	It("does not blame a run whose start was not sent", func() {
+		h.agent.Started(h.now, h.order(), port.ErrNotSent)
+		Expect(h.call().Start).NotTo(BeNil(), "it is tried again")
+		h.restartWorker()
+		Expect(h.reported()).To(BeEmpty())
+	})
+
 	// No poll shows the next process before it has carried out the start.
 	DescribeTable("does not blame a run that only the worker's next process has started", func(res port.PollResult) {
 		h.agent.Started(h.now, h.order(), nil)
--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -135,7 +135,7 @@
 func (a *Agent) Started(now time.Time, c Call, err error) {
 	k := runKey{c.Start.Task, c.Start.Run}
 	r := a.runs[k]
-	unanswered := err != nil && !errors.Is(err, port.ErrRunFenced) && !permanentRefusal(err)
+	unanswered := err != nil && !errors.Is(err, port.ErrRunFenced) && !errors.Is(err, port.ErrNotSent) && !permanentRefusal(err)
 	if unanswered {
 		a.noteLate(now, maxOrderDelay)
 	}
@@ -161,7 +161,7 @@
 	case permanentRefusal(err) && !r.unanswered:
 		a.reportLost(k, err.Error())
 	default:
-		r.brokenOff = r.brokenOff || !permanentRefusal(err) && !errors.Is(err, context.DeadlineExceeded)
+		r.brokenOff = r.brokenOff || unanswered && !errors.Is(err, context.DeadlineExceeded)
 		a.retryStart(now, k, r, err)
 	}
 }
--- a/internal/jobs/exec/pause_test.go
+++ b/internal/jobs/exec/pause_test.go
@@ -89,13 +89,13 @@
 		Expect(h.agent.OrdersLate(h.now)).To(BeFalse())
 	})
 
-	It("is not short after starts that were answered", func() {
+	It("is not short after starts that were answered or not sent", func() {
 		h := newHarness()
 		h.now = h.now.Add(time.Minute)
 		h.grant()
 		h.poll(port.PollResult{})
 		c := h.order()
-		for _, err := range []error{nil, port.ErrRunOver, port.ErrRunFenced, port.ErrWorkerUnhealthy} {
+		for _, err := range []error{port.ErrNotSent, nil, port.ErrRunOver, port.ErrRunFenced, port.ErrWorkerUnhealthy} {
 			h.agent.Started(h.now, c, err)
 			Expect(h.agent.OrdersLate(h.now)).To(BeFalse())
 		}
--- a/internal/plat/port/exec.go
+++ b/internal/plat/port/exec.go
@@ -36,6 +36,8 @@
 	// ErrNewConnection means that a poll was not sent because it was meant for an
 	// incarnation of the worker that may have ended together with its connection.
 	ErrNewConnection = errors.New("the connection to the worker is new")
+	// ErrNotSent means that an order was certainly not sent, though a later one may be.
+	ErrNotSent = errors.New("the order was not sent")
 	// ErrOddEnds means that all present runs in the result of a poll could be decoded, but not
 	// all run ends.
 	ErrOddEnds = errors.New("run ends could not be decoded")
