jobs/lead: log what a leader knows when it answers that a job does not exist

The users' report could come from an answer from memory (hypothesis 1), from a submission that follows its cancelling (2), or from runs that outlive it (3).

--- a/internal/jobs/lead/callers.go
+++ b/internal/jobs/lead/callers.go
@@ -24,7 +24,7 @@
 	case msgs.Cancel:
 		l.cancel(now, conn, req)
 	case msgs.State:
-		l.reply(conn, l.state(req))
+		l.reply(conn, l.state(now, req))
 	case msgs.Pending:
 		l.reply(conn, msgs.JobResponse{Seq: req.Seq, Pending: l.pending(req.Queue)})
 	default:
@@ -114,12 +114,13 @@
 func (l *Leader) cancel(now time.Time, conn uint64, req *msgs.JobRequest) {
 	e := l.table.Get(req.Job)
 	if e == nil {
+		l.logNotFound(now, req)
 		l.reply(conn, msgs.JobResponse{Seq: req.Seq, Code: codes.JobNotFound})
 		return
 	}
 	if !e.State.Ended() {
 		l.stats.Cancelled++
-		l.log.Info("job cancelled", "req", req.Job, "queue", req.Queue, "state", e.State)
+		l.log.Info("job cancelled", "req", req.Job, "queue", req.Queue, "state", e.State, "runs", e.RunCount, "epoch", l.epoch, "storeAge", l.StoreAge(now))
 		l.table.Cancel(now, e)
 		l.stopSurplus(now, e)
 		l.placementDue = true
@@ -129,14 +130,21 @@
 
 // state returns the state of a job in the store, so that no caller sees a state that a
 // later leader may not know.
-func (l *Leader) state(req *msgs.JobRequest) msgs.JobResponse {
+func (l *Leader) state(now time.Time, req *msgs.JobRequest) msgs.JobResponse {
 	e := l.table.Get(req.Job)
 	if e == nil || !e.InStore {
+		l.logNotFound(now, req)
 		return msgs.JobResponse{Seq: req.Seq, Code: codes.JobNotFound}
 	}
 	return msgs.JobResponse{Seq: req.Seq, State: e.Stored.String()}
 }
 
+// logNotFound logs that a request names a job that this leader does not know.
+func (l *Leader) logNotFound(now time.Time, req *msgs.JobRequest) {
+	l.log.Info("job not found", "req", req.Job, "verb", req.Verb.String(), "queue", req.Queue,
+		"epoch", l.epoch, "leadingFor", now.Sub(l.since), "storeAge", l.StoreAge(now), "jobs", l.table.Len())
+}
+
 // pending returns the number of a queue's stored jobs of which no task has started.
 func (l *Leader) pending(queue string) int {
 	n := 0
