jobs/lead: a leader that was replaced does not answer from memory

Cause: the answers 'no such job', state and pending came from the job table in memory and were sent without waiting for the store, while an answer of success waits. Only the store's response to an append proves that no other entry leads. Class: an answer from memory by a process that may not lead.

Ruled out: a time limit alone. A leader that is wrongly suspected is replaced at once, and appends only once a second when idle; so for that time its table is behind although no clock shows it.

Now 'no such job' waits for an append that is sent after the request arrived; progress that may change needs a confirmation of the last 2 s; final states are answered at once. A suspension of the machine is noted before a caller's request, too. With a silent store such requests are refused.

The order of two responses in an older spec changed; it is compared by request now.

--- a/internal/jobs/lead/callers.go
+++ b/internal/jobs/lead/callers.go
@@ -7,7 +7,6 @@
 	"github.com/ebonyarch/ebonyarch/internal/jobs/admit"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
-	"github.com/ebonyarch/ebonyarch/internal/jobs/table"
 )
 
 // pendingReply identifies an entry's request that gets a response once its job is stored.
@@ -23,10 +22,8 @@
 		l.submit(now, conn, req)
 	case msgs.Cancel:
 		l.cancel(now, conn, req)
-	case msgs.State:
-		l.reply(conn, l.state(now, req))
-	case msgs.Pending:
-		l.reply(conn, msgs.JobResponse{Seq: req.Seq, Pending: l.pending(req.Queue)})
+	case msgs.State, msgs.Pending:
+		l.read(now, conn, req)
 	default:
 		l.reply(conn, msgs.JobResponse{Seq: req.Seq, Code: codes.BadRequest})
 	}
@@ -114,8 +111,7 @@
 func (l *Leader) cancel(now time.Time, conn uint64, req *msgs.JobRequest) {
 	e := l.table.Get(req.Job)
 	if e == nil {
-		l.logNotFound(now, req)
-		l.reply(conn, msgs.JobResponse{Seq: req.Seq, Code: codes.JobNotFound})
+		l.holdForConfirmation(now, conn, req)
 		return
 	}
 	if !e.State.Ended() {
@@ -127,31 +123,3 @@
 	}
 	l.sendWhenStored(conn, &msgs.Message{JobResponse: &msgs.JobResponse{Seq: req.Seq, Pending: -1}})
 }
-
-// state returns the state of a job in the store, so that no caller sees a state that a
-// later leader may not know.
-func (l *Leader) state(now time.Time, req *msgs.JobRequest) msgs.JobResponse {
-	e := l.table.Get(req.Job)
-	if e == nil || !e.InStore {
-		l.logNotFound(now, req)
-		return msgs.JobResponse{Seq: req.Seq, Code: codes.JobNotFound}
-	}
-	return msgs.JobResponse{Seq: req.Seq, State: e.Stored.String()}
-}
-
-// logNotFound logs that a request names a job that this leader does not know.
-func (l *Leader) logNotFound(now time.Time, req *msgs.JobRequest) {
-	l.log.Info("job not found", "req", req.Job, "verb", req.Verb.String(), "queue", req.Queue,
-		"epoch", l.epoch, "leadingFor", now.Sub(l.since), "storeAge", l.StoreAge(now), "jobs", l.table.Len())
-}
-
-// pending returns the number of a queue's stored jobs of which no task has started.
-func (l *Leader) pending(queue string) int {
-	n := 0
-	for _, e := range l.table.Active() {
-		if e.Job.Queue.Name == queue && e.InStore && e.Stored == table.Queued {
-			n++
-		}
-	}
-	return n
-}
--- a/internal/jobs/lead/flush.go
+++ b/internal/jobs/lead/flush.go
@@ -23,6 +23,8 @@
 	Records  []port.Record
 	changes  table.Batch
 	messages []OutboundMessage
+	// requests are answered once the batch is in the store.
+	requests []heldRequest
 	sentAt   time.Time
 }
 
@@ -43,7 +45,7 @@
 	}
 	if changes.Empty() {
 		l.release(l.takeStored())
-		if now.Sub(l.storeConfirmedAt) < confirmInterval {
+		if len(l.heldRequests) == 0 && now.Sub(l.storeConfirmedAt) < confirmInterval {
 			return nil, nil
 		}
 	}
@@ -55,7 +57,8 @@
 		}
 		records = append(records, extra...)
 	}
-	l.inFlight = &Batch{Records: records, changes: changes, sentAt: now, messages: l.takeStored()}
+	l.inFlight = &Batch{Records: records, changes: changes, sentAt: now, messages: l.takeStored(), requests: l.heldRequests}
+	l.heldRequests = nil
 	l.stats.Batches++
 	l.stats.Records += uint64(len(records))
 	for _, r := range records {
@@ -79,12 +82,13 @@
 	for _, id := range b.changes.Jobs() {
 		l.confirmAccepted(now, id)
 	}
+	l.answerHeld(now, b.requests)
 }
 
 // NextWakeup returns when the caller should call Tick and NextBatch again.
 func (l *Leader) NextWakeup(now time.Time) time.Time {
 	next := now.Add(tickInterval)
-	if l.inFlight == nil && (l.placementDue || l.table.Dirty() || len(l.heldForStore) > 0) {
+	if l.inFlight == nil && (l.placementDue || l.table.Dirty() || len(l.heldForStore) > 0 || len(l.heldRequests) > 0) {
 		if due := l.flushedAt.Add(batchInterval); due.Before(next) {
 			next = due
 		}
--- a/internal/jobs/lead/lead_test.go
+++ b/internal/jobs/lead/lead_test.go
@@ -1,7 +1,9 @@
 package lead_test
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -26,7 +28,9 @@
 		h.request(msgs.State, nil, "00000000000000ff")
 		h.request(msgs.Pending, nil, "")
 		h.advance(50 * time.Millisecond)
-		Expect(h.responses()).To(HaveExactElements(HaveField("Code", codes.OK), HaveField("Code", codes.OK),
+		responses := h.responses()
+		slices.SortFunc(responses, func(a, b msgs.JobResponse) int { return cmp.Compare(a.Seq, b.Seq) })
+		Expect(responses).To(HaveExactElements(HaveField("Code", codes.OK), HaveField("Code", codes.OK),
 			HaveField("Code", codes.JobNotFound), HaveField("Pending", 1)))
 	})
 
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -86,6 +86,8 @@
 	// heldForStore holds the messages that must wait until the changes before them are
 	// stored, the oldest first.
 	heldForStore []heldMessage
+	// heldRequests holds the requests that the next batch confirms.
+	heldRequests []heldRequest
 	// inFlight is the batch that is being appended to the store, if any.
 	inFlight *Batch
 	// pendingReplies holds the requests that get a response once their job is stored.
@@ -190,7 +192,8 @@
 }
 
 // Tick does the periodic work: it expires leases, drops the state of jobs that ended long
-// ago and, if the store is slow, refuses the jobs that are in no batch yet.
+// ago and, if the store is slow, refuses the jobs that are in no batch yet and the requests whose
+// answer waits for the store.
 func (l *Leader) Tick(now time.Time) {
 	l.expireLeases(now)
 	if now.Sub(l.prunedAt) > time.Second {
@@ -212,6 +215,7 @@
 	}
 	if l.storeIsSlow(now) {
 		l.refuseUnrecorded(now)
+		l.refuseHeld(now)
 	}
 }
 
--- /dev/null
+++ b/internal/jobs/lead/read_test.go
@@ -0,0 +1,118 @@
+package lead_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/ebonyarch/ebonyarch/internal/base/codes"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+)
+
+// receive collects what the leader has sent.
+func (h *harness) receive() { h.out = append(h.out, h.leader.TakeOutbound()...) }
+
+var _ = Describe("A leader that may have been replaced", func() {
+	const unknown = "00000000000000ff"
+	const batchPause = 20 * time.Millisecond
+	var h *harness
+	BeforeEach(func() {
+		h = newHarness()
+		h.submit(job(1, smallStep))
+		h.advance(100 * time.Millisecond)
+		h.out = nil
+	})
+
+	for _, verb := range []msgs.Verb{msgs.Cancel, msgs.State} {
+		It("does not say that a job accepted by its successor does not exist: "+verb.String(), func() {
+			h.request(verb, nil, unknown)
+			h.receive()
+			Expect(h.responses()).To(BeEmpty())
+			h.now = h.now.Add(batchPause)
+			Expect(h.nextBatch()).To(BeTrue(), "the leader asks the store at once")
+			Expect(h.responses()).To(BeEmpty(), "the store fences a leader that was replaced")
+			h.confirmBatch()
+			Expect(h.responses()).To(ConsistOf(HaveField("Code", codes.JobNotFound)))
+		})
+
+		It("does not rely on an append that was sent before the request: "+verb.String(), func() {
+			h.submit(job(2, smallStep))
+			h.now = h.now.Add(batchPause)
+			Expect(h.nextBatch()).To(BeTrue())
+			h.request(verb, nil, unknown)
+			h.confirmBatch()
+			Expect(h.responses()).To(ConsistOf(HaveField("Code", codes.OK)), "the submission")
+			h.now = h.now.Add(batchPause)
+			Expect(h.nextBatch()).To(BeTrue())
+			h.confirmBatch()
+			Expect(h.responses()).To(ConsistOf(HaveField("Code", codes.JobNotFound)))
+		})
+
+		It("refuses the request if the store is silent: "+verb.String(), func() {
+			h.request(verb, nil, unknown)
+			h.now = h.now.Add(batchPause)
+			Expect(h.nextBatch()).To(BeTrue())
+			h.now = h.now.Add(time.Second)
+			h.request(verb, nil, unknown)
+			h.nextBatch()
+			Expect(h.responses()).To(HaveEach(And(HaveField("Code", codes.LogDown), HaveField("RetryAfter", BeNumerically(">", 0)))))
+			h.confirmBatch()
+			Expect(h.responses()).To(BeEmpty(), "each request gets one response")
+		})
+	}
+
+	for _, verb := range []msgs.Verb{msgs.State, msgs.Pending} {
+		It("tells no old progress after a pause: "+verb.String(), func() {
+			h.request(verb, nil, job(1).ID)
+			h.receive()
+			Expect(h.responses()).To(HaveLen(1), "what the store has confirmed lately needs no further confirmation")
+			h.now = h.now.Add(3 * time.Second)
+			h.request(verb, nil, job(1).ID)
+			h.receive()
+			Expect(h.responses()).To(BeEmpty())
+			Expect(h.nextBatch()).To(BeTrue())
+			h.confirmBatch()
+			Expect(h.responses()).To(ConsistOf(HaveField("Code", codes.OK)))
+		})
+	}
+
+	It("tells no old progress after the machine was suspended", func() {
+		h.leader.Suspended(3 * time.Second)
+		h.request(msgs.State, nil, job(1).ID)
+		h.receive()
+		Expect(h.responses()).To(BeEmpty())
+	})
+
+	It("tells a final state at once, however old it is", func() {
+		h.request(msgs.Cancel, nil, job(1).ID)
+		h.advance(100 * time.Millisecond)
+		h.now = h.now.Add(time.Minute)
+		Expect(h.state(job(1).ID)).To(Equal("cancelled"))
+	})
+
+	It("carries out the cancelling of a job that is submitted while the cancelling waits", func() {
+		h.request(msgs.Cancel, nil, job(2).ID)
+		h.submit(job(2, smallStep))
+		h.advance(100 * time.Millisecond)
+		Expect(h.responses()).To(HaveEach(HaveField("Code", codes.OK)))
+		Expect(h.state(job(2).ID)).To(Equal("cancelled"))
+	})
+})
+
+var _ = Describe("An append without changes", func() {
+	It("is sent only for requests that wait for it, or once a second", func() {
+		h := newHarness()
+		appends := func(d time.Duration) int {
+			before := h.leader.Stats().Batches
+			h.advance(d)
+			return int(h.leader.Stats().Batches - before)
+		}
+		Expect(appends(10 * time.Second)).To(BeNumerically("~", 10, 1))
+		for range 50 {
+			h.request(msgs.State, nil, "00000000000000ff")
+		}
+		Expect(appends(100 * time.Millisecond)).To(Equal(1))
+		Expect(h.responses()).To(HaveLen(50))
+	})
+})
--- a/internal/run/entry/callers.go
+++ b/internal/run/entry/callers.go
@@ -53,6 +53,7 @@
 func (e *Entry) sender() func(*msgs.JobRequest) {
 	switch {
 	case e.leader != nil:
+		e.noteSuspended()
 		return func(r *msgs.JobRequest) { e.leader.Handle(time.Now(), localConn, &msgs.Message{JobRequest: r}) }
 	case e.leaderConn != nil:
 		return func(r *msgs.JobRequest) { e.leaderConn.Send(&msgs.Message{JobRequest: r}) }
