jobs/lead, jobs/table: a job that was cancelled before its submission arrived does not run

Cause: nothing recorded that the id was cancelled. A submission that arrives later is accepted, shown as cancelled, and starts nothing. Cancelled jobs are not dropped for a slow store.

Ruled out: keeping it in memory only; the next leader would not know.

--- a/internal/jobs/lead/callers.go
+++ b/internal/jobs/lead/callers.go
@@ -7,6 +7,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/jobs/admit"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/table"
 )
 
 // pendingReply identifies an entry's request that gets a response once its job is stored.
@@ -47,25 +48,35 @@
 		return
 	}
 	e := l.table.Get(req.Job)
-	if e != nil && e.InStore {
+	if e != nil && e.InStore && !e.Unsubmitted {
 		l.log.Info("job handed in again", "req", req.Job, "queue", req.Queue, "state", e.Stored)
 		l.reply(conn, msgs.JobResponse{Seq: req.Seq, Pending: -1})
 		return
 	}
-	if e == nil {
+	if e == nil || e.Unsubmitted {
 		if l.storeIsSlow(now) {
 			l.refuse(now, conn, req, codes.LogDown)
 			return
 		}
-		job := *req.Spec
-		job.Accepted = now
-		e = l.table.Add(job)
-		l.onTimePlan.noteAccepted(e, l.jobWork(e))
-		l.placementDue = true
+		l.accept(now, e, *req.Spec)
 	}
 	l.pendingReplies[req.Job] = append(l.pendingReplies[req.Job], pendingReply{conn, req.Seq})
 }
 
+// accept adds a job to the table. If the job was cancelled before, e is its entry, and no task
+// of it starts.
+func (l *Leader) accept(now time.Time, e *table.Entry, job model.Job) {
+	job.Accepted = now
+	if e != nil {
+		l.log.Info("job handed in after its cancelling", "req", job.ID, "queue", job.Queue.Name, "since", now.Sub(e.Ended), "epoch", l.epoch)
+		l.table.SubmitCancelled(e, job)
+		return
+	}
+	e = l.table.Add(job)
+	l.onTimePlan.noteAccepted(e, l.jobWork(e))
+	l.placementDue = true
+}
+
 // refuse refuses a job and tells the caller when to retry.
 func (l *Leader) refuse(now time.Time, conn uint64, req *msgs.JobRequest, code codes.Code) {
 	after := admit.RetryAfter(l.StoreWait(now), req.Job)
@@ -90,10 +101,10 @@
 
 // refuseUnrecorded refuses the jobs that no batch contains yet. They have certainly not run,
 // and the store is too slow to accept them in time. It keeps those with orders to start runs,
-// which leave with the next batch.
+// which leave with the next batch, and those that were cancelled, so that no copy of them runs.
 func (l *Leader) refuseUnrecorded(now time.Time) {
 	for _, e := range l.table.Unrecorded() {
-		if e.RunCount > 0 {
+		if e.RunCount > 0 || e.State.Ended() {
 			continue
 		}
 		id := e.Job.ID
@@ -107,13 +118,18 @@
 	}
 }
 
-// cancel cancels a job and orders the stop of its runs.
+// cancel cancels a job and orders the stop of its runs. A job that does not exist is cancelled
+// too: its submission may still be on its way. The response follows once that is stored.
 func (l *Leader) cancel(now time.Time, conn uint64, req *msgs.JobRequest) {
 	e := l.table.Get(req.Job)
-	if e == nil {
-		l.holdForConfirmation(now, conn, req)
+	if e == nil && l.storeIsSlow(now) {
+		l.refuseUnconfirmed(now, heldRequest{conn, req})
 		return
 	}
+	if e == nil {
+		l.logNotFound(now, req)
+		e = l.table.CancelEarly(now, req.Job)
+	}
 	if !e.State.Ended() {
 		l.stats.Cancelled++
 		l.log.Info("job cancelled", "req", req.Job, "queue", req.Queue, "state", e.State, "runs", e.RunCount, "epoch", l.epoch, "storeAge", l.StoreAge(now))
@@ -121,5 +137,9 @@
 		l.stopSurplus(now, e)
 		l.placementDue = true
 	}
-	l.sendWhenStored(conn, &msgs.Message{JobResponse: &msgs.JobResponse{Seq: req.Seq, Pending: -1}})
+	resp := msgs.JobResponse{Seq: req.Seq, Pending: -1}
+	if e.Unsubmitted {
+		resp.Code = codes.JobNotFound
+	}
+	l.sendWhenStored(conn, &msgs.Message{JobResponse: &resp})
 }
--- a/internal/jobs/lead/read.go
+++ b/internal/jobs/lead/read.go
@@ -40,7 +40,7 @@
 		return resp, false
 	}
 	e := l.table.Get(req.Job)
-	if e == nil || !e.InStore {
+	if e == nil || !e.InStore || e.Unsubmitted {
 		resp.Code = codes.JobNotFound
 		return resp, false
 	}
@@ -72,10 +72,6 @@
 // answerHeld responds to requests that were held until the store confirmed the leadership.
 func (l *Leader) answerHeld(now time.Time, requests []heldRequest) {
 	for _, h := range requests {
-		if h.request.Verb == msgs.Cancel && l.table.Get(h.request.Job) != nil {
-			l.cancel(now, h.conn, h.request) // it was submitted in the meantime
-			continue
-		}
 		resp, _ := l.lookup(h.request)
 		if resp.Code == codes.JobNotFound {
 			l.logNotFound(now, h.request)
--- a/internal/jobs/table/entry.go
+++ b/internal/jobs/table/entry.go
@@ -19,6 +19,9 @@
 	Stored State
 	// InStore is set once the job is in the store.
 	InStore bool
+	// Unsubmitted is set if the job was cancelled and has not been submitted. Then Job has only
+	// an id, and there are no stages.
+	Unsubmitted bool
 	// RunCount is the number of runs that may be present at workers.
 	RunCount int
 	// crashes holds the crashes for which each task may be the cause, by its index in
@@ -27,6 +30,9 @@
 	// dirty is set while the latest change is in no batch, unrecorded while the job as
 	// submitted is in none.
 	dirty, unrecorded bool
+	// early is set if the next batch must delete the record that the job was cancelled before it
+	// was submitted.
+	early bool
 	// mark is the value of Table.marked when the entry became dirty.
 	mark uint64
 }
--- a/internal/jobs/table/record.go
+++ b/internal/jobs/table/record.go
@@ -69,12 +69,12 @@
 		}
 		batch.Records = append(batch.Records, records...)
 		batch.changes = append(batch.changes, change{e, e.State})
-		e.dirty, e.unrecorded = false, false
+		e.dirty, e.unrecorded, e.early = false, false, false
 		n++
 	}
 	tbl.dirty = append([]*Entry(nil), tbl.dirty[n:]...)
-	for _, id := range tbl.purged {
-		batch.Records = append(batch.Records, port.Record{Key: jobPrefix + string(id)}, port.Record{Key: progressPrefix + string(id)})
+	for _, key := range tbl.purged {
+		batch.Records = append(batch.Records, port.Record{Key: key})
 	}
 	tbl.purged = nil
 	return batch, nil
@@ -83,6 +83,10 @@
 // records returns the records of the entry's changes. Those of a job that has ended and has
 // no run left hold only what callers may ask for, so that a new leader loads little.
 func (e *Entry) records() ([]port.Record, error) {
+	if e.Unsubmitted {
+		r, err := e.earlyRecord()
+		return []port.Record{r}, err
+	}
 	job, progress, over := e.Job, e.Progress, e.State.Ended() && e.RunCount == 0
 	if over {
 		job.Payload, progress.Tasks = "", nil
@@ -100,6 +104,13 @@
 		return nil, fmt.Errorf("progress of job %s: %w", e.Job.ID, err)
 	}
 	list = append(list, port.Record{Key: progressPrefix + string(e.Job.ID), Value: data})
+	if e.early {
+		record, err := e.earlyRecord()
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, record)
+	}
 	if e.HasCrashes() {
 		record, err := e.crashesRecord(over)
 		if err != nil {
@@ -110,6 +121,15 @@
 	return list, nil
 }
 
+// keys returns the keys of the records of a job that has ended and has no run left.
+func (e *Entry) keys() []string {
+	id := string(e.Job.ID)
+	if e.Unsubmitted {
+		return []string{earlyPrefix + id}
+	}
+	return []string{jobPrefix + id, progressPrefix + id}
+}
+
 // Load returns the table that is described by records of the store, and an error for each
 // record that cannot be used. It ignores records with other keys.
 func Load(records []port.Record) (*Table, []error) {
@@ -141,7 +161,7 @@
 		e.Stored, e.InStore = e.State, true
 		tbl.insert(e)
 	}
-	return tbl, errs
+	return tbl, append(errs, tbl.loadEarly(records)...)
 }
 
 // decodeRecords decodes the records whose keys have a prefix. The keys of the result are
@@ -154,7 +174,7 @@
 		if !ok {
 			continue
 		}
-		if len(r.Value) == 0 && prefix == crashesPrefix {
+		if len(r.Value) == 0 && (prefix == crashesPrefix || prefix == earlyPrefix) {
 			delete(values, id)
 			continue
 		}
--- a/internal/jobs/table/table.go
+++ b/internal/jobs/table/table.go
@@ -23,8 +23,8 @@
 	// dirty holds the entries with changes that are in no batch yet, in the order in
 	// which they became dirty.
 	dirty []*Entry
-	// purged holds the ids of jobs whose records the next batch deletes.
-	purged []model.ID
+	// purged holds the keys of the records that the next batch deletes.
+	purged []string
 	// marked counts the entries ever added to dirty.
 	marked uint64
 }
@@ -126,7 +126,7 @@
 	for id, e := range tbl.entries {
 		if e.State.Ended() && e.Ended.Before(before) && !e.dirty && len(e.Surplus()) == 0 {
 			delete(tbl.entries, id)
-			tbl.purged = append(tbl.purged, id)
+			tbl.purged = append(tbl.purged, e.keys()...)
 		}
 	}
 }
--- a/internal/jobs/table/table_test.go
+++ b/internal/jobs/table/table_test.go
@@ -225,6 +225,35 @@
 		Expect(batch.Records).To(HaveEach(HaveField("Value", BeEmpty())))
 	})
 
+	It("keeps the cancelling of a job that was not submitted yet, until it is purged", func() {
+		stored := func() []port.Record {
+			batch, err := tbl.NextBatch(1 << 20)
+			Expect(err).NotTo(HaveOccurred())
+			batch.Stored()
+			return batch.Records
+		}
+		tbl.CancelEarly(now, id)
+		records := stored()
+		Expect(records).To(HaveLen(1))
+		loaded, faults := table.Load(records)
+		Expect(faults).To(BeEmpty())
+		Expect(loaded.Get(id)).To(And(HaveField("Unsubmitted", true), HaveField("State", table.Cancelled)))
+		Expect(loaded.Active()).To(BeEmpty())
+
+		tbl.SubmitCancelled(tbl.Get(id), job(model.Step{Tasks: 3}))
+		submitted := stored()
+		Expect(submitted).To(ContainElement(And(HaveField("Key", records[0].Key), HaveField("Value", BeEmpty()))))
+		loaded, faults = table.Load(submitted)
+		Expect(faults).To(BeEmpty())
+		Expect(loaded.Get(id)).To(And(HaveField("Unsubmitted", false), HaveField("Stored", table.Cancelled)))
+
+		tbl = &table.Table{}
+		tbl.CancelEarly(now, id)
+		stored()
+		tbl.Purge(now.Add(time.Second))
+		Expect(stored()).To(ConsistOf(And(HaveField("Key", records[0].Key), HaveField("Value", BeEmpty()))))
+	})
+
 	It("drops a job that is in no batch yet", func() {
 		tbl.Add(job(model.Step{Tasks: 1}))
 		Expect(tbl.Unrecorded()).To(HaveLen(1))
