jobs/table: a job that is submitted again just after it was purged stays in the store

A batch held the deletions of purged jobs after the records of new ones. A job that was purged and submitted again between two batches (12 ms) was acknowledged and deleted at once; the next leader would not know it (LOST). Found by reading; the new spec failed before. Deletions come first now.

--- a/internal/jobs/table/record.go
+++ b/internal/jobs/table/record.go
@@ -55,6 +55,11 @@
 // It adds no further entry once the records exceed limit bytes.
 func (tbl *Table) NextBatch(limit int) (Batch, error) {
 	var batch Batch
+	// A job that was purged may be submitted again, so its records follow their deletion.
+	for _, key := range tbl.purged {
+		batch.Records = append(batch.Records, port.Record{Key: key})
+	}
+	tbl.purged = nil
 	size, n := 0, 0
 	for _, e := range tbl.dirty {
 		if size > limit {
@@ -73,10 +78,6 @@
 		n++
 	}
 	tbl.dirty = append([]*Entry(nil), tbl.dirty[n:]...)
-	for _, key := range tbl.purged {
-		batch.Records = append(batch.Records, port.Record{Key: key})
-	}
-	tbl.purged = nil
 	return batch, nil
 }
 
--- a/internal/jobs/table/table_test.go
+++ b/internal/jobs/table/table_test.go
@@ -225,6 +225,21 @@
 		Expect(batch.Records).To(HaveEach(HaveField("Value", BeEmpty())))
 	})
 
+	It("keeps a job that is submitted again just after it was purged", func() {
+		tbl.Cancel(now, tbl.Add(job(model.Step{Tasks: 1})))
+		_, err := tbl.NextBatch(1 << 20)
+		Expect(err).NotTo(HaveOccurred())
+		tbl.Purge(now.Add(time.Second))
+		tbl.Add(job(model.Step{Tasks: 1}))
+		batch, err := tbl.NextBatch(1 << 20)
+		Expect(err).NotTo(HaveOccurred())
+		newest := map[string][]byte{}
+		for _, r := range batch.Records {
+			newest[r.Key] = r.Value
+		}
+		Expect(newest).To(HaveEach(Not(BeEmpty())))
+	})
+
 	It("keeps the cancelling of a job that was not submitted yet, until it is purged", func() {
 		stored := func() []port.Record {
 			batch, err := tbl.NextBatch(1 << 20)
