jobs/table: a batch names only the new jobs, not those that are over

The leader logged 'job accepted' a second time, and counted it, when a job was over and its short description was stored. Read beside a cancelling, that line says that the job was accepted after it. The spec that a batch of a job that is over names no new one failed before.

--- a/internal/jobs/lead/flush.go
+++ b/internal/jobs/lead/flush.go
@@ -79,7 +79,7 @@
 	l.storeConfirmedAt, l.flushedAt = b.sentAt, now
 	b.changes.Stored()
 	l.release(b.messages)
-	for _, id := range b.changes.Jobs() {
+	for _, id := range b.changes.NewJobs() {
 		l.confirmAccepted(now, id)
 	}
 	l.answerHeld(now, b.requests)
--- a/internal/jobs/table/record.go
+++ b/internal/jobs/table/record.go
@@ -20,6 +20,7 @@
 type Batch struct {
 	Records []port.Record
 	changes []change
+	newJobs []model.ID
 }
 
 // change is the state of an entry that a batch records.
@@ -31,17 +32,8 @@
 // Empty reports whether the batch has no records.
 func (b *Batch) Empty() bool { return len(b.Records) == 0 }
 
-// Jobs returns the ids of the jobs whose descriptions the batch stores: new jobs, and jobs
-// that are over.
-func (b *Batch) Jobs() []model.ID {
-	var ids []model.ID
-	for _, r := range b.Records {
-		if id, ok := strings.CutPrefix(r.Key, jobPrefix); ok && len(r.Value) > 0 {
-			ids = append(ids, model.ID(id))
-		}
-	}
-	return ids
-}
+// NewJobs returns the ids of the jobs that the batch stores for the first time.
+func (b *Batch) NewJobs() []model.ID { return b.newJobs }
 
 // Stored must be called once the batch is in the store. It updates Entry.Stored and
 // Entry.InStore.
@@ -74,6 +66,9 @@
 		}
 		batch.Records = append(batch.Records, records...)
 		batch.changes = append(batch.changes, change{e, e.State})
+		if e.unrecorded {
+			batch.newJobs = append(batch.newJobs, e.Job.ID)
+		}
 		e.dirty, e.unrecorded, e.early = false, false, false
 		n++
 	}
--- a/internal/jobs/table/table_test.go
+++ b/internal/jobs/table/table_test.go
@@ -147,12 +147,16 @@
 		e := tbl.Add(job(model.Step{Tasks: 1}))
 		batch, err := tbl.NextBatch(1 << 20)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(batch.Jobs()).To(ConsistOf(model.ID(id)))
-		assign(e, ref(0, 0))
+		Expect(batch.NewJobs()).To(ConsistOf(model.ID(id)))
+		run := assign(e, ref(0, 0))
 		Expect(e.InStore).To(BeFalse())
 		batch.Stored()
 		Expect(e.InStore).To(BeTrue())
 		Expect(e.Stored).To(Equal(table.Queued), "the assignment is in no batch yet")
+		end(ref(0, 0), run, msgs.Done)
+		batch, err = tbl.NextBatch(1 << 20)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(batch.NewJobs()).To(BeEmpty(), "the job is over, not new")
 	})
 
 	It("is loaded as it was stored", func() {
