node/entry, node/core: answers about jobs wait for a read barrier

What callers saw: at an entry that lagged behind the log, a job that another entry had accepted was "jobNotFound" (404, retry no), was missing in the list, or was shown as waiting after its cancelling had been acknowledged. A caller that believes it submits the work again, or takes the job for gone.

Cause: getJob and listJobs answered from the state in memory. `ready` is set once, when the log was read to its end for the first time, and says nothing of an entry that was paused, whose read hangs, or that is cut off from the log.

Ruled out: cancelling itself. It goes through the log, and its result comes from the record that was read back.

After: an answer that is not final waits for a read of the log that began after the call and reached the end. Calls that arrive during a read share the next one. If the log cannot be read, the answer is notReady, which asks to try again.

The worlds read jobs at any entry, paused, cut off and restarted ones included, and record every cancel call; a response to a read of the log that arrives during a pause keeps its old content until the process wakes. The doc comment of check.Read no longer asks for an entry that knows of all accepted jobs.

--- /dev/null
+++ b/internal/node/core/barrier.go
@@ -0,0 +1,79 @@
+package core
+
+import (
+	"time"
+
+	"github.com/ebonyarch/ebonyarch/internal/base/codes"
+)
+
+// barrierRetryAfter is the retry delay suggested to callers if the log could not be
+// read for a barrier.
+const barrierRetryAfter = time.Second
+
+// BarrierResult is the result of a read barrier.
+type BarrierResult struct {
+	// ID is the barrier's id, as Barrier returned it.
+	ID uint64
+	// Err is nil if the state includes all that was in the log when Barrier was called.
+	Err error
+}
+
+// barriers holds the read barriers without a result. A read of the log that began
+// after a barrier was queued, and that reached the end of the log, passes the barrier
+// together with all earlier ones.
+type barriers struct {
+	// last is the id of the barrier queued last, settled that of the last one with a
+	// result. Barriers get their results in the order of their ids.
+	last, settled uint64
+	results       []BarrierResult
+}
+
+// settle sets the result of all barriers up to the given id.
+func (b *barriers) settle(upTo uint64, err error) {
+	for b.settled < upTo {
+		b.settled++
+		b.results = append(b.results, BarrierResult{b.settled, err})
+	}
+}
+
+// Barrier queues a read barrier and returns its id. A later call of BarrierResults
+// returns its result. Before the log was read to its end for the first time, Barrier
+// refuses.
+func (c *Core) Barrier() (uint64, error) {
+	if !c.ready {
+		return 0, NotReadyError()
+	}
+	c.barriers.last++
+	return c.barriers.last, nil
+}
+
+// NotReadyError returns the error for a caller to whom the entry cannot say what the
+// log holds.
+func NotReadyError() error {
+	return codes.WithRetryAfter(codes.New(codes.NotReady, "the entry has not caught up with the log"), barrierRetryAfter)
+}
+
+// BarriersPending reports whether a barrier has no result yet.
+func (c *Core) BarriersPending() bool { return c.barriers.settled < c.barriers.last }
+
+// BarrierResults returns the results of barriers, as far as they became known since
+// the last call.
+func (c *Core) BarrierResults() []BarrierResult {
+	results := c.barriers.results
+	c.barriers.results = nil
+	return results
+}
+
+// LogRead is a read of the log, which Core.StartRead begins.
+type LogRead struct {
+	// From is the offset to read from.
+	From uint64
+	// barrier is the id of the latest barrier that was queued before the read.
+	barrier uint64
+}
+
+// StartRead begins a read of the log. The caller passes it to Read or ReadFailed.
+func (c *Core) StartRead() LogRead { return LogRead{From: c.fold.Next(), barrier: c.barriers.last} }
+
+// ReadFailed fails the barriers that the read would have passed.
+func (c *Core) ReadFailed(r LogRead) { c.barriers.settle(r.barrier, NotReadyError()) }
--- a/internal/node/core/commit.go
+++ b/internal/node/core/commit.go
@@ -49,7 +49,7 @@
 	case c.leaving:
 		return 0, codes.New(codes.Leaving, "the entry is shutting down")
 	case !c.ready:
-		return 0, codes.New(codes.NotReady, "the entry has not caught up with the log")
+		return 0, NotReadyError()
 	case c.writer.LogUnavailable(now):
 		return 0, logDownError()
 	}
--- a/internal/node/core/core.go
+++ b/internal/node/core/core.go
@@ -53,6 +53,7 @@
 	// and commitResults the results since the last call of CommitResults.
 	pendingCommits []pendingCommit
 	commitResults  []CommitResult
+	barriers       barriers
 	// peerReplies holds the latest reply of each other entry, by writer id.
 	peerReplies map[string]peerReply
 	// ready is set once the log was read to its end for the first time.
@@ -95,9 +96,9 @@
 // Ready reports whether the log has been read to its end at least once.
 func (c *Core) Ready() bool { return c.ready }
 
-// Read applies entries read from the log to the state. atEnd is set if the log had
-// no more entries.
-func (c *Core) Read(now time.Time, entries []port.Entry, atEnd bool) {
+// Read applies the entries that a read of the log returned to the state. atEnd is set
+// if the log had no more entries. Reads may overlap.
+func (c *Core) Read(now time.Time, read LogRead, entries []port.Entry, atEnd bool) {
 	for _, e := range entries {
 		effect := c.fold.Apply(e.Offset, e.Data)
 		if effect.Writer != c.writer.ID() {
@@ -112,6 +113,7 @@
 	}
 	c.ready = true
 	c.writer.Read(now, c.fold.Next())
+	c.barriers.settle(read.barrier, nil)
 	for _, l := range c.leaders {
 		l.Read(now)
 	}
--- a/internal/node/entry/config.go
+++ b/internal/node/entry/config.go
@@ -13,6 +13,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/conf/jsonc"
 	"github.com/ebonyarch/ebonyarch/internal/conf/teams"
 	"github.com/ebonyarch/ebonyarch/internal/node/admin"
+	"github.com/ebonyarch/ebonyarch/internal/node/core"
 	"github.com/ebonyarch/ebonyarch/internal/node/view"
 	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
 )
@@ -44,7 +45,7 @@
 // configuration than a caller has already seen, or not know of an accepted job.
 func (e *Entry) checkReady() error {
 	if !e.core.Ready() {
-		return codes.New(codes.NotReady, "the entry has not caught up with the log")
+		return core.NotReadyError()
 	}
 	return nil
 }
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -43,15 +43,19 @@
 	leaving atomic.Bool
 	// routes holds the services that can be called now.
 	routes atomic.Pointer[routes]
-	// wakeAppend wakes appendLog, and wakeTick wakes tickLoop.
-	wakeAppend chan struct{}
-	wakeTick   chan struct{}
+	// wakeAppend wakes appendLog, wakeTick wakes tickLoop, and wakeBarrier wakes
+	// readForBarriers.
+	wakeAppend  chan struct{}
+	wakeTick    chan struct{}
+	wakeBarrier chan struct{}
 
 	mu   sync.Mutex
 	core *core.Core
 	// pendingCommits holds, by record id, the channels on which commit waits for
 	// the results of records.
 	pendingCommits map[uint64]chan core.CommitResult
+	// pendingBarriers holds, by barrier id, the channels on which readBarrier waits.
+	pendingBarriers map[uint64]chan error
 	// membersChanged is closed and replaced when the table of members changes.
 	membersChanged chan struct{}
 	// routedMembers and routedConfig are the versions of the members and of the
@@ -65,8 +69,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{
 		cfg: cfg, platformLog: platformLog, log: log, ctx: ctx, stop: cancel,
-		wakeAppend: make(chan struct{}, 1), wakeTick: make(chan struct{}, 1),
-		pendingCommits: map[uint64]chan core.CommitResult{}, membersChanged: make(chan struct{}),
+		wakeAppend: make(chan struct{}, 1), wakeTick: make(chan struct{}, 1), wakeBarrier: make(chan struct{}, 1),
+		pendingCommits: map[uint64]chan core.CommitResult{}, pendingBarriers: map[uint64]chan error{},
+		membersChanged: make(chan struct{}),
 	}
 	registry := admin.NewRegistry()
 	e.metrics = newMetrics(registry, e)
@@ -84,6 +89,7 @@
 		})
 	}
 	e.wg.Go(func() { e.readLog(ctx) })
+	e.wg.Go(func() { e.readForBarriers(ctx) })
 	e.wg.Go(func() { e.appendLog(ctx) })
 	e.wg.Go(func() { e.tickLoop(ctx) })
 	e.wg.Go(func() { e.syncPeers(ctx) })
--- a/internal/node/entry/jobs.go
+++ b/internal/node/entry/jobs.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/json"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -145,74 +144,20 @@
 	}
 }
 
-func (e *Entry) listJobs(w http.ResponseWriter, r *http.Request) {
-	if !e.requireReady(w) {
-		return
-	}
-	e.mu.Lock()
-	views := []view.Job{}
-	for _, j := range e.core.Fold().Jobs(mux.Vars(r)["team"]) {
-		views = append(views, viewJob(j, false))
-	}
-	e.mu.Unlock()
-	admin.WriteJSON(w, http.StatusOK, struct {
-		Jobs []view.Job `json:"jobs"`
-	}{views})
-}
-
-func (e *Entry) getJob(w http.ResponseWriter, r *http.Request) {
-	if !e.requireReady(w) {
-		return
-	}
-	vars := mux.Vars(r)
-	e.mu.Lock()
-	j := e.core.Fold().Job(vars["job"])
-	var found view.Job
-	if j != nil {
-		found = viewJob(j, true)
-	}
-	e.mu.Unlock()
-	if j == nil || j.Service || j.Team != vars["team"] {
-		writeError(w, codes.New(codes.JobNotFound, "team %q has no job %q", vars["team"], vars["job"]))
-		return
-	}
-	admin.WriteJSON(w, http.StatusOK, found)
-}
-
+// cancelJob cancels a job and shows it afterwards. The record was read back, so the
+// state includes the cancellation.
 func (e *Entry) cancelJob(w http.ResponseWriter, r *http.Request) {
 	vars := mux.Vars(r)
 	_, err := e.commit(&schema.Record{Body: &schema.Record_Cancel{
 		Cancel: &schema.JobCancel{Job: vars["job"], Team: vars["team"]},
 	}})
+	var cancelled view.Job
+	if err == nil {
+		cancelled, err = e.lookupJob(vars["team"], vars["job"])
+	}
 	if err != nil {
 		e.reject(w, err)
 		return
 	}
-	e.getJob(w, r)
-}
-
-// viewJob returns a job as callers see it, with its individual tasks if tasks is
-// set.
-func viewJob(j *fold.Job, tasks bool) view.Job {
-	v := view.Job{
-		ID: j.ID, Team: j.Team, Kind: j.Kind, Key: j.Key, Urgent: j.Urgent, Cancelled: j.Cancelled,
-		Accepted: j.Accepted, Tasks: j.Count, Counts: map[string]int{},
-	}
-	if !j.Ended.IsZero() {
-		ended := j.Ended
-		v.Ended = &ended
-	}
-	if j.Tasks == nil {
-		v.Counts[fold.Completed.String()] = int(j.Done)
-	}
-	for _, t := range j.Tasks {
-		v.Counts[t.State.String()]++
-		if tasks {
-			v.List = append(v.List, view.Task{
-				Index: t.Index, State: t.State.String(), Attempt: t.Epoch, VM: t.VM, Failures: t.Failures,
-				Evictions: t.Evictions, FailedOn: slices.Clone(t.FailedOn), Reason: t.Reason,
-			})
-		}
-	}
-	return v
+	admin.WriteJSON(w, http.StatusOK, cancelled)
 }
--- a/internal/node/entry/journal.go
+++ b/internal/node/entry/journal.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/ebonyarch/ebonyarch/internal/node/core"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 	"github.com/ebonyarch/ebonyarch/internal/state/fold"
 	"github.com/ebonyarch/ebonyarch/internal/state/frame"
@@ -34,10 +35,10 @@
 	e.loadFromPeer(ctx)
 	for ctx.Err() == nil {
 		e.mu.Lock()
-		from := e.core.Fold().Next()
+		read := e.core.StartRead()
 		e.mu.Unlock()
 		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
-		entries, _, err := e.platformLog.Read(callCtx, from, maxReadEntries, readWait)
+		entries, _, err := e.platformLog.Read(callCtx, read.From, maxReadEntries, readWait)
 		cancel()
 		switch {
 		case errors.Is(err, port.ErrDeleted):
@@ -46,7 +47,7 @@
 			e.log.Debug("cannot read the log", "err", err)
 			sleep(ctx, readRetryDelay)
 		default:
-			e.applyEntries(entries)
+			e.applyEntries(read, entries)
 		}
 	}
 }
@@ -59,19 +60,19 @@
 	}
 }
 
-// applyEntries applies entries read from the log. Fewer than maxReadEntries mean
-// that the end of the log was reached.
-func (e *Entry) applyEntries(entries []port.Entry) {
+// applyEntries applies the entries that a read of the log returned. Fewer than
+// maxReadEntries mean that the end of the log was reached.
+func (e *Entry) applyEntries(read core.LogRead, entries []port.Entry) {
 	e.mu.Lock()
-	e.core.Read(time.Now(), entries, len(entries) < maxReadEntries)
+	e.core.Read(time.Now(), read, entries, len(entries) < maxReadEntries)
 	e.deliverResults()
 	e.mu.Unlock()
 	wake(e.wakeAppend)
 	wake(e.wakeTick)
 }
 
-// deliverResults passes the results of records to the calls of commit that wait
-// for them. The caller holds mu.
+// deliverResults passes the results of records and barriers to the calls of commit and
+// readBarrier that wait for them. The caller holds mu.
 func (e *Entry) deliverResults() {
 	for _, result := range e.core.CommitResults() {
 		if ch := e.pendingCommits[result.ID]; ch != nil {
@@ -79,6 +80,12 @@
 			delete(e.pendingCommits, result.ID)
 		}
 	}
+	for _, result := range e.core.BarrierResults() {
+		if ch := e.pendingBarriers[result.ID]; ch != nil {
+			ch <- result.Err
+			delete(e.pendingBarriers, result.ID)
+		}
+	}
 }
 
 // loadFromPeer loads the state of another entry and reports whether it did. That
--- a/internal/proof/check/jobs.go
+++ b/internal/proof/check/jobs.go
@@ -20,7 +20,7 @@
 const (
 	Submit JobAction = iota
 	Cancel
-	// Read reads the job's state at an entry that knows of all accepted jobs.
+	// Read reads the job's state at any entry.
 	Read
 )
 
--- a/internal/proof/world/entry.go
+++ b/internal/proof/world/entry.go
@@ -29,8 +29,11 @@
 	config  uint64
 	// pendingCommits holds the callbacks of records without a result, by record id.
 	pendingCommits map[uint64]func(core.CommitResult)
-	// reading is set while a read of the log is under way.
-	reading bool
+	// pendingBarriers holds the callbacks of read barriers without a result, by id.
+	pendingBarriers map[uint64]func(error)
+	// reading is set while a read of the log is under way, barrierReading while one for
+	// read barriers is.
+	reading, barrierReading bool
 	// syncRequests holds the next request for changed members to each other entry.
 	syncRequests map[*Entry]*schema.MembersRequest
 	// maxRevisions holds the highest configuration revision of each team that this
@@ -63,7 +66,8 @@
 	e.pendingCommits = map[uint64]func(core.CommitResult){}
 	e.syncRequests = map[*Entry]*schema.MembersRequest{}
 	e.maxRevisions = map[string]uint64{}
-	e.members, e.config, e.reading = 0, 0, false
+	e.pendingBarriers = map[uint64]func(error){}
+	e.members, e.config, e.reading, e.barrierReading = 0, 0, false, false
 	e.Core = core.New(w.clock(e.Proc), core.Config{
 		Name: e.Name, Zone: e.zone, WriterID: fmt.Sprintf("%s-%d", e.Name, e.incarnation), AdvertiseAddr: e.addr,
 		Cells: []string{"main"}, SnapshotEvery: SnapshotEvery, Log: w.logger.With("proc", e.Name),
@@ -109,20 +113,26 @@
 	}
 }
 
-// deliverCommitResults passes new commit results to the callbacks that wait for
-// them.
-func (e *Entry) deliverCommitResults() {
+// deliverResults passes the results of commits and read barriers to the callbacks that
+// wait for them.
+func (e *Entry) deliverResults() {
 	for _, result := range e.Core.CommitResults() {
 		if done := e.pendingCommits[result.ID]; done != nil {
 			delete(e.pendingCommits, result.ID)
 			done(result)
 		}
 	}
+	for _, result := range e.Core.BarrierResults() {
+		if done := e.pendingBarriers[result.ID]; done != nil {
+			delete(e.pendingBarriers, result.ID)
+			done(result.Err)
+		}
+	}
 }
 
 func (e *Entry) tick() {
 	e.Core.Tick(e.clock())
-	e.deliverCommitResults()
+	e.deliverResults()
 	for _, p := range e.Core.Pokes(e.clock()) {
 		addr := netip.MustParseAddrPort(p.Member.GetAddr())
 		if vm, ok := e.world.addrs[addr].(*VM); ok {
--- a/internal/proof/world/history.go
+++ b/internal/proof/world/history.go
@@ -17,6 +17,8 @@
 type History struct {
 	Calls       []*Call
 	Submissions []*Submission
+	Cancels     []*CancelCall
+	Reads       []*ReadCall
 	Publishes   []*PublishCall
 	// violations holds what was found wrong during the run.
 	violations []string
@@ -99,17 +101,6 @@
 	return s
 }
 
-// CancelJob sends a request to cancel a job to the entry.
-func (e *Entry) CancelJob(team string, s *Submission) {
-	from := e.world.Now
-	e.commit(&schema.Record{Body: &schema.Record_Cancel{Cancel: &schema.JobCancel{Job: s.Job, Team: team}}},
-		func(res core.CommitResult) {
-			if res.Err == nil {
-				s.CancelFrom, s.CancelledAt = from, e.world.Now
-			}
-		})
-}
-
 // Publish sends a team's configuration to the entry and calls done with the result
 // code. base is the revision that it replaces.
 func (e *Entry) Publish(team string, base uint64, body string, done func(codes.Code)) *PublishCall {
@@ -163,26 +154,7 @@
 	if !checker.Config(publishes) {
 		add("no order of the publish calls explains their results")
 	}
-	var calls []check.JobCall
-	seen := map[string]bool{}
-	for _, s := range w.History.Submissions {
-		calls = append(calls, check.JobCall{
-			Key: s.Job, Action: check.Submit, Outcome: outcomeOf(s.Code, s.Done), From: s.SubmittedAt, To: s.To,
-		})
-		for _, e := range w.Entries {
-			if !e.Dead && e.Core.Ready() && !seen[s.Job] {
-				seen[s.Job] = true
-				calls = append(calls, check.JobCall{
-					Key: s.Job, Action: check.Read, Observed: jobState(e.Core.Fold().Job(s.Job)), From: w.Now, To: w.Now.Add(1),
-				})
-			}
-		}
-		if s.CancelledAt.IsZero() {
-			continue
-		}
-		calls = append(calls, check.JobCall{Key: s.Job, Action: check.Cancel, From: s.CancelFrom, To: s.CancelledAt})
-	}
-	if !checker.Jobs(calls) {
+	if !checker.Jobs(w.jobCalls()) {
 		add("no order of the job calls explains their results")
 	}
 }
@@ -202,18 +174,6 @@
 	return check.Unknown
 }
 
-func jobState(j *fold.Job) check.JobState {
-	switch {
-	case j == nil:
-		return check.Absent
-	case j.Cancelled:
-		return check.Cancelled
-	case !j.Ended.IsZero():
-		return check.Completed
-	}
-	return check.Open
-}
-
 // checkCalls checks that each call has an outcome that matches how often it ran.
 func (w *World) checkCalls(add func(string, ...any)) {
 	for _, c := range w.History.Calls {
--- a/internal/proof/world/journal.go
+++ b/internal/proof/world/journal.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/ebonyarch/ebonyarch/internal/node/core"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 	"github.com/ebonyarch/ebonyarch/internal/state/fold"
 	"github.com/ebonyarch/ebonyarch/internal/state/frame"
@@ -18,21 +19,60 @@
 		return
 	}
 	e.reading = true
-	e.world.runAfter(e.Proc, e.world.LogLatency, func() {
-		e.reading = false
-		if e.world.logDown(e.Proc) {
+	e.startRead(func(core.LogRead, error) { e.reading = false })
+}
+
+// startRead reads the next log entries, applies them and calls done. While the process
+// is paused, the response waits.
+func (e *Entry) startRead(done func(core.LogRead, error)) {
+	w, incarnation, read := e.world, e.incarnation, e.Core.StartRead()
+	w.After(w.LogLatency/2, func() {
+		if e.Dead || e.incarnation != incarnation {
 			return
 		}
 		const maxEntries = 200
-		entries, _, err := e.world.Log.Read(context.Background(), e.Core.Fold().Next(), maxEntries, 0)
-		if errors.Is(err, port.ErrDeleted) {
-			e.reload()
-			return
+		entries, _, err := w.Log.Read(context.Background(), read.From, maxEntries, 0)
+		if w.logDown(e.Proc) {
+			err = errLogDown
 		}
-		e.Core.Read(e.clock(), entries, len(entries) < maxEntries)
-		e.deliverCommitResults()
+		w.runAfter(e.Proc, w.LogLatency/2, func() {
+			if w.logDown(e.Proc) {
+				err = errLogDown
+			}
+			e.finishRead(read, entries, len(entries) < maxEntries, err)
+			done(read, err)
+		})
+	})
+}
+
+var errLogDown = errors.New("log is down")
+
+// finishRead applies the result of a read of the log.
+func (e *Entry) finishRead(read core.LogRead, entries []port.Entry, atEnd bool, err error) {
+	switch {
+	case errors.Is(err, port.ErrDeleted):
+		e.reload()
+	case err == nil:
+		e.Core.Read(e.clock(), read, entries, atEnd)
+		e.deliverResults()
 		e.checkRevisions()
 		e.appendPending()
+	}
+}
+
+// readForBarriers reads the log while read barriers wait.
+func (e *Entry) readForBarriers() {
+	if e.barrierReading || !e.Core.BarriersPending() {
+		return
+	}
+	e.barrierReading = true
+	e.startRead(func(read core.LogRead, err error) {
+		e.barrierReading = false
+		if err != nil {
+			e.Core.ReadFailed(read)
+			e.deliverResults()
+		}
+		e.readForBarriers()
 	})
 }
 
@@ -130,7 +170,7 @@
 	}
 	w.After(latency/2+delay, func() {
 		if w.logDown(e.Proc) {
-			w.runAfter(e.Proc, latency/2, func() { finish(0, errors.New("log is down")) })
+			w.runAfter(e.Proc, latency/2, func() { finish(0, errLogDown) })
 			return
 		}
 		offset, err := w.Log.Append(context.Background(), data)
