node/entry: a submission is refused only by what the log says

What callers saw: a submission got "unknownTeam" (404, ran no, retry no) from an entry that had just started, and "unknownTeam" or "jobInvalid" from one that had not yet read a configuration which had been published at another entry; a removed kind was still accepted. A submission that was repeated with its key, as the answer "fateUnknown" asks for, got "unknownTeam" or "jobInvalid" (ran no) if the kind or the team had been removed meanwhile, although the job had been accepted and ran.

Cause: the entry checked the configuration in its memory before anything else: before the check that it has read the log at all, and before it looked for a job with the key.

Ruled out: the record itself. The fold looks for the key first, and refuses a new job of a team that is deleted by then.

After: a job with the key is looked for first; only a new one is checked against the configuration, after a read barrier.

--- a/internal/node/core/commit.go
+++ b/internal/node/core/commit.go
@@ -41,17 +41,25 @@
 	withdrawn bool
 }
 
-// Commit queues a record for the log and returns its id. A later call of
-// CommitResults returns its result. While the log does not respond, Commit refuses
-// the record immediately.
-func (c *Core) Commit(now time.Time, r *schema.Record) (uint64, error) {
+// MayCommit returns an error if Commit would refuse a record now.
+func (c *Core) MayCommit(now time.Time) error {
 	switch {
 	case c.leaving:
-		return 0, codes.New(codes.Leaving, "the entry is shutting down")
+		return codes.New(codes.Leaving, "the entry is shutting down")
 	case !c.ready:
-		return 0, NotReadyError()
+		return NotReadyError()
 	case c.writer.LogUnavailable(now):
-		return 0, logDownError()
+		return logDownError()
+	}
+	return nil
+}
+
+// Commit queues a record for the log and returns its id. A later call of
+// CommitResults returns its result. While the log does not respond, Commit refuses
+// the record immediately.
+func (c *Core) Commit(now time.Time, r *schema.Record) (uint64, error) {
+	if err := c.MayCommit(now); err != nil {
+		return 0, err
 	}
 	id := c.writer.Add(now, r)
 	c.pendingCommits = append(c.pendingCommits, pendingCommit{id: id, deadline: now.Add(CommitTimeout)})
--- a/internal/node/entry/helper_test.go
+++ b/internal/node/entry/helper_test.go
@@ -131,8 +131,10 @@
 )
 
 // publish publishes the configuration of team t.
-func publish(e *entry.Entry, base, body string) {
-	a := call(e, http.MethodPut, teamPath+"/config", body, "If-Match", base)
+func publish(e *entry.Entry, base, body string) { publishTeam(e, "t", base, body) }
+
+func publishTeam(e *entry.Entry, team, base, body string) {
+	a := call(e, http.MethodPut, "/v1/teams/"+team+"/config", body, "If-Match", base)
 	Expect(a.Status).To(Equal(http.StatusOK), a.Body)
 }
 
--- a/internal/node/entry/jobs.go
+++ b/internal/node/entry/jobs.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"bytes"
+	"context"
 	"crypto/sha256"
 	"encoding/json"
 	"net/http"
@@ -26,57 +28,115 @@
 	maxInputBytes = 64 << 10
 )
 
+// submission is a caller's request to accept a job.
+type submission struct {
+	team, key string
+	spec      view.JobSpec
+	// hash shows later whether the key was used again for another job.
+	hash []byte
+}
+
+func (s *submission) job() string { return ident.BatchJob(s.team, s.key) }
+
 func (e *Entry) submitJob(w http.ResponseWriter, r *http.Request) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
-	record, job, err := e.parseJob(w, r)
+	s, err := parseSubmission(w, r)
 	if err == nil {
-		_, err = e.commit(record)
+		err = e.accept(r.Context(), s)
 	}
 	if err != nil {
 		e.reject(w, err)
 		return
 	}
-	w.Header().Set("Location", "/v1/teams/"+mux.Vars(r)["team"]+"/jobs/"+job)
+	w.Header().Set("Location", "/v1/teams/"+s.team+"/jobs/"+s.job())
 	admin.WriteJSON(w, http.StatusAccepted, struct {
 		ID string `json:"id"`
-	}{job})
+	}{s.job()})
 }
 
-// parseJob returns the record that submits the job in the request's body, and the
-// job's id.
-func (e *Entry) parseJob(w http.ResponseWriter, r *http.Request) (*schema.Record, string, error) {
-	team, key := mux.Vars(r)["team"], r.Header.Get(headerKey)
-	if key == "" || len(key) > maxKeyBytes {
-		return nil, "", codes.New(codes.BadRequest, "%s: want between 1 and %d bytes", headerKey, maxKeyBytes)
+func parseSubmission(w http.ResponseWriter, r *http.Request) (*submission, error) {
+	s := &submission{team: mux.Vars(r)["team"], key: r.Header.Get(headerKey)}
+	if s.key == "" || len(s.key) > maxKeyBytes {
+		return nil, codes.New(codes.BadRequest, "%s: want between 1 and %d bytes", headerKey, maxKeyBytes)
 	}
-	var spec view.JobSpec
-	if err := decodeBody(w, r, &spec); err != nil {
-		return nil, "", err
+	if err := decodeBody(w, r, &s.spec); err != nil {
+		return nil, err
 	}
+	canonical, err := json.Marshal(&s.spec)
+	if err != nil {
+		return nil, codes.Wrap(err, codes.JobInvalid, "input is not valid")
+	}
+	hash := sha256.Sum256(canonical)
+	s.hash = hash[:16]
+	return s, nil
+}
+
+// accept returns nil once the job is in the log. A job that is there already was
+// accepted, whatever the configuration says now; only a new one is checked against the
+// configuration, after a read barrier.
+func (e *Entry) accept(ctx context.Context, s *submission) error {
+	if known, err := e.knowsJob(s); known {
+		return err
+	}
+	if err := e.mayCommit(); err != nil {
+		return err
+	}
+	if err := e.readBarrier(ctx); err != nil {
+		return err
+	}
+	if known, err := e.knowsJob(s); known {
+		return err
+	}
+	record, err := e.jobRecord(s)
+	if err != nil {
+		return err
+	}
+	_, err = e.commit(record)
+	return err
+}
+
+// knowsJob reports whether the state has a job with the submission's key. It returns an
+// error if that is another job.
+func (e *Entry) knowsJob(s *submission) (bool, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	t := e.core.Fold().Team(team)
+	j := e.core.Fold().Job(s.job())
+	if j == nil {
+		return false, nil
+	}
+	if !bytes.Equal(j.Hash, s.hash) {
+		return true, codes.New(codes.KeyConflict, "%s", codes.KeyConflict.Info().Meaning)
+	}
+	return true, nil
+}
+
+// jobRecord returns the record that submits the job, or an error if the job does not
+// fit the configuration.
+func (e *Entry) jobRecord(s *submission) (*schema.Record, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	t := e.core.Fold().Team(s.team)
 	if t == nil || t.Deleted {
-		return nil, "", codes.New(codes.UnknownTeam, "no configuration is in force for team %q", team)
+		return nil, codes.New(codes.UnknownTeam, "no configuration is in force for team %q", s.team)
 	}
-	kind, ok := t.Config.Batch[spec.Kind]
+	kind, ok := t.Config.Batch[s.spec.Kind]
 	if !ok {
-		return nil, "", codes.New(codes.JobInvalid, "team %q has no batch kind %q", team, spec.Kind)
+		return nil, codes.New(codes.JobInvalid, "team %q has no batch kind %q", s.team, s.spec.Kind)
 	}
-	jobAccept, err := jobAccept(&spec, team, key, &kind)
+	jobAccept, err := s.jobAccept(&kind)
 	if err != nil {
-		return nil, "", err
+		return nil, err
 	}
 	if err := e.checkTaskFits(t.Config.CellName(), jobAccept.Size); err != nil {
-		return nil, "", err
+		return nil, err
 	}
-	return &schema.Record{Cell: t.Config.CellName(), Body: &schema.Record_Job{Job: jobAccept}}, jobAccept.Job, nil
+	return &schema.Record{Cell: t.Config.CellName(), Body: &schema.Record_Job{Job: jobAccept}}, nil
 }
 
-// jobAccept returns the body of the record that submits a job. The hash of the
-// specification shows later whether a key was used again for another job.
-func jobAccept(spec *view.JobSpec, team, key string, kind *teams.Kind) (*schema.JobAccept, error) {
+// jobAccept returns the body of the record that submits a job of the given kind.
+func (s *submission) jobAccept(kind *teams.Kind) (*schema.JobAccept, error) {
+	spec := &s.spec
 	if spec.Tasks == 0 || spec.Tasks > fold.MaxTasks {
 		return nil, codes.New(codes.JobInvalid, "tasks: want between 1 and %d, got %d", fold.MaxTasks, spec.Tasks)
 	}
@@ -91,13 +151,8 @@
 		}
 		work = d
 	}
-	canonical, err := json.Marshal(spec)
-	if err != nil {
-		return nil, codes.Wrap(err, codes.JobInvalid, "input is not valid")
-	}
-	hash := sha256.Sum256(canonical)
 	return &schema.JobAccept{
-		Job: ident.BatchJob(team, key), Team: team, Key: key, BodyHash: hash[:16], Kind: spec.Kind,
+		Job: s.job(), Team: s.team, Key: s.key, BodyHash: s.hash, Kind: spec.Kind,
 		Tasks: spec.Tasks, Size: kind.Size(), Urgent: kind.Urgent, MaxFailures: kind.FailureLimit(),
 		WorkMs: uint32(work.Milliseconds()), Input: spec.Input,
 	}, nil
@@ -119,6 +174,16 @@
 		size.GetCpuMilli(), size.GetMemoryMb(), size.GetAccelerators(), cell)
 }
 
+// mayCommit returns an error if commit would refuse a record now.
+func (e *Entry) mayCommit() error {
+	if e.leaving.Load() {
+		return codes.New(codes.Leaving, "the entry is shutting down")
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.core.MayCommit(time.Now())
+}
+
 // commit appends a record to the log and waits until the record is read back from
 // it. The code of the error says whether the record may still take effect.
 func (e *Entry) commit(record *schema.Record) (core.CommitResult, error) {
--- a/internal/node/entry/lag_test.go
+++ b/internal/node/entry/lag_test.go
@@ -64,4 +64,18 @@
 		link.loseReads()
 		Expect(call(behind, http.MethodGet, teamPath+"/jobs/none", "").Code).To(Equal(codes.JobNotFound))
 	})
+
+	It("accepts a job of a kind that another entry has just configured", func() {
+		link.loseReads()
+		publish(ahead, "1", `{"batch": {"fresh": {"cpu": 1, "memory": "1GB"}}}`)
+		a := call(behind, http.MethodPost, teamPath+"/jobs", `{"kind": "fresh", "tasks": 1}`, "Idempotency-Key", "k")
+		Expect(a.Status).To(Equal(http.StatusAccepted), a.Body)
+	})
+
+	It("refuses a job of a kind that another entry has just removed", func() {
+		link.loseReads()
+		publish(ahead, "1", `{"batch": {"fresh": {"cpu": 1, "memory": "1GB"}}}`)
+		a := call(behind, http.MethodPost, teamPath+"/jobs", bulkJob, "Idempotency-Key", "k")
+		Expect(a.Code).To(Equal(codes.JobInvalid), a.Body)
+	})
 })
