node/entry: answers about configuration wait for a read barrier

What callers saw: an entry that lagged behind the log showed an older revision than a publish had acknowledged elsewhere, listed teams without the newest (even before it had read the log at all), answered "unknownTeam" (404, retry no) to a read of a new team's configuration or history, and "configMissing" (404, retry no) to the rollback to a revision that the log has.

Cause: these answers came from the state in memory, as those about jobs did.

Ruled out: publishing. Its base revision is compared where the record is applied; the sum of the quotas, which the entry takes from memory, only gives a warning.

--- a/internal/node/entry/config.go
+++ b/internal/node/entry/config.go
@@ -24,7 +24,11 @@
 	headerAuthor  = "Author"
 )
 
-func (e *Entry) listTeams(w http.ResponseWriter, _ *http.Request) {
+func (e *Entry) listTeams(w http.ResponseWriter, r *http.Request) {
+	if err := e.readBarrier(r.Context()); err != nil {
+		e.reject(w, err)
+		return
+	}
 	e.mu.Lock()
 	views := []view.Team{}
 	for _, t := range e.core.Fold().Teams() {
@@ -40,9 +44,8 @@
 
 func etag(revision uint64) string { return strconv.Quote(strconv.FormatUint(revision, 10)) }
 
-// checkReady returns an error until the log has been read to its end for the
-// first time. Before that, the entry could show an older revision of a
-// configuration than a caller has already seen, or not know of an accepted job.
+// checkReady returns an error until the log has been read to its end for the first
+// time. Before that, the entry knows no services to route requests to.
 func (e *Entry) checkReady() error {
 	if !e.core.Ready() {
 		return core.NotReadyError()
@@ -50,32 +53,12 @@
 	return nil
 }
 
-// requireReady reports whether the log has been read to its end, and answers the caller
-// with an error if it has not.
-func (e *Entry) requireReady(w http.ResponseWriter) bool {
-	e.mu.Lock()
-	err := e.checkReady()
-	e.mu.Unlock()
-	if err != nil {
-		e.reject(w, err)
-	}
-	return err == nil
-}
-
 func (e *Entry) getConfig(w http.ResponseWriter, r *http.Request) {
-	team := mux.Vars(r)["team"]
-	e.mu.Lock()
-	err := e.checkReady()
-	t := e.core.Fold().Team(team)
-	if err == nil && (t == nil || t.Deleted) {
-		err = codes.New(codes.UnknownTeam, "no configuration is in force for team %q", team)
-	}
-	var body []byte
-	var revision uint64
-	if err == nil {
-		body, revision = t.Body, t.Revision
+	if err := e.readBarrier(r.Context()); err != nil {
+		e.reject(w, err)
+		return
 	}
-	e.mu.Unlock()
+	body, revision, err := e.lookupConfig(mux.Vars(r)["team"])
 	if err != nil {
 		e.reject(w, err)
 		return
@@ -85,6 +68,18 @@
 	_, _ = w.Write(body)
 }
 
+// lookupConfig returns a team's configuration and its revision from the state, as far as
+// the log has been read.
+func (e *Entry) lookupConfig(team string) ([]byte, uint64, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	t := e.core.Fold().Team(team)
+	if t == nil || t.Deleted {
+		return nil, 0, codes.New(codes.UnknownTeam, "no configuration is in force for team %q", team)
+	}
+	return t.Body, t.Revision, nil
+}
+
 // baseRevision returns the revision that the caller's change replaces, as its
 // conditional headers name it; 0 for a new team.
 func baseRevision(r *http.Request) (uint64, error) {
@@ -186,7 +181,8 @@
 }
 
 func (e *Entry) configHistory(w http.ResponseWriter, r *http.Request) {
-	if !e.requireReady(w) {
+	if err := e.readBarrier(r.Context()); err != nil {
+		e.reject(w, err)
 		return
 	}
 	team := mux.Vars(r)["team"]
@@ -218,9 +214,6 @@
 
 // rollbackConfig publishes the body of an earlier revision as a new revision.
 func (e *Entry) rollbackConfig(w http.ResponseWriter, r *http.Request) {
-	if !e.requireReady(w) {
-		return
-	}
 	var spec struct {
 		Revision uint64 `json:"revision"`
 	}
@@ -228,6 +221,9 @@
 	if err == nil {
 		err = decodeBody(w, r, &spec)
 	}
+	if err == nil {
+		err = e.readBarrier(r.Context())
+	}
 	if err != nil {
 		e.reject(w, err)
 		return
--- a/internal/node/entry/ready_test.go
+++ b/internal/node/entry/ready_test.go
@@ -40,6 +40,7 @@
 		Entry("history", http.MethodGet, "/v1/teams/t/config/history", ""),
 		Entry("submission", http.MethodPost, "/v1/teams/t/jobs", bulkJob),
 		Entry("cancelling", http.MethodDelete, "/v1/teams/t/jobs/j", ""),
+		Entry("teams", http.MethodGet, "/v1/teams", ""),
 		Entry("rollback", http.MethodPost, "/v1/teams/t/config/rollback", `{"revision": 1}`),
 	)
 })
