jobs/lead: a repeated order names the checkpoint that the first one named

What callers saw: a gang that is told to resume from two different checkpoints, which the platform rules out. If a member was stopped before another one had started, its stop saved a new checkpoint, and when the other one's agent connected again, its repeated order named that one.

Cause: each order to start a run named the checkpoint that was the latest when it was given.

Ruled out: leaving out the repeated order. The agent needs it to learn what became of the run.

Before: "gives a member whose order is repeated the checkpoint that the others were given" failed for the first VM, and the same with later checkpoints in the lists. After: both pass, as does the package in 6 of 6 runs.

A run keeps the checkpoint with which it was placed or, under the next leader, the one that is stored when that one takes over. Other new tests cover ends of each kind, lost and readopted runs, copies, moves, strays, steps and occurrences; they found no further fault: no run was told the checkpoint of another task. Not covered: a member that was stopped before the takeover, so that the stored checkpoint is no longer what the first order named.

--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -235,25 +235,25 @@
 
 // startOf returns the order to start a run, which the caller gives.
 func startOf(r *run) msgs.Start {
-	t := r.entry.Task(r.ref)
 	repeated := r.ordered || r.restored
 	r.ordered = true
 	return msgs.Start{
 		Task: r.ref.String(), Run: r.number, Payload: r.entry.Job.Payload, Percent: r.speedLimit,
-		Checkpoint: checkpointOf(r, t), Ticket: r.ticket, Repeated: repeated,
+		Checkpoint: r.checkpoint, Ticket: r.ticket, Repeated: repeated,
 		Size: r.step.ResourceRequest(),
 	}
 }
 
-// checkpointOf returns the checkpoint that a run resumes from. All members of a gang
-// resume from the same one, which any of them may have saved.
-func checkpointOf(r *run, t *table.Task) string {
-	if !r.step.Gang {
-		return t.Checkpoint
+// latestCheckpoint returns the checkpoint from which the next run of a task resumes. All members
+// of a gang resume from the same one, which any of them may have saved.
+func latestCheckpoint(e *table.Entry, ref model.TaskRef) string {
+	step := &e.Job.Steps[ref.Step]
+	if !step.Gang {
+		return e.Task(ref).Checkpoint
 	}
-	st := r.entry.Stage(r.ref)
-	for i := range r.step.Tasks {
-		if c := r.entry.Tasks[st.First+i].Checkpoint; c != "" {
+	st := e.Stage(ref)
+	for i := range step.Tasks {
+		if c := e.Tasks[st.First+i].Checkpoint; c != "" {
 			return c
 		}
 	}
--- a/internal/jobs/lead/vm.go
+++ b/internal/jobs/lead/vm.go
@@ -65,6 +65,9 @@
 	since    time.Time
 	restored bool
 	step     *model.Step
+	// checkpoint is the one that the run resumes from, empty if there is none. It does not change:
+	// all members of a gang must resume from the same one, also if an order is repeated.
+	checkpoint string
 	// ordered is set once this leader has given the order to start the run.
 	ordered bool
 	// stopped is set once the order to stop the run was given.
@@ -116,6 +119,7 @@
 // add accounts for a run on the VM.
 func (v *vm) add(e *table.Entry, ref model.TaskRef, assigned table.Run, now time.Time) *run {
 	r := &run{entry: e, ref: ref, number: assigned.Number, incarnation: assigned.Incarnation, since: now, step: &e.Job.Steps[ref.Step], speedLimit: fullSpeed}
+	r.checkpoint = latestCheckpoint(e, ref)
 	v.runs[runKey{ref.String(), assigned.Number}] = r
 	v.placement.Add(stageKey(ref), r.step)
 	v.unproven++
