jobs/lead: runs are ordered again only after the store has confirmed the leadership

Agents follow the latest leader that they know, so this takes an agent that knows only the old one; no play showed it.

The order now waits for an append that is sent after the decision, as the first order of a run does; stops do not wait. The new spec failed before.

--- a/internal/jobs/lead/flush.go
+++ b/internal/jobs/lead/flush.go
@@ -43,9 +43,10 @@
 	if err != nil {
 		return nil, err
 	}
+	messages := l.takeStored()
 	if changes.Empty() {
-		l.release(l.takeStored())
-		if len(l.heldRequests) == 0 && now.Sub(l.storeConfirmedAt) < confirmInterval {
+		messages = l.releaseAllButStarts(messages)
+		if len(messages)+len(l.heldRequests) == 0 && now.Sub(l.storeConfirmedAt) < confirmInterval {
 			return nil, nil
 		}
 	}
@@ -57,7 +58,7 @@
 		}
 		records = append(records, extra...)
 	}
-	l.inFlight = &Batch{Records: records, changes: changes, sentAt: now, messages: l.takeStored(), requests: l.heldRequests}
+	l.inFlight = &Batch{Records: records, changes: changes, sentAt: now, messages: messages, requests: l.heldRequests}
 	l.heldRequests = nil
 	l.stats.Batches++
 	l.stats.Records += uint64(len(records))
@@ -67,6 +68,21 @@
 	return l.inFlight, nil
 }
 
+// releaseAllButStarts releases the messages that need no confirmation of the leadership, and
+// returns the others. Another entry may lead by now, and may have cancelled a job whose runs this
+// one would start.
+func (l *Leader) releaseAllButStarts(messages []OutboundMessage) []OutboundMessage {
+	var starts []OutboundMessage
+	for _, m := range messages {
+		if o := m.Message.Orders; o != nil && len(o.Starts) > 0 {
+			starts = append(starts, m)
+			continue
+		}
+		l.release([]OutboundMessage{m})
+	}
+	return starts
+}
+
 // Stored must be called when the batch in flight is in the store. It releases the messages
 // that waited for it.
 func (l *Leader) Stored(now time.Time) {
--- a/internal/jobs/lead/read_test.go
+++ b/internal/jobs/lead/read_test.go
@@ -104,6 +104,22 @@
 	})
 })
 
+var _ = Describe("A leader that an agent joins after it may have been replaced", func() {
+	It("does not start runs again that its successor may have cancelled", func() {
+		h := newHarness()
+		h.join(0)
+		h.submit(job(1, smallStep))
+		h.advance(100 * time.Millisecond)
+		h.out = nil
+		h.join(0)
+		h.now = h.now.Add(20 * time.Millisecond)
+		Expect(h.nextBatch()).To(BeTrue(), "the leader asks the store at once")
+		Expect(h.starts()).To(BeEmpty())
+		h.confirmBatch()
+		Expect(h.starts()).To(ConsistOf(HaveField("Task", string(job(1).ID)+".0.0.0")))
+	})
+})
+
 var _ = Describe("An append without changes", func() {
 	It("is sent only for requests that wait for it, or once a second", func() {
 		h := newHarness()
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -127,7 +127,7 @@
 	v.estimateSpeeds(req.Runs)
 	l.interference.observe(now, v, req.Runs)
 	l.updateProgress(now, v, req.Runs)
-	orders := &msgs.Orders{Epoch: l.epoch, VM: v.info.ID, Incarnation: v.info.Incarnation, Stops: stops}
+	orders := msgs.Orders{Stops: stops}
 	if req.Synced {
 		for _, r := range v.runs {
 			if !r.unwanted() {
@@ -139,10 +139,16 @@
 	}
 	l.send(v.conn, l.throttleBestEffort(now, v, req.Runs))
 	if len(orders.Starts)+len(orders.Stops) > 0 {
-		l.sendWhenStored(v.conn, &msgs.Message{Orders: orders})
+		l.orderWhenStored(v, orders)
 	}
 }
 
+// orderWhenStored sends orders for a VM once all changes made so far are stored.
+func (l *Leader) orderWhenStored(v *vm, o msgs.Orders) {
+	o.Epoch, o.VM, o.Incarnation = l.epoch, v.info.ID, v.info.Incarnation
+	l.sendWhenStored(v.conn, &msgs.Message{Orders: &o})
+}
+
 // handleReport processes an agent's report of run ends.
 func (l *Leader) handleReport(now time.Time, conn uint64, r *msgs.Report) {
 	v := l.vms[r.VM]
--- a/internal/jobs/lead/stop.go
+++ b/internal/jobs/lead/stop.go
@@ -48,9 +48,7 @@
 	}
 	r.stopped = true
 	l.log.Info("run is stopped", "req", r.ref.Job, "task", key.task, "run", key.number, "vm", id, "reason", reason)
-	l.sendWhenStored(v.conn, &msgs.Message{Orders: &msgs.Orders{
-		Epoch: l.epoch, VM: id, Incarnation: v.info.Incarnation, Stops: []msgs.Stop{l.stopOf(key)},
-	}})
+	l.orderWhenStored(v, msgs.Orders{Stops: []msgs.Stop{l.stopOf(key)}})
 }
 
 // absentUnwanted returns stops for the runs that are not present and that were to be stopped, or
