proof/fleet: cancelled jobs beside pauses that nobody was told of, checked by the witness

The worlds accepted any final answer to a cancelling and looked for no run afterwards, so that they could not have shown it.

Now jobs that last and short ones are cancelled 5 ms to 4 s after their acceptance, some before it, with a copy of their submission that arrives later. Leaders, agents and entries are paused for 0.5 to 2.95 s, so that their clocks run on and what arrives waits; others notice a paused leader after 0.9 s. The witness checks that no task starts later than 3 s after the acknowledgement, at an agent in touch, that no run goes on 0.2 s after that unless something was disrupted, that nothing starts after "no such job", and the callers that a job that was accepted is not answered with it. Orders that the network holds are excused.

--- a/internal/fake/tasks/witness.go
+++ b/internal/fake/tasks/witness.go
@@ -38,6 +38,16 @@
 	Dependencies func(task string) []string
 	// finished holds the tasks of which at least one run ended with the outcome Done.
 	finished map[string]bool
+	// CancelBounds bounds what workers may do for cancelled jobs. It must be set before the first
+	// run starts.
+	CancelBounds CancelBounds
+	// Late is set while a worker carries out an order late.
+	Late bool
+	// cancelled holds the acknowledged cancellings by job, lateStarts the start times of the runs
+	// that workers started late, reported the runs of cancelled jobs that are in faults.
+	cancelled  map[string]cancelling
+	lateStarts map[runID]time.Time
+	reported   map[runID]bool
 	// gangs holds the runs of gangs of which members are present.
 	gangs map[gangKey]*gang
 }
@@ -107,6 +117,7 @@
 		x.starts, x.finished = map[string]int{}, map[string]bool{}
 		x.lastStart = map[string]time.Time{}
 		x.crashes, x.startsAfter = map[string]int{}, map[string]int{}
+		x.cancelled, x.lateStarts, x.reported = map[string]cancelling{}, map[runID]time.Time{}, map[runID]bool{}
 	}
 }
 
@@ -130,6 +141,7 @@
 	if x.acknowledged[r.task] && !x.Unpreventable {
 		x.addFault("%s: %s run %d starts on %s after its end was acknowledged", at, r.task, r.number, w.id)
 	}
+	x.checkStart(now, w, r)
 	if x.Dependencies != nil {
 		for _, t := range x.Dependencies(r.task) {
 			if !x.finished[t] {
--- a/internal/fake/tasks/worker.go
+++ b/internal/fake/tasks/worker.go
@@ -46,8 +46,11 @@
 	// lives is the number of incarnations so far.
 	lives int
 	// SetBack is how far the time of day was set back when the incarnation started.
-	SetBack  time.Duration
-	capacity place.Resources
+	SetBack time.Duration
+	// ClockDrift is the fraction by which the worker's clock is fast, negative if it is slow. It must
+	// be set before the worker's first lease.
+	ClockDrift float64
+	capacity   place.Resources
 	// earlier holds the capacities before the latest changes, the oldest first.
 	earlier []earlierCapacity
 	// heartbeats is the number of heartbeats of the incarnation.
@@ -164,7 +167,12 @@
 }
 
 // clock returns the worker's monotonic clock, which starts at 1s in each incarnation.
-func (w *Worker) clock(now time.Time) time.Duration { return now.Sub(w.startedAt) + time.Second }
+func (w *Worker) clock(now time.Time) time.Duration {
+	return time.Duration(float64(now.Sub(w.startedAt))*(1+w.ClockDrift)) + time.Second
+}
+
+// ID returns the worker's id.
+func (w *Worker) ID() string { return w.id }
 
 // Advance ends the runs that have finished, have stopped or have lost their lease by now.
 func (w *Worker) Advance(now time.Time) {
--- a/internal/proof/fleet/agent.go
+++ b/internal/proof/fleet/agent.go
@@ -53,6 +53,9 @@
 	// one that was scheduled is made.
 	pause exec.PollPause
 	polls int
+	pausing
+	// disruptedAt is when the agent or its worker was last disrupted.
+	disruptedAt time.Time
 	// kills and crashes count the calls of Kill and Crash. If calls overlap, only the latest
 	// one restarts the process.
 	kills, crashes int
@@ -72,7 +75,7 @@
 // start starts an incarnation of the agent's process.
 func (a *Agent) start() {
 	a.core = exec.New(a.node, a.world.log)
-	a.Dead = false
+	a.Dead, a.pausing = false, pausing{}
 	a.incarnations++
 	a.startedAt = a.world.Now
 	a.pause = exec.PollPause{}
@@ -177,14 +180,22 @@
 	if a.Dead || a.Worker.Dead || a.Silent {
 		return
 	}
-	a.core.Heartbeat(a.world.Now, a.Worker.Heartbeat(a.world.Now))
+	a.receiveHeartbeat(a.Worker.Heartbeat(a.world.Now))
+}
+
+// receiveHeartbeat passes a heartbeat to the agent.
+func (a *Agent) receiveHeartbeat(h port.Heartbeat) {
+	if a.deferred(func() { a.receiveHeartbeat(h) }) {
+		return
+	}
+	a.core.Heartbeat(a.world.Now, h)
 	a.act()
 }
 
 // requestLease asks for a lease at each interval. If there is a new leader, it connects to it
 // first.
 func (a *Agent) requestLease(incarnation int) {
-	if a.Dead || incarnation != a.incarnations {
+	if a.deferred(func() { a.requestLease(incarnation) }) || a.Dead || incarnation != a.incarnations {
 		return
 	}
 	a.world.After(leaseRequestInterval, func() { a.requestLease(incarnation) })
@@ -218,6 +229,9 @@
 
 // poll polls the worker if a poll is due.
 func (a *Agent) poll(number int) {
+	if a.deferred(func() { a.poll(number) }) {
+		return
+	}
 	w, incarnation := a.world, a.incarnations
 	p, ok := a.core.Poll(w.Now, false)
 	if !ok {
@@ -251,6 +265,9 @@
 
 // polled passes the result of a poll to the agent and schedules the next poll.
 func (a *Agent) polled(p port.Poll, result port.PollResult, err error) {
+	if a.deferred(func() { a.polled(p, result, err) }) {
+		return
+	}
 	now := a.world.Now
 	a.core.Polled(now, p, result, err)
 	a.act()
@@ -263,7 +280,7 @@
 
 // receive handles a message from the leader.
 func (a *Agent) receive(conn uint64, m *msgs.Message) {
-	if a.Dead || a.Cut || conn != a.conn {
+	if a.deferred(func() { a.receive(conn, m) }) || a.Dead || a.Cut || conn != a.conn {
 		return
 	}
 	if m.Lease != nil {
--- a/internal/proof/fleet/callers.go
+++ b/internal/proof/fleet/callers.go
@@ -48,6 +48,11 @@
 	cancelled   bool
 	// deadly is set if a task of each step crashes the workers that start it.
 	deadly bool
+	// cancelsAnyway is set if the caller cancels the job without waiting for the response to its
+	// submission, lasting if the job has one step that lasts until then.
+	cancelsAnyway, lasting bool
+	// cancelling is set once the caller has begun to cancel the job.
+	cancelling bool
 }
 
 func (c *Callers) addFault(format string, args ...any) {
@@ -66,17 +71,22 @@
 
 // submit submits a job.
 func (c *Callers) submit(n int, cancelAfter time.Duration, deadly bool) {
-	if c.jobs == nil {
-		c.jobs = map[model.ID]*submission{}
-	}
 	q := model.Queue{Name: "assign", Service: "registry", Priority: n % 3, MaxAttempts: 4, Stretch: 2, TargetLatency: time.Second}
 	firstStep := model.Step{Tasks: 4, Size: place.Resources{CPU: 3000, Memory: 8000}, Estimate: cmp.Or(c.world.TaskTime, defaultTaskTime), Checkpoints: n%2 == 0}
 	secondStep := firstStep
 	secondStep.After, secondStep.MaxPerVM = []int{0}, 2
 	firstStep.Gang = c.world.Gangs
-	id := model.ID(fmt.Sprintf("%016x", n+1))
-	j := &submission{pending: true, retries: n % 3, cancelAfter: cancelAfter, deadly: deadly, spec: model.Job{ID: id, Queue: q, Payload: "work", Steps: []model.Step{firstStep, secondStep}}}
-	c.jobs[id] = j
+	c.add(n, &submission{cancelAfter: cancelAfter, deadly: deadly, spec: model.Job{Queue: q, Payload: "work", Steps: []model.Step{firstStep, secondStep}}})
+}
+
+// add gives the nth job its id and submits it.
+func (c *Callers) add(n int, j *submission) {
+	if c.jobs == nil {
+		c.jobs = map[model.ID]*submission{}
+	}
+	j.spec.ID = model.ID(fmt.Sprintf("%016x", n+1))
+	j.pending, j.retries = true, n%3
+	c.jobs[j.spec.ID] = j
 	c.request(j)
 }
 
@@ -88,7 +98,7 @@
 	attempt := j.attempts
 	spec := j.spec
 	req := msgs.JobRequest{Verb: msgs.Submit, Queue: spec.Queue.Name, Job: spec.ID, Spec: &spec}
-	if j.accepted {
+	if j.cancelling {
 		req.Verb, req.Spec = msgs.Cancel, nil
 	}
 	e := w.Entries[w.callerRNG.IntN(len(w.Entries))]
@@ -111,9 +121,9 @@
 		return
 	}
 	switch {
-	case j.accepted && (resp.Code == codes.OK || resp.Code == codes.JobNotFound):
-		j.pending, j.cancelled = false, true
-	case j.accepted:
+	case j.cancelling && (resp.Code == codes.OK || resp.Code == codes.JobNotFound):
+		c.cancelled(j, resp.Code == codes.JobNotFound)
+	case j.cancelling:
 		c.retry(j, retryInterval)
 	case resp.Code == codes.OK:
 		j.pending, j.accepted = false, true
@@ -121,7 +131,7 @@
 			c.world.OnAccepted()
 		}
 		if j.cancelAfter > 0 {
-			c.world.After(j.cancelAfter, func() { j.pending = true; c.request(j) })
+			c.world.After(j.cancelAfter, func() { c.cancel(j) })
 		}
 	case resp.Code.Info().Ran != codes.RanNo:
 		j.unknown = true
@@ -170,7 +180,7 @@
 			crashed = max(crashed, gangCrashes)
 		}
 		switch {
-		case j.refused && !j.unknown && started > 0:
+		case j.refused && !j.unknown && !j.cancelling && started > 0:
 			faults = append(faults, fmt.Sprintf("job %s was refused, but %d of its tasks ran", id, started))
 		case j.pending:
 			faults = append(faults, fmt.Sprintf("job %s has a request without a response", id))
@@ -178,7 +188,7 @@
 			faults = append(faults, fmt.Sprintf("job %s crashes workers and is %s", id, w.stateOf(id)))
 		case j.deadly || (crashed >= 2 && w.stateOf(id) == "failed"):
 			// A task under which two workers have crashed may be given up.
-		case j.accepted && j.cancelAfter == 0 && done < 8:
+		case j.accepted && j.cancelAfter == 0 && !j.cancelling && done < 8:
 			faults = append(faults, fmt.Sprintf("job %s was accepted, but only %d of its 8 tasks are done (%s, %d crashes)", id, done, w.stateOf(id), crashed))
 		}
 	}
--- a/internal/proof/fleet/calls.go
+++ b/internal/proof/fleet/calls.go
@@ -28,10 +28,11 @@
 
 // sendCall makes a call to the worker if the agent's process still runs and the call still holds.
 func (a *Agent) sendCall(incarnation int, c exec.Call) {
-	if a.Dead || incarnation != a.incarnations {
+	if a.deferred(func() { a.sendCall(incarnation, c) }) || a.Dead || incarnation != a.incarnations {
 		return
 	}
 	if a.core.Sends(a.world.Now, c) {
+		a.pauseAtStart(c)
 		a.world.After(callDelay, func() { a.call(incarnation, c) })
 	}
 	a.act()
@@ -40,6 +41,9 @@
 // call makes a call to the worker. A random part of the calls, by World.DelayedShare, gets no
 // response and is executed late, and a part, by World.RefusedShare, is refused.
 func (a *Agent) call(incarnation int, c exec.Call) {
+	if a.deferred(func() { a.call(incarnation, c) }) {
+		return // the process was paused as it sent the call
+	}
 	w := a.world
 	execute := func() error {
 		if c.Start != nil {
@@ -95,8 +99,9 @@
 	if w.Witness.Unpreventable {
 		w.Late.Excused++
 	}
+	w.Witness.Late = true
 	_ = execute()
-	w.Witness.Unpreventable = false
+	w.Witness.Unpreventable, w.Witness.Late = false, false
 }
 
 // mayHavePolled reports whether the agent's process can have polled the worker's present
@@ -108,7 +113,7 @@
 
 // callEnded passes the result of a call to the agent.
 func (a *Agent) callEnded(incarnation int, c exec.Call, err error) {
-	if a.Dead || incarnation != a.incarnations {
+	if a.deferred(func() { a.callEnded(incarnation, c, err) }) || a.Dead || incarnation != a.incarnations {
 		return
 	}
 	switch {
--- a/internal/proof/fleet/entry.go
+++ b/internal/proof/fleet/entry.go
@@ -31,6 +31,10 @@
 	// Dead is set while the entry's process does not run, Frozen while the process is paused,
 	// Cut while the entry cannot reach the store.
 	Dead, Frozen, Cut bool
+	// unnoticedUntil is until when the others do not notice that the process is paused.
+	unnoticedUntil time.Time
+	// pausedUntil is the end of the latest pause of which nobody was told.
+	pausedUntil time.Time
 	// MessagesLate is set while what the entry sends to leaders is late.
 	MessagesLate bool
 	world        *World
--- a/internal/proof/fleet/world.go
+++ b/internal/proof/fleet/world.go
@@ -75,10 +75,15 @@
 	// LateAppendShare is the fraction of appends that get no response and are executed 1 to 6 s
 	// later.
 	LateAppendShare float64
-	rng, callerRNG  *rand.Rand
-	log             *slog.Logger
+	// PauseAtStartShare is the fraction of starts at whose sending the agent is paused.
+	PauseAtStartShare float64
+	rng, callerRNG    *rand.Rand
+	log               *slog.Logger
 	// epoch is the latest epoch that an entry has claimed, perhaps without success.
 	epoch uint64
+	// disruptedAt is when something was last disrupted, coreDisruptedAt when the store was. The
+	// latter goes on until coreDisruptedUntil.
+	disruptedAt, coreDisruptedAt, coreDisruptedUntil time.Time
 	// conns is the number of connections opened so far.
 	conns uint64
 }
@@ -86,7 +91,7 @@
 // New returns a world with the given numbers of entries and VMs, at Start.
 func New(seed uint64, entries, vms int, log *slog.Logger) *World {
 	w := &World{rng: rand.New(rand.NewPCG(seed, seed)), callerRNG: rand.New(rand.NewPCG(seed, ^seed)), log: log}
-	w.Now = Start
+	w.Now, w.disruptedAt, w.coreDisruptedAt = Start, Start, Start
 	w.Callers.world = w
 	w.Witness.Dependencies = w.Callers.dependencies
 	for i := range entries {
@@ -127,7 +132,7 @@
 func (w *World) electLeader() {
 	w.After(100*time.Millisecond, w.electLeader)
 	for _, e := range w.Entries {
-		if e.canLead() && e.leader != nil && e.epoch == w.epoch {
+		if (e.canLead() || e.unnoticed()) && e.leader != nil && e.epoch == w.epoch {
 			return
 		}
 	}
