jobs/exec: a start that a pause has held up comes too late within 2.8 s

Cause: a start was valid as long as the lease, up to 4 s after the lease request.

The worker refuses a start, and the agent drops it, 2.8 s after the latest lease request that was granted; the lease of what runs is as before. Conclusion: by that time the leader had not acknowledged the cancelling, or its order to stop has been handled.

--- a/internal/jobs/exec/agent.go
+++ b/internal/jobs/exec/agent.go
@@ -76,8 +76,9 @@
 	// the leader of that epoch, and synced once that leader has been sent all runs.
 	epoch             uint64
 	connected, synced bool
-	// leaseUntil is the end of the lease that the leader granted.
-	leaseUntil time.Time
+	// leaseUntil is the end of the lease that the leader granted, startUntil until when the worker
+	// may start runs under it.
+	leaseUntil, startUntil time.Time
 	// workerClock is a reading of the worker's clock. It was taken at workerClockAt or
 	// before.
 	workerClock   time.Duration
--- a/internal/jobs/exec/lease.go
+++ b/internal/jobs/exec/lease.go
@@ -16,6 +16,10 @@
 	requestAfterPoll = 330 * time.Millisecond
 	// requestInterval is the minimum interval of lease requests that follow no poll.
 	requestInterval = 600 * time.Millisecond
+	// maxStartDelay is how long after the agent sent the latest lease request that the leader granted
+	// a worker may start a run. What the leader has given up since then may not have arrived. It is
+	// less than the 3 s within which no task of a cancelled job starts any more.
+	maxStartDelay = 2800 * time.Millisecond
 )
 
 // LeaseRequest sends a lease request if the latest one was sent requestInterval ago. While
@@ -82,16 +86,27 @@
 	if until := sent.Add(l.ValidFor); until.After(a.leaseUntil) {
 		a.leaseUntil = until
 	}
+	if until := sent.Add(min(l.ValidFor, maxStartDelay)); until.After(a.startUntil) {
+		a.startUntil = until
+	}
 }
 
 // leaseDeadline returns the end of the lease on the worker's clock, or 0 if the leader
 // grants none. An old reading of that clock makes the lease end early, never late, also if the
 // clock has been slow since.
-func (a *Agent) leaseDeadline(now time.Time) time.Duration {
-	if a.workerClockAt.IsZero() || !now.Before(a.leaseUntil) {
+func (a *Agent) leaseDeadline(now time.Time) time.Duration { return a.onWorkerClock(now, a.leaseUntil) }
+
+// startDeadline returns until when the worker may start runs, on its clock, or 0 if it may start
+// none. The worker refuses a start that arrives later, however long a pause of this process held it.
+func (a *Agent) startDeadline(now time.Time) time.Duration { return a.onWorkerClock(now, a.startUntil) }
+
+// onWorkerClock returns what the worker's clock shows at a time, or earlier, and 0 if that time has
+// passed or no reading of the clock is known.
+func (a *Agent) onWorkerClock(now, t time.Time) time.Duration {
+	if a.workerClockAt.IsZero() || !now.Before(t) {
 		return 0
 	}
-	return a.workerClock + time.Duration(float64(a.leaseUntil.Sub(a.workerClockAt))*(1-maxClockDrift))
+	return a.workerClock + time.Duration(float64(t.Sub(a.workerClockAt))*(1-maxClockDrift))
 }
 
 // leaseLeft returns how long the lease that this process has extended goes on at the worker, 0 if
--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -63,8 +63,8 @@
 	switch {
 	case a.vm.Draining:
 		reason = "the VM is draining"
-	case a.leaseDeadline(now) == 0:
-		reason = "the VM has no lease"
+	case a.startDeadline(now) == 0:
+		reason = "the VM has no recent lease"
 	}
 	if reason != "" && !s.Repeated {
 		a.reportLost(k, reason)
@@ -88,7 +88,7 @@
 		return
 	}
 	r.tries++
-	deadline := a.leaseDeadline(now)
+	deadline := a.startDeadline(now)
 	a.deadline = max(a.deadline, deadline)
 	a.calls = append(a.calls, Call{Incarnation: a.vm.Incarnation, After: after, Start: &port.StartOrder{
 		Order: a.order(k), Payload: r.start.Payload, Checkpoint: r.start.Checkpoint,
@@ -173,7 +173,7 @@
 	case r.stopping:
 	case permanentRefusal(err):
 		a.abandon(k, r, err.Error())
-	case r.tries < maxStartTries && a.leaseDeadline(now) > 0:
+	case r.tries < maxStartTries && a.startDeadline(now) > 0:
 		a.log.Info("start was not answered", "task", k.task, "run", k.number, "vm", a.vm.ID, "try", r.tries, "err", err)
 		a.callStart(now, k, retryDelay)
 	default:
