proof/fleet: an order that the network holds is a disruption for the runs of cancelled jobs

Trace: its stop was sent at 6.586 and at 7.117 s and the network held both, the agent was paused at 7.299 s for 2.2 s, and the third one at 9.581 s was carried out. The users' rule excuses runs beside orders that workers carry out late; starts were excused already. Without late orders the check is as before.

--- a/internal/proof/fleet/calls.go
+++ b/internal/proof/fleet/calls.go
@@ -61,6 +61,7 @@
 		err, delay = errCallTimeout, callTimeout
 	case w.rng.Float64() < w.DelayedShare:
 		err, delay = errCallTimeout, callTimeout
+		w.disruptedAt = w.Now
 		life := a.Worker.Lives()
 		w.After(2*time.Second+time.Duration(w.rng.Int64N(int64(10*time.Second))), func() { a.executeLate(life, execute) })
 	case w.CopiedShare > 0 && c.Start != nil && c.After == 0 && w.rng.Float64() < w.CopiedShare:
