jobs/exec, jobs/lead: the logs show the payload and the checkpoint of a run

What operators could not see: whether a run was started with the payload that was accepted, and from which checkpoint it resumed. Package digest shortens both to their size and CRC-32. `task placed` has the checkpoint, `run started` what the call to the worker named, not what a later order says.

Before: the two new tests of the agent's log failed to find the attributes. After: they pass; with the order's texts in place of the call's, one fails.

--- a/internal/jobs/exec/log_test.go
+++ b/internal/jobs/exec/log_test.go
@@ -51,4 +51,27 @@
 		h.agent.Polled(h.now, p, port.PollResult{}, port.ErrWorkerReplaced)
 		Expect(out.String()).To(MatchRegexp(`msg="the worker is gone" .*leaseLeft=0s`))
 	})
+
+	// The leader logs the same of the job as it was accepted.
+	It("says with which payload and checkpoint a run was started", func() {
+		order := func(checkpoint string) {
+			h.agent.Orders(h.now, &msgs.Orders{Epoch: epoch, VM: "vm-1", Incarnation: h.incarnation, Starts: []msgs.Start{
+				{Task: task, Run: 1, Percent: 100, Payload: "hello", Checkpoint: checkpoint},
+			}})
+		}
+		order("665")
+		c := h.call()
+		order("later") // repeated after the call was made
+		h.agent.Started(h.now, c, nil)
+		Expect(out.String()).To(MatchRegexp(`msg="run started" task=\S+ run=1 .*payload=5:3610a686 checkpoint=3:00081566`))
+	})
+
+	It("says so of a run that a poll confirms before its start is answered", func() {
+		h.agent.Orders(h.now, &msgs.Orders{Epoch: epoch, VM: "vm-1", Incarnation: h.incarnation, Starts: []msgs.Start{{Task: task, Run: 1, Percent: 100, Payload: "hello"}}})
+		h.agent.Started(h.now, h.call(), errNoResponse)
+		repeated := h.call()
+		h.poll(port.PollResult{Running: []msgs.RunStatus{{Task: task, Run: 1}}})
+		Expect(h.agent.Sends(h.now, repeated)).To(BeFalse())
+		Expect(out.String()).To(MatchRegexp(`msg="run started" task=\S+ run=1 .*payload=5:3610a686 checkpoint=0:00000000`))
+	})
 })
--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/ebonyarch/ebonyarch/internal/base/digest"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 )
@@ -145,7 +146,7 @@
 	r.unanswered = r.unanswered || unanswered
 	switch {
 	case err == nil:
-		a.started(now, k, r)
+		a.started(now, k, r, c.Start)
 	case errors.Is(err, port.ErrRunFenced):
 		// Since the call, the agent has connected to a later leader, which expects the run
 		// to start.
@@ -189,13 +190,14 @@
 	a.callStop(k, retryDelay)
 }
 
-// started records that the worker has confirmed the start of a run.
-func (a *Agent) started(now time.Time, k runKey, r *run) {
+// started records that the worker has confirmed the start of a run by the given order.
+func (a *Agent) started(now time.Time, k runKey, r *run, o *port.StartOrder) {
 	r.present = true
 	if r.presentSince.IsZero() {
 		r.presentSince = now
 	}
-	a.log.Info("run started", "task", k.task, "run", k.number, "vm", a.vm.ID, "tries", r.tries, "epoch", a.epoch)
+	a.log.Info("run started", "task", k.task, "run", k.number, "vm", a.vm.ID, "tries", r.tries, "epoch", a.epoch,
+		"payload", digest.Text(o.Payload), "checkpoint", digest.Text(o.Checkpoint))
 	if r.start.Percent < fullSpeed {
 		a.callThrottle(k, r.start.Percent)
 	}
--- a/internal/jobs/exec/send.go
+++ b/internal/jobs/exec/send.go
@@ -24,7 +24,7 @@
 	case r == nil, r.stopping:
 	case r.present:
 		// A poll has confirmed it.
-		a.started(now, k, r)
+		a.started(now, k, r, c.Start)
 	default:
 		a.noteLate(now, maxCallTime)
 		return true
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/ebonyarch/ebonyarch/internal/base/digest"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/plan"
@@ -229,7 +230,7 @@
 	p.l.stats.Started++
 	p.l.log.Info("task placed", "req", ref.Job, "task", ref.String(), "run", assigned.Number, "vm", v.info.ID,
 		"sinceAccepted", p.now.Sub(e.Job.Accepted), "freeCPU", v.placement.Free().CPU, "doubt", v.placement.Suspicion, "pace", r.speedLimit,
-		"heard", p.now.Sub(v.lastContact), "epoch", p.l.epoch)
+		"heard", p.now.Sub(v.lastContact), "checkpoint", digest.Text(r.checkpoint), "epoch", p.l.epoch)
 	return r
 }
 
