jobs/exec: the reason of a lost run is one that the leader knows

What callers saw: a run whose order the worker could not read (status 400) was ordered again at once, without end and without the wait that follows other refusals. If the worker's response held bytes that are not UTF-8, the agent's connection to the leader ended each time.

Cause: the reason that the agent reported held the text of the response, so it was none of those that the leader compares. The codec encodes any text, but decodes only UTF-8.

Ruled out: comparing the start of the reason in the leader, which would still carry the text there.

What the response says is in the agent's new log line `start was refused`.

--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -160,7 +160,7 @@
 		// An earlier try may have started the run, and it may have ended since.
 		r.markUnconfirmed(now, err.Error())
 	case permanentRefusal(err) && !r.unanswered:
-		a.reportLost(k, err.Error())
+		a.reportLost(k, a.refusalReason(k, err))
 	default:
 		r.brokenOff = r.brokenOff || unanswered && !errors.Is(err, context.DeadlineExceeded)
 		a.retryStart(now, k, r, err)
@@ -173,7 +173,7 @@
 	case r.present:
 	case r.stopping:
 	case permanentRefusal(err):
-		a.abandon(k, r, err.Error())
+		a.abandon(k, r, a.refusalReason(k, err))
 	case r.tries < maxStartTries && a.leaseDeadline(now) > 0:
 		a.log.Info("start was not answered", "task", k.task, "run", k.number, "vm", a.vm.ID, "try", r.tries, "err", err)
 		a.callStart(now, k, retryDelay)
@@ -205,16 +205,30 @@
 
 // permanentRefusal reports whether err means that a call to start a run was not carried
 // out and never will be.
-func permanentRefusal(err error) bool {
+func permanentRefusal(err error) bool { return refusal(err) != nil }
+
+// refusal returns the error of package port because of which err is a permanent refusal, nil if it
+// is none.
+func refusal(err error) error {
 	for _, e := range []error{
 		port.ErrRunOver, port.ErrRunLate, port.ErrRunCapacity, port.ErrRunTicket, port.ErrRunInvalid,
 		port.ErrWorkerUnhealthy, port.ErrWorkerReplaced, port.ErrNoWorker,
 	} {
 		if errors.Is(err, e) {
-			return true
+			return e
 		}
 	}
-	return false
+	return nil
+}
+
+// refusalReason returns the reason of a permanent refusal, which the leader compares. It logs what
+// err says beyond that.
+func (a *Agent) refusalReason(k runKey, err error) string {
+	reason := refusal(err).Error()
+	if err.Error() != reason {
+		a.log.Warn("start was refused", "task", k.task, "run", k.number, "vm", a.vm.ID, "err", err)
+	}
+	return reason
 }
 
 // Stopped processes the result of a call to stop a run. If the run is present, its end is
