fake/tasks: the witness checks payloads and checkpoints of all orders

The simulated worker saves a checkpoint after each 200 ms of work and at a stop, with unusual characters in it, and lists it for present runs and with ends. The witness checks each order to start a run, also a repeated or a refused one: its payload is that of all runs of the job, its checkpoint one that the same task or its gang has saved, byte for byte, and all orders for one run of a gang name the same one. So the fleet's tests and the soak check the rule beside all their faults.

Not caught by the fleet's tests of gangs: a repeated order with a later checkpoint, which has a test of its own in jobs/lead.

--- a/internal/fake/tasks/witness.go
+++ b/internal/fake/tasks/witness.go
@@ -40,6 +40,7 @@
 	finished map[string]bool
 	// gangs holds the runs of gangs of which members are present.
 	gangs map[gangKey]*gang
+	texts texts
 }
 
 func (x *Witness) addFault(format string, args ...any) {
--- a/internal/fake/tasks/worker.go
+++ b/internal/fake/tasks/worker.go
@@ -97,6 +97,8 @@
 	stoppingSince time.Time
 	// gangOutcome is the outcome of the run's gang, 0 until another member has ended.
 	gangOutcome msgs.Outcome
+	// checkpoint is the one that the run resumed from, empty if there was none.
+	checkpoint string
 }
 
 // New returns a worker whose first incarnation starts at now. The plan function returns the
@@ -191,13 +193,14 @@
 }
 
 func (w *Worker) endRun(now time.Time, r *run, o msgs.Outcome) {
+	checkpoint := w.saveAtEnd(now, r, o)
 	w.witness.leave(r, o)
 	w.endCount++
 	w.endedAt[w.endCount] = now
 	if w.Oddity != nil {
 		w.odd[w.endCount] = w.Oddity()
 	}
-	w.ended = append(w.ended, msgs.RunEnd{Number: w.endCount, Task: r.task, Run: r.number, Outcome: o})
+	w.ended = append(w.ended, msgs.RunEnd{Number: w.endCount, Task: r.task, Run: r.number, Outcome: o, Checkpoint: checkpoint})
 	w.lastOver[r.task] = max(w.lastOver[r.task], r.number)
 	w.witness.ended(now, w.id, r.task, r.number, o)
 }
@@ -223,6 +226,7 @@
 	if err := w.check(o.Worker, o.FencingToken); err != nil {
 		return err
 	}
+	w.witness.told(o, w.plan(o.Task, o.Run).Members)
 	w.deadline = max(w.deadline, o.Deadline)
 	if slices.ContainsFunc(w.runs, func(r *run) bool { return r.task == o.Task && r.number == o.Run }) {
 		return nil
@@ -233,7 +237,7 @@
 	case w.clock(now) > o.Deadline:
 		return port.ErrRunLate
 	}
-	r := &run{task: o.Task, number: o.Run, plan: w.plan(o.Task, o.Run), startedAt: now}
+	r := &run{task: o.Task, number: o.Run, plan: w.plan(o.Task, o.Run), startedAt: now, checkpoint: o.Checkpoint}
 	if w.GuardsCapacity && !w.capacity.Covers(w.used().Plus(r.plan.Size)) {
 		w.witness.noteRefused()
 		return port.ErrRunCapacity
@@ -273,7 +277,7 @@
 	ended, err := w.listEnds()
 	result := port.PollResult{Incarnation: w.Incarnation(), Clock: w.clock(now), Ended: slices.Concat(ended, w.forgotten)}
 	for _, r := range w.runs {
-		status := msgs.RunStatus{Task: r.task, Run: r.number, Percent: 100}
+		status := msgs.RunStatus{Task: r.task, Run: r.number, Percent: 100, Checkpoint: w.save(now, r)}
 		if r.plan.Work > 0 {
 			status.Percent = int(100 * w.witness.worked(now, r) / r.plan.Work)
 		}
