jobs/lead: a gang's member does not start once another one has ended

What callers saw: a member that waits in vain until its gang times out, and a gang that is told to resume from two different checkpoints. If a member was stopped before another one had started and that one's agent connected again, or the next leader took over, the order to start the other one was repeated. Under the next leader it named the checkpoint that the stop had saved since.

Cause: a leader repeats the orders for all runs of a VM that its agent does not list.

Ruled out: storing the checkpoint that a run was told. The run's gang cannot work any more, so there is nothing to start; the order to stop it makes the agent find out whether a late order has started it.

A member that is listed is ordered as before, since its agent needs the details; it ends with its gang.

--- a/internal/jobs/lead/gang.go
+++ b/internal/jobs/lead/gang.go
@@ -33,6 +33,18 @@
 	}
 }
 
+// memberEnded reports whether another member of a run of a gang has ended, so that the others wait
+// for it in vain until they are started anew.
+func (r *run) memberEnded() bool {
+	if !r.step.Gang {
+		return false
+	}
+	st := r.entry.Stage(r.ref)
+	return slices.ContainsFunc(r.entry.Tasks[st.First:st.First+r.step.Tasks], func(t table.Task) bool {
+		return !slices.ContainsFunc(t.Runs, func(other table.Run) bool { return other.Number == r.number })
+	})
+}
+
 // chooseGangRacks returns a VM for each of n tasks, or nil if there is not enough capacity for
 // all of them. It prefers VMs of one rack if the tasks are slower otherwise. Only VMs for which
 // allowed returns true are used.
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -129,8 +129,13 @@
 	l.updateProgress(now, v, req.Runs)
 	orders := &msgs.Orders{Epoch: l.epoch, VM: v.info.ID, Incarnation: v.info.Incarnation, Stops: stops}
 	if req.Synced {
-		for _, r := range v.runs {
-			if !r.unwanted() {
+		for key, r := range v.runs {
+			switch {
+			case r.unwanted():
+			case !present[key] && r.memberEnded():
+				r.stopped = true
+				l.log.Info("run is stopped", "req", r.ref.Job, "task", key.task, "run", key.number, "vm", v.info.ID, "reason", "another member of its gang has ended")
+			default:
 				// The agent starts the missing runs and needs the details of the others.
 				orders.Starts = append(orders.Starts, startOf(r))
 			}
