--- a/internal/fake/tasks/witness.go
+++ b/internal/fake/tasks/witness.go
@@ -50,6 +50,7 @@
 	reported   map[runID]bool
 	// gangs holds the runs of gangs of which members are present.
 	gangs map[gangKey]*gang
+	texts texts
 }
 
 func (x *Witness) addFault(format string, args ...any) {
