proof/check, proof/fleet: a cancelling answered with no such job must find none

The check of histories knew that a cancelling of an absent job cannot succeed, but not that one of a present job cannot be answered with its absence; the simulated callers kept no history.

Before: with the new case left out, three of the six new entries of the table fail. After: all pass, and the worlds check the requests of all callers.

--- a/internal/proof/check/check_test.go
+++ b/internal/proof/check/check_test.go
@@ -59,6 +59,18 @@
 		call(check.Submit, check.Done, 0, 1), read(check.Open, 2), call(check.Cancel, check.Done, 4, 5),
 		read(check.Cancelled, 6), read(check.Completed, 8)),
 	Entry("cancelled, but never accepted", false, call(check.Cancel, check.Done, 0, 1)),
+	Entry("cancelling answered with no such job before it was accepted", true,
+		call(check.Cancel, check.Refused, 0, 1), call(check.Submit, check.Done, 2, 3)),
+	Entry("cancelling answered with no such job while it is being accepted", true,
+		call(check.Submit, check.Done, 0, 3), call(check.Cancel, check.Refused, 1, 2)),
+	Entry("cancelling answered with no such job after it was accepted", false,
+		call(check.Submit, check.Done, 0, 1), call(check.Cancel, check.Refused, 2, 3)),
+	Entry("cancelling answered with no such job after it was completed", false,
+		call(check.Submit, check.Done, 0, 1), read(check.Completed, 2), call(check.Cancel, check.Refused, 4, 5)),
+	Entry("cancelled, and its cancelling answered with no such job", false,
+		call(check.Submit, check.Done, 0, 1), call(check.Cancel, check.Done, 2, 3), call(check.Cancel, check.Refused, 4, 5)),
+	Entry("cancelling answered with no such job, unknown outcome of the submission", true,
+		call(check.Submit, check.Unknown, 0, 1), call(check.Cancel, check.Refused, 2, 3)),
 )
 
 var _ = Describe("a correct history", func() {
--- a/internal/proof/check/jobs.go
+++ b/internal/proof/check/jobs.go
@@ -4,8 +4,9 @@
 
 // JobCall is a call that concerns the job of one idempotency key.
 type JobCall struct {
-	Key     string
-	Action  JobAction
+	Key    string
+	Action JobAction
+	// Outcome of a Cancel is Refused if the response was that there is no such job.
 	Outcome Outcome
 	// Observed is the state that a Read returned.
 	Observed JobState
@@ -74,6 +75,10 @@
 			return nil
 		}
 		return []JobState{after}
+	case Refused:
+		if c.Action == Cancel && state != Absent {
+			return nil
+		}
 	case Unknown:
 		return []JobState{state, after}
 	}
--- a/internal/proof/fleet/callers.go
+++ b/internal/proof/fleet/callers.go
@@ -28,6 +28,7 @@
 type Callers struct {
 	world *World
 	jobs  map[model.ID]*submission
+	history
 	// faults describes the violations that were found.
 	faults []string
 }
@@ -102,8 +103,12 @@
 		req.Verb, req.Spec = msgs.Cancel, nil
 	}
 	e := w.Entries[w.callerRNG.IntN(len(w.Entries))]
+	call := c.addCall(&req)
 	w.After(messageDelay, func() {
-		e.accept(req, func(resp msgs.JobResponse) { c.handleResponse(j, attempt, resp) })
+		e.accept(req, func(resp msgs.JobResponse) {
+			c.noteResponse(call, resp)
+			c.handleResponse(j, attempt, resp)
+		})
 	})
 	w.After(responseTimeout, func() { c.handleResponse(j, attempt, msgs.JobResponse{Code: codes.FateUnknown}) })
 }
@@ -159,6 +164,7 @@
 
 // Check returns all violations. It is called when all work should have ended.
 func (w *World) Check() []string {
+	w.Callers.checkHistory()
 	faults := append([]string(nil), w.Callers.faults...)
 	faults = append(faults, w.Witness.Faults()...)
 	for id, j := range w.Callers.jobs {
--- a/internal/proof/fleet/cancel.go
+++ b/internal/proof/fleet/cancel.go
@@ -64,7 +64,9 @@
 func (c *Callers) copySubmission(j *submission) {
 	w, spec := c.world, j.spec
 	e := w.Entries[w.callerRNG.IntN(len(w.Entries))]
-	e.accept(msgs.JobRequest{Verb: msgs.Submit, Queue: spec.Queue.Name, Job: spec.ID, Spec: &spec}, func(msgs.JobResponse) {})
+	req := msgs.JobRequest{Verb: msgs.Submit, Queue: spec.Queue.Name, Job: spec.ID, Spec: &spec}
+	c.addCall(&req)
+	e.accept(req, func(msgs.JobResponse) {})
 }
 
 // ScheduleCancels schedules jobs that are cancelled, most of them promptly, and lets the witness
