jobs/exec, jobs/lead: the logs tell when a run's stop was ordered, sent and confirmed

After: the agent logs the order, each try without success, and the time from the order to the worker's confirmation, the leader each run that it stops, once, with when its agent was heard. No decision changes; a run whose job had ended before counts as stopped once a leader has ordered its stop.

--- a/internal/jobs/exec/log_test.go
+++ b/internal/jobs/exec/log_test.go
@@ -51,4 +51,18 @@
 		h.agent.Polled(h.now, p, port.PollResult{}, port.ErrWorkerReplaced)
 		Expect(out.String()).To(MatchRegexp(`msg="the worker is gone" .*leaseLeft=0s`))
 	})
+
+	It("says when the order to stop a run arrived and how long after it the worker confirmed it", func() {
+		h.poll(port.PollResult{})
+		h.agent.Started(h.now, h.order(), nil)
+		c := h.stop()
+		h.now = h.now.Add(500 * time.Millisecond)
+		h.agent.Stopped(h.now, c, errNoResponse)
+		c = h.call()
+		h.now = h.now.Add(40 * time.Millisecond)
+		h.agent.Stopped(h.now, c, nil)
+		Expect(out.String()).To(MatchRegexp(`(?s)msg="run is to be stopped" task=` + task + ` run=1 vm=vm-1 present=true epoch=3\n` +
+			`.*msg="stop was not answered" task=` + task + ` run=1 vm=vm-1 .* retryAfter=30ms epoch=3\n` +
+			`.*msg="stop is confirmed" task=` + task + ` run=1 vm=vm-1 after=540ms epoch=3\n`))
+	})
 })
--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -38,7 +38,7 @@
 		a.start(now, o.Starts[i])
 	}
 	for _, s := range o.Stops {
-		a.stop(s)
+		a.stop(now, s)
 	}
 	for _, p := range o.Throttles {
 		a.throttle(runKey{p.Task, p.Run}, p.Percent)
@@ -104,7 +104,7 @@
 
 // stop processes an order to stop a run. The run may be unknown to this process: the worker may
 // still carry out a start that an earlier one sent, until it has confirmed the stop.
-func (a *Agent) stop(s msgs.Stop) {
+func (a *Agent) stop(now time.Time, s msgs.Stop) {
 	k := runKey{s.Task, s.Run}
 	r := a.runs[k]
 	switch {
@@ -116,7 +116,8 @@
 	case r.stopping:
 		return
 	}
-	r.stopping = true
+	a.log.Info("run is to be stopped", "task", k.task, "run", k.number, "vm", a.vm.ID, "present", r.present, "epoch", a.epoch)
+	r.stopping, r.stopOrderedAt = true, now
 	a.callStop(k, 0)
 }
 
@@ -226,11 +227,15 @@
 	switch {
 	case r == nil:
 	case err == nil, errors.Is(err, port.ErrRunOver):
+		if !r.stopConfirmed && !r.stopOrderedAt.IsZero() {
+			a.log.Info("stop is confirmed", "task", k.task, "run", k.number, "vm", a.vm.ID, "after", now.Sub(r.stopOrderedAt), "epoch", a.epoch)
+		}
 		r.stopConfirmed = true
 		r.markUnconfirmed(now, cmp.Or(r.stopReason, "stopped before it started"))
 	default:
 		// If the fencing token was out of date, the next call carries the present one.
 		r.stopDelay = min(max(2*r.stopDelay, retryDelay), maxStopDelay)
+		a.log.Info("stop was not answered", "task", k.task, "run", k.number, "vm", a.vm.ID, "err", err, "retryAfter", r.stopDelay, "epoch", a.epoch)
 		a.callStop(k, r.stopDelay)
 	}
 }
--- a/internal/jobs/exec/run.go
+++ b/internal/jobs/exec/run.go
@@ -41,6 +41,8 @@
 	// stopping is set once the run is to be stopped, stopConfirmed once the worker has confirmed
 	// that it stops.
 	stopping, stopConfirmed bool
+	// stopOrderedAt is when the leader ordered the stop, zero if it did not.
+	stopOrderedAt time.Time
 	// stopDelay is the delay before the latest repeated call to stop the run.
 	stopDelay time.Duration
 	// stopReason is why the run is stopped although it is not present, empty if the leader
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -118,6 +118,7 @@
 			unexpected[key] = l.sizeOrAll(v, key.task)
 		}
 		if r == nil || r.unwanted() {
+			l.noteUnwanted(v, key, "present")
 			stops = append(stops, l.stopOf(key))
 			continue
 		}
--- a/internal/jobs/lead/stop.go
+++ b/internal/jobs/lead/stop.go
@@ -37,7 +37,7 @@
 }
 
 // stopRun orders the stop of a run, unless that was done before.
-func (l *Leader) stopRun(_ time.Time, id string, key runKey, reason string) {
+func (l *Leader) stopRun(now time.Time, id string, key runKey, reason string) {
 	v := l.vms[id]
 	if v == nil {
 		return
@@ -47,12 +47,25 @@
 		return
 	}
 	r.stopped = true
-	l.log.Info("run is stopped", "req", r.ref.Job, "task", key.task, "run", key.number, "vm", id, "reason", reason)
+	l.log.Info("run is stopped", "req", r.ref.Job, "task", key.task, "run", key.number, "vm", id, "reason", reason,
+		"connected", v.synced, "heard", now.Sub(v.lastContact), "epoch", l.epoch)
 	l.sendWhenStored(v.conn, &msgs.Message{Orders: &msgs.Orders{
 		Epoch: l.epoch, VM: id, Incarnation: v.info.Incarnation, Stops: []msgs.Stop{l.stopOf(key)},
 	}})
 }
 
+// noteUnwanted logs, once for each run, that a run is stopped whose stop an earlier leader ordered, if
+// any. seen says how the agent's list shows the run.
+func (l *Leader) noteUnwanted(v *vm, key runKey, seen string) {
+	r := v.runs[key]
+	if r == nil || r.stopped {
+		return
+	}
+	r.stopped = true
+	l.log.Info("run is stopped", "req", r.ref.Job, "task", key.task, "run", key.number, "vm", v.info.ID,
+		"reason", "unwanted since before", "seen", seen, "state", r.entry.State, "epoch", l.epoch)
+}
+
 // absentUnwanted returns stops for the runs that are not present and that were to be stopped, or
 // whose job has ended. The worker may still carry out a start that an earlier process of the
 // agent sent, so the agent reports such a run as lost once the worker has confirmed the stop.
@@ -60,6 +73,7 @@
 	var stops []msgs.Stop
 	for key, r := range v.runs {
 		if !present[key] && r.unwanted() {
+			l.noteUnwanted(v, key, "not listed")
 			stops = append(stops, l.stopOf(key))
 		}
 	}
