node/entry: an unknown service is refused after a read barrier

What callers saw: a request got "unknownTeam" or "unknownService" (404, retry no) from an entry that had just started, or that had not yet read the configuration which another entry had acknowledged.

Cause: the routes, which are built from the state in memory, were taken for complete.

Ruled out: readyz. It is right until the first read of the log to its end, but callers with an open connection, and an entry that lags later, do not depend on it.

After: a service that is not in the routes is looked for again after a read barrier, within the request's deadline. A known service is routed as before, without a barrier.

--- a/internal/node/entry/helper_test.go
+++ b/internal/node/entry/helper_test.go
@@ -29,8 +29,8 @@
 	// lost counts the calls of loseReads. The response to a read that began before the
 	// latest one is lost.
 	lost int
-	// down makes every call fail.
-	down bool
+	// down makes every call fail, and silent leaves every read without a response.
+	down, silent bool
 }
 
 // loseReads loses the responses to the reads that are in flight. They return when
@@ -49,6 +49,20 @@
 	l.down = true
 }
 
+// hang leaves the reads in flight and all later ones without a response.
+func (l *linkLog) hang() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lost++
+	l.silent = true
+}
+
+func (l *linkLog) isSilent() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.silent
+}
+
 func (l *linkLog) state() (lost int, down bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -68,7 +82,7 @@
 		return nil, from, plog.ErrDown
 	}
 	entries, next, err := l.Log.Read(ctx, from, limit, wait)
-	if after, _ := l.state(); after != before {
+	if after, _ := l.state(); after != before || l.isSilent() {
 		<-ctx.Done()
 		return nil, from, ctx.Err()
 	}
@@ -99,6 +113,8 @@
 	Status int
 	Code   codes.Code
 	Body   string
+	// Took is how long the call took.
+	Took time.Duration
 }
 
 // call sends a request to an entry. header holds names and values in turn.
@@ -108,12 +124,13 @@
 	for i := 0; i+1 < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
 	}
+	started := time.Now()
 	resp, err := http.DefaultClient.Do(req)
 	Expect(err).NotTo(HaveOccurred())
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
 	Expect(err).NotTo(HaveOccurred())
-	a := answer{Status: resp.StatusCode, Body: string(data)}
+	a := answer{Status: resp.StatusCode, Body: string(data), Took: time.Since(started)}
 	if a.Status >= http.StatusBadRequest {
 		var problem struct {
 			Code codes.Code `json:"code"`
--- a/internal/node/entry/lagconf_test.go
+++ b/internal/node/entry/lagconf_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -58,4 +59,24 @@
 		}
 		Expect(call(behind, http.MethodGet, "/v1/teams", "").Code).To(Equal(codes.NotReady))
 	})
+
+	It("knows a service that another entry has just configured", func() {
+		link.loseReads()
+		publish(ahead, "1", `{"services": {"s": {"replicas": 1, "cpu": 1, "memory": "1GB"}}}`)
+		Expect(call(behind, http.MethodGet, teamPath+"/services/s/path", "").Code).To(Equal(codes.NoUpstream))
+		Expect(call(behind, http.MethodGet, teamPath+"/services/none/path", "").Code).To(Equal(codes.UnknownService))
+	})
+
+	It("does not say that there is no such service while it cannot reach the log", func() {
+		link.cut()
+		Expect(call(behind, http.MethodGet, "/v1/teams/u/services/s/path", "").Code).To(Equal(codes.NotReady))
+		Expect(call(behind, http.MethodGet, teamPath+"/services/s/path", "").Code).To(Equal(codes.NotReady))
+	})
+
+	It("refuses a request to an unknown service by the request's deadline", func() {
+		link.hang()
+		a := call(behind, http.MethodGet, teamPath+"/services/s/path", "", "Request-Timeout", "50ms")
+		Expect(a.Code).To(Equal(codes.NotReady))
+		Expect(a.Took).To(BeNumerically("<", time.Second))
+	})
 })
--- a/internal/node/entry/ready_test.go
+++ b/internal/node/entry/ready_test.go
@@ -41,6 +41,7 @@
 		Entry("submission", http.MethodPost, "/v1/teams/t/jobs", bulkJob),
 		Entry("cancelling", http.MethodDelete, "/v1/teams/t/jobs/j", ""),
 		Entry("teams", http.MethodGet, "/v1/teams", ""),
+		Entry("service", http.MethodGet, "/v1/teams/t/services/s/path", ""),
 		Entry("rollback", http.MethodPost, "/v1/teams/t/config/rollback", `{"revision": 1}`),
 	)
 })
--- a/internal/node/entry/request.go
+++ b/internal/node/entry/request.go
@@ -76,7 +76,7 @@
 		return nil, codes.WithRetryAfter(codes.New(codes.Leaving, "the entry is shutting down"), time.Second)
 	}
 	vars := mux.Vars(r)
-	s, err := e.lookupService(vars["team"], vars["service"])
+	s, err := e.findService(r, vars["team"], vars["service"])
 	if err != nil {
 		return nil, err
 	}
@@ -103,7 +103,26 @@
 	return req, nil
 }
 
-// lookupService returns a service that can be called now.
+// findService returns a service that can be called now. That there is none is only said
+// after a read barrier, by the deadline that the caller sets.
+func (e *Entry) findService(r *http.Request, team, name string) (*service, error) {
+	if s, err := e.lookupService(team, name); err == nil {
+		return s, nil
+	}
+	ctx := r.Context()
+	if d, err := time.ParseDuration(r.Header.Get(headerTimeout)); err == nil && d > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, d)
+		defer cancel()
+	}
+	if err := e.readBarrier(ctx); err != nil {
+		return nil, err
+	}
+	e.updateRoutes()
+	return e.lookupService(team, name)
+}
+
+// lookupService returns a service from the routes, as far as the log has been read.
 func (e *Entry) lookupService(team, name string) (*service, error) {
 	routes := e.routes.Load()
 	if s := routes.services[team+"/"+name]; s != nil {
