sched/leader: no lease for a VM while its revocation is under way

What was seen: two attempts of one task running at a time, on two VMs.

Cause: the leader revokes the attempts of a VM that was silent for a whole lease by a record. Until it has read the record back, its state still shows them as granted. If the VM's heartbeat came in this time, the leader answered from that state: it renewed the lease and assigned the attempts again. A VM that had not heard of them before, or had lost its memory of them, started them, while the log gave the tasks back and another VM got their next attempts.

Ruled out: the time that the leader waits before it revokes (the lease had expired on the VM), and the order of records in the log.

After: until the outcome of the revocation is known, the VM's heartbeats renew no lease and change no assignments; a line is logged for each.

leader_test.go: the harness's step is split in two, and the state with a granted task is shared; the existing spec asks the same as before.

--- a/internal/sched/leader/leader.go
+++ b/internal/sched/leader/leader.go
@@ -70,6 +70,8 @@
 	vms map[string]*lease
 	// proposals holds the ids of this entry's records whose outcome is unknown.
 	proposals map[uint64]struct{}
+	// revoking holds the VMs whose revocation is among proposals, by record id.
+	revoking map[uint64]string
 	// results holds the results of attempts that are not in the log yet.
 	results map[ident.Attempt]*schema.Result
 	// evicting holds the attempts that are being evicted for other tasks.
@@ -121,7 +123,7 @@
 	return &Leader{
 		snapshotInterval: snapshotInterval,
 		cell:             cell, fold: f, writer: w, members: members, estimates: estimates, log: log,
-		vms: map[string]*lease{}, proposals: map[uint64]struct{}{},
+		vms: map[string]*lease{}, proposals: map[uint64]struct{}{}, revoking: map[uint64]string{},
 		results: map[ident.Attempt]*schema.Result{}, evicting: map[ident.Attempt]eviction{},
 	}
 }
@@ -160,6 +162,7 @@
 // Resolved is called when the outcome of one of this entry's records is known.
 func (l *Leader) Resolved(now time.Time, r writer.Result) {
 	delete(l.proposals, r.ID)
+	delete(l.revoking, r.ID)
 	if r.ID == l.pendingClaim {
 		l.pendingClaim = 0
 		if r.Committed && r.Code == 0 {
@@ -233,10 +236,12 @@
 	return now.Sub(l.readAt) <= maxReadAge && len(l.proposals) == 0 && !l.writer.LogUnavailable(now)
 }
 
-// propose queues a record for the log under this entry's term.
-func (l *Leader) propose(now time.Time, r *schema.Record) {
+// propose queues a record for the log under this entry's term and returns its id.
+func (l *Leader) propose(now time.Time, r *schema.Record) uint64 {
 	r.Cell, r.Term = l.cell, l.term
-	l.proposals[l.writer.Add(now, r)] = struct{}{}
+	id := l.writer.Add(now, r)
+	l.proposals[id] = struct{}{}
+	return id
 }
 
 // later returns the later of two times.
--- a/internal/sched/leader/leader_test.go
+++ b/internal/sched/leader/leader_test.go
@@ -45,19 +45,28 @@
 
 // advance lets time pass in steps, in each of which the log takes what the leader wrote.
 func (h *harness) advance(d time.Duration) {
-	const step = 100 * time.Millisecond
 	for end := h.now.Add(d); h.now.Before(end); {
-		h.now = h.now.Add(step)
-		h.leader.Tick(h.now)
-		if data, ok := h.writer.Next(h.now); ok {
-			h.writer.Appended(h.now, h.offset, nil)
-			for _, r := range h.writer.Applied(h.fold.Apply(h.offset, data)) {
-				h.leader.Resolved(h.now, r)
-			}
-			h.offset++
+		h.tick()
+		h.takeRecords()
+	}
+}
+
+// tick lets a step of time pass. The log does not take what the leader writes.
+func (h *harness) tick() {
+	h.now = h.now.Add(100 * time.Millisecond)
+	h.leader.Tick(h.now)
+}
+
+// takeRecords lets the log take what the leader wrote, and the leader read it back.
+func (h *harness) takeRecords() {
+	if data, ok := h.writer.Next(h.now); ok {
+		h.writer.Appended(h.now, h.offset, nil)
+		for _, r := range h.writer.Applied(h.fold.Apply(h.offset, data)) {
+			h.leader.Resolved(h.now, r)
 		}
-		h.leader.Read(h.now)
+		h.offset++
 	}
+	h.leader.Read(h.now)
 }
 
 // hello returns a writer that joined at an offset.
@@ -65,6 +74,18 @@
 	return &schema.WriterState{Writer: id, JoinedAt: joinedAt, Hello: &schema.Hello{Name: name}, SeenMs: time.Unix(1000, 0).UnixMilli()}
 }
 
+// grantedJob returns a state with a job whose only task is granted to vm-1.
+func grantedJob() *schema.State {
+	return &schema.State{
+		Writers: []*schema.WriterState{hello(writerID, "entry", 70)},
+		Teams:   []*schema.TeamState{{Team: "t", Revision: 1, Body: []byte(`{"batch": {"b": {"cpu": 1}}}`)}},
+		Jobs: []*schema.JobState{{
+			Accept: &schema.JobAccept{Job: "j", Team: "t", Kind: "b", Tasks: 1, Size: &schema.Size{CpuMilli: 1000}}, Cell: cell,
+			Tasks: []*schema.TaskState{{State: uint32(fold.Granted), Epoch: 1, Vm: "vm-1"}},
+		}},
+	}
+}
+
 var _ = Describe("The leader of a cell", func() {
 	// A mark without parts would make entries load an empty state.
 	It("writes no snapshot if the state cannot be encoded, and tries again later", func() {
@@ -84,12 +105,7 @@
 	// not get shows that it did not extend its term, whichever entry is looked at first.
 	It("waits for no extension that an entry known to the former leader has not promised", func() {
 		for n := range 30 {
-			state := &schema.State{Writers: []*schema.WriterState{hello(writerID, "entry", 70)}}
-			state.Teams = []*schema.TeamState{{Team: "t", Revision: 1, Body: []byte(`{"batch": {"b": {"cpu": 1}}}`)}}
-			state.Jobs = []*schema.JobState{{
-				Accept: &schema.JobAccept{Job: "j", Team: "t", Kind: "b", Tasks: 1, Size: &schema.Size{CpuMilli: 1000}}, Cell: cell,
-				Tasks: []*schema.TaskState{{State: uint32(fold.Granted), Epoch: 1, Vm: "vm-1"}},
-			}}
+			state := grantedJob()
 			for i := range 8 {
 				state.Writers = append(state.Writers, hello(fmt.Sprintf("p%d-%d", n, i), "peer", 10))
 			}
@@ -105,4 +121,27 @@
 			Expect(h.leader.Stats().Revocations).To(BeEquivalentTo(1))
 		}
 	})
+
+	// Its state still showed the attempts as granted, and it assigned them once more.
+	It("gives a VM neither a lease nor assignments while it does not know whether the VM was revoked", func() {
+		h := newHarness(grantedJob())
+		beat := func() *schema.BeatReply {
+			reply := &schema.BeatReply{}
+			h.leader.Beat(h.now, &schema.BeatRequest{Member: &schema.Member{Vm: "vm-1", Cell: cell}, First: true, GrantsHash: 7}, reply)
+			return reply
+		}
+		for h.leader.Stats().Revocations == 0 {
+			h.takeRecords()
+			h.tick()
+		}
+		reply := beat()
+		Expect(reply.GetLeaseMs()).To(BeZero())
+		Expect(reply.GetAssignments()).To(BeEmpty())
+		Expect(reply.GetUnchanged()).To(BeTrue())
+		Expect(reply.GetGrantsHash()).To(BeEquivalentTo(7))
+		h.advance(time.Second)
+		reply = beat()
+		Expect(reply.GetLeaseMs()).To(Equal(leader.VMLease.Milliseconds()))
+		Expect(reply.GetUnchanged()).To(BeFalse())
+	})
 })
--- a/internal/sched/leader/lease.go
+++ b/internal/sched/leader/lease.go
@@ -39,11 +39,28 @@
 	v.incarnation = req.GetMember().GetIncarnation()
 	v.renewedAt = now
 	v.attempts = attemptsOf(req)
-	reply.Leader, reply.LeaseMs = true, VMLease.Milliseconds()
+	reply.Leader = true
 	l.addResults(vm, req.GetResults(), reply)
+	if l.isRevoking(vm) {
+		l.log.Info("withholds the lease of a VM that is being revoked", "cell", l.cell, "vm", vm)
+		reply.Unchanged, reply.GrantsHash = true, req.GetGrantsHash()
+		return
+	}
+	reply.LeaseMs = VMLease.Milliseconds()
 	l.fillAssignments(vm, req, reply)
 }
 
+// isRevoking reports whether the outcome of the VM's revocation is unknown. The state may
+// then show attempts as granted to the VM that the log has given back.
+func (l *Leader) isRevoking(vm string) bool {
+	for _, revoked := range l.revoking {
+		if revoked == vm {
+			return true
+		}
+	}
+	return false
+}
+
 func attemptsOf(req *schema.BeatRequest) []ident.Attempt {
 	attempts := make([]ident.Attempt, 0, len(req.GetAttempts()))
 	for _, a := range req.GetAttempts() {
@@ -146,7 +163,8 @@
 		delete(l.vms, vm)
 		l.stats.Revocations++
 		l.log.Warn("revokes silent VM", "cell", l.cell, "vm", vm)
-		l.propose(now, &schema.Record{Body: &schema.Record_Revoke{Revoke: &schema.VMRevoke{Vm: vm}}})
+		id := l.propose(now, &schema.Record{Body: &schema.Record_Revoke{Revoke: &schema.VMRevoke{Vm: vm}}})
+		l.revoking[id] = vm
 	}
 }
 
