front/once: an agent that has just started does not say "not run"

What callers saw: a non-idempotent request that had run was answered with "revoked" (503, ran no, retry yes), or was sent to a second upstream and ran twice, if its agent restarted while it ran.

Cause: when a try ends without an answer, the entry asks the agent to revoke the request, and takes the reply "not run" for certain. The table of request ids answered so for every id that it did not know, also if the process had started after the id was made, or if the id was older than the retention of 2 min (a request with a longer timeout).

Ruled out: registration. It refuses such ids as stale, but only ids that callers made; those that entries make have no stamp.

After: the table says "not run" of an unknown id only if it would know of it: the id's timestamp (a ULID, as both callers and entries make them) is after the start of the process and within the retention, with the margin for clock skew that registration uses. The id is revoked in any case. An agent that can't tell says so.

once_test.go: Revoke has a new argument, the time at which the id was made; the existing specs pass the present, and ask the same as before.

--- a/internal/front/once/once_test.go
+++ b/internal/front/once/once_test.go
@@ -20,7 +20,7 @@
 		Expect(t.Register(now, "a", now)).To(Equal(once.Duplicate))
 		Expect(t.Start("a")).To(BeTrue())
 		Expect(t.Register(now, "a", now)).To(Equal(once.Duplicate))
-		Expect(t.Revoke(now, "a")).To(BeFalse())
+		Expect(t.Revoke(now, "a", now)).To(BeFalse())
 	})
 
 	It("accepts an id again that was withdrawn before it started", func() {
@@ -34,12 +34,30 @@
 
 	It("never starts a revoked id, registered or not", func() {
 		t.Register(now, "a", now)
-		Expect(t.Revoke(now, "a")).To(BeTrue())
+		Expect(t.Revoke(now, "a", now)).To(BeTrue())
 		Expect(t.Start("a")).To(BeFalse())
-		Expect(t.Revoke(now, "b")).To(BeTrue())
+		Expect(t.Revoke(now, "b", now)).To(BeTrue())
 		Expect(t.Register(now, "b", now)).To(Equal(once.Revoked))
 	})
 
+	// It used to say that a request which it did not know had not run.
+	DescribeTable("says that a revoked request has not run only if it would know otherwise",
+		func(age time.Duration, want bool) {
+			Expect(t.Revoke(now, "a", now.Add(-age))).To(Equal(want))
+			Expect(t.Register(now, "a", now)).To(Equal(once.Revoked))
+		},
+		Entry("fresh", time.Second, true),
+		Entry("as old as the retention", once.Retention, false),
+		Entry("from the future", -time.Minute, false),
+		Entry("older than the process", time.Hour, false),
+	)
+
+	It("does not say that a request has not run that it has forgotten", func() {
+		t.Register(now, "a", now)
+		t.Start("a")
+		Expect(t.Revoke(now.Add(once.Retention), "a", now)).To(BeFalse())
+	})
+
 	DescribeTable("refuses an id if it cannot know whether the request has run",
 		func(age time.Duration, want once.Verdict) {
 			Expect(t.Register(now, "a", now.Add(-age))).To(Equal(want))
--- a/internal/front/once/table.go
+++ b/internal/front/once/table.go
@@ -107,18 +107,19 @@
 	}
 }
 
-// Revoke ensures that the request with an id never starts here. It returns false if
-// the request has started.
-func (t *Table) Revoke(now time.Time, id string) bool {
+// Revoke ensures that the request with an id that was made at stamp never starts here. It
+// returns false if the request has started, or if the table cannot know whether it has.
+func (t *Table) Revoke(now time.Time, id string, stamp time.Time) bool {
 	t.expire(now)
-	if t.ids[id] == started {
+	switch t.ids[id] {
+	case started:
 		return false
+	case waiting, revoked:
+		t.ids[id] = revoked
+		return true
 	}
-	if t.ids[id] == 0 {
-		t.insert(now, id, revoked)
-	}
-	t.ids[id] = revoked
-	return true
+	t.insert(now, id, revoked)
+	return !t.stale(now, stamp)
 }
 
 func (t *Table) insert(now time.Time, id string, s state) {
--- a/internal/node/agent/forward.go
+++ b/internal/node/agent/forward.go
@@ -200,7 +200,7 @@
 	if a.host.Revoke(time.Now(), req.GetId()) {
 		return &schema.RevokeReply{Ran: schema.Ran_RAN_NO}, nil
 	}
-	return &schema.RevokeReply{Ran: schema.Ran_RAN_YES}, nil
+	return &schema.RevokeReply{Ran: schema.Ran_RAN_UNKNOWN}, nil
 }
 
 // Poke implements schema.Agent.
--- a/internal/node/host/request.go
+++ b/internal/node/host/request.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/oklog/ulid/v2"
+
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
 	"github.com/ebonyarch/ebonyarch/internal/front/gate"
 	"github.com/ebonyarch/ebonyarch/internal/front/once"
@@ -145,9 +147,16 @@
 	return sum
 }
 
-// Revoke ensures that the request with the given id never runs on this VM. It
-// returns false if the request has started.
-func (h *Host) Revoke(now time.Time, id string) bool { return h.once.Revoke(now, id) }
+// Revoke ensures that the request with the given id never runs on this VM. It returns
+// false if the request has started, or if that is not known: the agent may have started
+// after it, or have forgotten the id. The id's timestamp tells.
+func (h *Host) Revoke(now time.Time, id string) bool {
+	var stamp time.Time // far in the past if the id has no timestamp
+	if u, err := ulid.ParseStrict(id); err == nil {
+		stamp = u.Timestamp()
+	}
+	return h.once.Revoke(now, id, stamp)
+}
 
 // RequestIDs returns the number of request ids that are remembered.
 func (h *Host) RequestIDs() int { return h.once.Len() }
