state/fold: a claim takes effect only if its writer had read the latest renewal

What was seen: two attempts of one task running at a time, on two VMs.

Cause: a candidate claims the next term 5.5 s after it read the latest renewal, because the leader has stopped acting by then. The log may delay the claim. The fold accepted it by its term alone, although the leader had been cut off for a while and had renewed its own term in between. The new leader then waits one VM lease from when it reads its claim, while the old one, if it does not read the log just then, renews leases until 5 s after its renewal.

Ruled out: the candidate's wait and the leader's own end of term; both hold by their clocks, and no claim is queued too early.

After: a claim of the next term is refused unless the offset that it carries is past the latest renewal. The claimant reads that renewal and waits again.

No record changes.

--- a/internal/state/fold/cell.go
+++ b/internal/state/fold/cell.go
@@ -41,7 +41,9 @@
 }
 
 // claim begins the next term of a cell, or renews the current one for its leader. If
-// several writers claim the same term, only the first claim in the log takes effect.
+// several writers claim the same term, only the first claim in the log takes effect. A
+// claimant must have read the latest renewal, since it waits from then on until the
+// leader has stopped; the log may delay its claim.
 func (f *Fold) claim(offset uint64, b *schema.Batch, cell string, claim *schema.Claim) Applied {
 	c := f.cells[cell]
 	if c == nil {
@@ -51,7 +53,7 @@
 	switch {
 	case claim.GetTerm() == c.Term && c.Leader == b.GetWriter():
 		c.RenewedAt, c.Known = offset, claim.GetRead()
-	case claim.GetTerm() == c.Term+1:
+	case claim.GetTerm() == c.Term+1 && (c.Term == 0 || claim.GetRead() > c.RenewedAt):
 		c.PriorKnown, c.Known = c.Known, claim.GetRead()
 		c.Term, c.Leader = claim.GetTerm(), b.GetWriter()
 		c.ClaimedAt, c.RenewedAt = offset, offset
--- a/internal/state/fold/fold_test.go
+++ b/internal/state/fold/fold_test.go
@@ -35,11 +35,15 @@
 }
 
 // appendBatch appends a batch with the writer's next sequence number, one second
-// after the previous batch.
+// after the previous batch. The writer has read all that the log holds, unless a claim
+// says otherwise.
 func (log *testLog) appendBatch(writer string, records ...*schema.Record) fold.Effect {
 	log.seqs[writer]++
 	for i, r := range records {
 		r.Id = uint64(i + 1)
+		if c := r.GetClaim(); c != nil && c.GetRead() == 0 {
+			c.Read = log.fold.Next()
+		}
 	}
 	log.at = log.at.Add(time.Second)
 	return log.appendEntry(frame.Encode(&schema.Batch{Writer: writer, Seq: log.seqs[writer], AtMs: log.at.UnixMilli(), Records: records}))
@@ -115,6 +119,18 @@
 		Expect(log.fold.Next()).To(Equal(next))
 	})
 
+	// The claimant would wait for the leases of the old leader from too early a time.
+	It("refuses the claim of a writer that has not read the leader's latest renewal", func() {
+		log := newTestLog("w1", "w2")
+		log.appendBatch("w1", claim(1))
+		early := claim(2)
+		early.GetClaim().Read = log.fold.Next()
+		log.appendBatch("w1", claim(1))
+		Expect(log.appendBatch("w2", early).Records[0].Code).To(Equal(codes.Leaving))
+		Expect(log.fold.Cell("main").Leader).To(Equal("w1"))
+		Expect(log.appendBatch("w2", claim(2)).Records[0].Code).To(Equal(codes.OK))
+	})
+
 	It("accepts the first claim of a term and ignores records of an old leader", func() {
 		log, id := newLogWithJob()
 		Expect(log.appendBatch("w2", claim(2)).Records[0].Code).To(Equal(codes.OK))
