sched/leader: no lease without the log for an agent that has just started

What was seen: six tasks ran on two VMs at a time, until the old leader's extension ended.

Cause: a leader that cannot reach the log goes on with the promises of all others. VMs that a later leader reaches follow its higher term and ignore the old one from then on, but an agent keeps the term in memory. One that restarted, and could only reach the old leader, got a lease from it, while the later leader gave the VM's attempts to other VMs.

Ruled out: the promises, which hold for VMs that the later leader has not heard from, and leases before the extension, during which nobody else may claim.

Before: world "an agent that restarts while an old leader goes on without the log" found six overlapping tasks. After: while a leader acts by its extension, it gives neither a lease nor assignments to an agent that has had no leader's reply since its start. The spec passes; without the condition it fails.

The price: batch attempts of an agent that restarts during an outage of the log end with their lease of 6 s and go on after the outage. Replicas run on without a lease as before.

--- a/internal/sched/leader/lease.go
+++ b/internal/sched/leader/lease.go
@@ -27,6 +27,12 @@
 	if !l.Leads(now) || req.GetTermSeen() > l.term {
 		return
 	}
+	if req.GetFirst() && !now.Before(l.termEnd) {
+		// The agent has started during the extension. It may have forgotten a later leader,
+		// which may have given the VM's attempts to other VMs.
+		l.log.Debug("gives no lease to an agent that has just started", "cell", l.cell, "vm", req.GetMember().GetVm())
+		return
+	}
 	vm := req.GetMember().GetVm()
 	v := l.vms[vm]
 	if v == nil {
