node/entry: only a newer state is loaded after the log has deleted entries

What was seen: an entry whose next log entry was no longer retained never became ready.

Cause: it loads the state of the first other entry in its settings that says that it is ready, which an entry that is cut off from the log says for ever.

Before: recover_test.go failed (not ready within 3 s). After: a state that is not newer is passed over; if none is newer, the error is logged and the next try comes a second later.

--- a/internal/node/core/core.go
+++ b/internal/node/core/core.go
@@ -120,10 +120,10 @@
 }
 
 // Reload replaces the state by one that was loaded from another entry or from a
-// snapshot, unless the current state is newer.
-func (c *Core) Reload(now time.Time, state *schema.State) {
-	if state.GetOffset() < c.fold.Next() {
-		return
+// snapshot, and returns true. It returns false if the current state is as new.
+func (c *Core) Reload(now time.Time, state *schema.State) bool {
+	if state.GetOffset() <= c.fold.Next() {
+		return false
 	}
 	c.fold = fold.Decode(state)
 	for _, l := range c.leaders {
@@ -133,6 +133,7 @@
 	for _, r := range c.writer.SkipTo(own.Seq) {
 		c.handleResult(now, r)
 	}
+	return true
 }
 
 // handleResult passes the result of a record to the leaders and, if Commit queued the
--- a/internal/node/entry/helper_test.go
+++ b/internal/node/entry/helper_test.go
@@ -91,10 +91,12 @@
 
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
 
-// startEntry starts an entry that leads the cell if no other does.
-func startEntry(name string, log port.Log) *entry.Entry {
+// startEntry starts an entry that leads the cell if no other does. peers are the entries
+// that it may load the state from.
+func startEntry(name string, log port.Log, peers ...netip.AddrPort) *entry.Entry {
 	e, err := entry.Start(proc.Entry{
 		Name: name, Zone: "z", Callers: loopback, Peers: loopback, Admin: loopback, Cells: []string{"main"},
+		Entries: peers,
 	}, log, slog.New(slog.DiscardHandler))
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(e.Kill)
--- a/internal/node/entry/journal.go
+++ b/internal/node/entry/journal.go
@@ -88,8 +88,8 @@
 	}
 }
 
-// loadFromPeer loads the state of another entry and reports whether it did. That
-// is faster than reading the log, and works while the log does not respond.
+// loadFromPeer loads the state of another entry that is ahead and reports whether there
+// was one. That is faster than reading the log, and works while the log does not respond.
 func (e *Entry) loadFromPeer(ctx context.Context) bool {
 	for _, addr := range e.cfg.Entries {
 		if addr == e.PeerAddr() {
@@ -98,22 +98,22 @@
 		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 		reply, err := e.links.To(addr).Entry().Snapshot(callCtx, &schema.SnapshotRequest{})
 		cancel()
-		if err != nil || !reply.GetReady() {
-			continue
+		if err == nil && reply.GetReady() && e.reloadState(reply.GetState()) {
+			return true
 		}
-		e.reloadState(reply.GetState())
-		return true
 	}
 	return false
 }
 
-// reloadState replaces the state by one that was loaded from a peer or a snapshot.
-func (e *Entry) reloadState(state *schema.State) {
+// reloadState replaces the state by one that was loaded from a peer or a snapshot, and
+// reports whether that one was newer.
+func (e *Entry) reloadState(state *schema.State) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.core.Reload(time.Now(), state)
+	newer := e.core.Reload(time.Now(), state)
 	e.deliverResults()
-	e.log.Info("loaded state", "offset", e.core.Fold().Next())
+	e.log.Info("loaded state", "newer", newer, "loaded", state.GetOffset(), "offset", e.core.Fold().Next())
+	return newer
 }
 
 // recover replaces the state after the log has deleted entries that this process had
@@ -124,12 +124,10 @@
 		return
 	}
 	state, err := e.scanForSnapshot(ctx)
-	if err != nil || state == nil {
-		e.log.Error("cannot load a complete snapshot from the log", "err", err)
+	if err != nil || state == nil || !e.reloadState(state) {
+		e.log.Error("cannot load a newer snapshot from the log", "err", err)
 		sleep(ctx, time.Second)
-		return
 	}
-	e.reloadState(state)
 }
 
 // scanForSnapshot reads all that the log retains and returns the latest complete
