jobs/table: a submission beside the storing of its early cancelling is not taken for stored

A copy of a submission got 200 (stored) before any append held the job, if the job was submitted while its early cancelling was in flight. The next leader would answer 410 to a state that the caller was told is stored.

Cause: Batch.Stored marked the entry as stored, whatever had become of it since the batch was made.

Ruled out: a start of the job. It is cancelled in both records.

Before: the new spec failed (response to the copy before the append). After: it passes, with all of jobs/lead and jobs/table.

--- a/internal/jobs/lead/early_test.go
+++ b/internal/jobs/lead/early_test.go
@@ -57,6 +57,19 @@
 		Expect(h.responses()).To(And(HaveLen(2), HaveEach(HaveField("Code", codes.JobNotFound))))
 	})
 
+	It("is acknowledged only once its submission is stored, if it arrives while the cancelling is being stored", func() {
+		h.now = h.now.Add(20 * time.Millisecond)
+		Expect(h.nextBatch()).To(BeTrue())
+		h.submit(job(1, smallStep))
+		h.confirmBatch()
+		Expect(h.responses()).To(ConsistOf(HaveField("Code", codes.JobNotFound)))
+		h.submit(job(1, smallStep))
+		h.receive()
+		Expect(h.responses()).To(BeEmpty())
+		h.advance(100 * time.Millisecond)
+		Expect(h.responses()).To(And(HaveLen(2), HaveEach(HaveField("Code", codes.OK))))
+	})
+
 	It("does not run if the submission arrives before the cancelling is stored", func() {
 		h.submit(job(1, smallStep))
 		h.advance(100 * time.Millisecond)
--- a/internal/jobs/table/record.go
+++ b/internal/jobs/table/record.go
@@ -25,8 +25,9 @@
 
 // change is the state of an entry that a batch records.
 type change struct {
-	entry *Entry
-	state State
+	entry       *Entry
+	state       State
+	unsubmitted bool
 }
 
 // Empty reports whether the batch has no records.
@@ -36,10 +37,13 @@
 func (b *Batch) NewJobs() []model.ID { return b.newJobs }
 
 // Stored must be called once the batch is in the store. It updates Entry.Stored and
-// Entry.InStore.
+// Entry.InStore. A job that was submitted since the batch was made is not in the store yet.
 func (b *Batch) Stored() {
 	for _, c := range b.changes {
-		c.entry.Stored, c.entry.InStore = c.state, true
+		c.entry.Stored = c.state
+		if c.unsubmitted == c.entry.Unsubmitted {
+			c.entry.InStore = true
+		}
 	}
 }
 
@@ -65,7 +69,7 @@
 			size += len(r.Key) + len(r.Value)
 		}
 		batch.Records = append(batch.Records, records...)
-		batch.changes = append(batch.changes, change{e, e.State})
+		batch.changes = append(batch.changes, change{e, e.State, e.Unsubmitted})
 		if e.unrecorded {
 			batch.newJobs = append(batch.newJobs, e.Job.ID)
 		}
