jobs/lead: a job that was cancelled early is not said from memory not to exist

A leader that was replaced answered 410 at once to a further cancelling of a job that was cancelled before its submission, although its successor may have accepted the submission since.

Cause: the entry of the early cancelling is in the table, so that the request took the way of a job that has ended, whose answer needs no append.

Ruled out: a start of the job within the time for which the cancelling is kept.

Before: the new spec failed (no append was due). After: it passes, with all of jobs/lead.

--- a/internal/jobs/lead/callers.go
+++ b/internal/jobs/lead/callers.go
@@ -122,6 +122,10 @@
 // too: its submission may still be on its way. The response follows once that is stored.
 func (l *Leader) cancel(now time.Time, conn uint64, req *msgs.JobRequest) {
 	e := l.table.Get(req.Job)
+	if e != nil && e.Unsubmitted && e.InStore {
+		l.holdForConfirmation(now, conn, req) // a successor may have accepted it since
+		return
+	}
 	if e == nil && l.storeIsSlow(now) {
 		l.refuseUnconfirmed(now, heldRequest{conn, req})
 		return
--- a/internal/jobs/lead/early_test.go
+++ b/internal/jobs/lead/early_test.go
@@ -57,6 +57,16 @@
 		Expect(h.responses()).To(And(HaveLen(2), HaveEach(HaveField("Code", codes.JobNotFound))))
 	})
 
+	It("is not said from memory not to exist when it is cancelled again", func() {
+		h.advance(100 * time.Millisecond)
+		h.out = nil
+		h.request(msgs.Cancel, nil, id)
+		Expect(h.nextBatch()).To(BeTrue(), "the leader asks the store at once")
+		Expect(h.responses()).To(BeEmpty(), "the store fences a leader that was replaced")
+		h.confirmBatch()
+		Expect(h.responses()).To(ConsistOf(HaveField("Code", codes.JobNotFound)))
+	})
+
 	It("is acknowledged only once its submission is stored, if it arrives while the cancelling is being stored", func() {
 		h.now = h.now.Add(20 * time.Millisecond)
 		Expect(h.nextBatch()).To(BeTrue())
