jobs/table: a job that was cancelled early is kept after its submission as long as others

The state of a job that was submitted long after its early cancelling was forgotten soon after its acceptance (410 for a state that is to be known for 120 s), and a copy of the submission that arrived then was a new job, and ran.

Cause: the 150 s for which an ended job is kept counted from the cancelling.

Before: the new spec failed. After: it passes, with all of jobs/table and jobs/lead.

--- a/internal/jobs/table/early.go
+++ b/internal/jobs/table/early.go
@@ -35,6 +35,7 @@
 // SubmitCancelled adds the description of a job that was cancelled before it was submitted.
 func (tbl *Table) SubmitCancelled(e *Entry, job model.Job) {
 	described := newEntry(job, e.Progress)
+	described.Ended = job.Accepted // copies of the submission may arrive for as long as those of others
 	e.Job, e.Progress, e.Stages = described.Job, described.Progress, described.Stages
 	e.Unsubmitted, e.InStore = false, false
 	e.unrecorded, e.early = true, true
--- a/internal/jobs/table/table_test.go
+++ b/internal/jobs/table/table_test.go
@@ -273,6 +273,18 @@
 		Expect(stored()).To(ConsistOf(And(HaveField("Key", records[0].Key), HaveField("Value", BeEmpty()))))
 	})
 
+	It("keeps a job that was cancelled early for as long after its submission as others", func() {
+		j := job(model.Step{Tasks: 1})
+		j.Accepted = now.Add(time.Minute)
+		tbl.SubmitCancelled(tbl.CancelEarly(now, id), j)
+		_, err := tbl.NextBatch(1 << 20)
+		Expect(err).NotTo(HaveOccurred())
+		tbl.Purge(j.Accepted)
+		Expect(tbl.Len()).To(Equal(1))
+		tbl.Purge(j.Accepted.Add(time.Second))
+		Expect(tbl.Len()).To(BeZero())
+	})
+
 	It("drops a job that is in no batch yet", func() {
 		tbl.Add(job(model.Step{Tasks: 1}))
 		Expect(tbl.Unrecorded()).To(HaveLen(1))
