jobs/exec: a start refused for an earlier leader's token is not repeated without a recent lease

An agent repeated a start of an earlier leader under the later leader's token, before that one had said that it wants the run, also if the time for starts had passed. The order then had the deadline 0, and only the worker kept it from starting.

Cause: this repetition alone did not ask for a recent lease.

Ruled out: a start at a worker that keeps deadlines, as the simulated one does.

Before: the new spec failed (a start with deadline 0). After: the run is reported as lost after a poll, and all of jobs/exec pass.

--- a/internal/jobs/exec/latestart_test.go
+++ b/internal/jobs/exec/latestart_test.go
@@ -42,6 +42,18 @@
 		Expect(h.ends()).To(ConsistOf(And(HaveField("Outcome", msgs.Lost), HaveField("Reason", "the VM has no recent lease"))))
 	})
 
+	It("is not repeated then under a later leader, which hears that the run is lost", func() {
+		c := h.order()
+		h.now = requestedAt.Add(cancelTime)
+		h.agent.LeaderDisconnected()
+		Expect(h.agent.LeaderConnected(epoch + 1)).To(BeTrue())
+		h.agent.Started(h.now, c, port.ErrRunFenced)
+		Expect(h.agent.Calls()).To(BeEmpty())
+		h.poll(port.PollResult{})
+		h.poll(port.PollResult{})
+		Expect(h.ends()).To(ConsistOf(HaveField("Outcome", msgs.Lost)))
+	})
+
 	It("is not repeated then, but stopped", func() {
 		c := h.order()
 		h.now = requestedAt.Add(cancelTime)
--- a/internal/jobs/exec/orders.go
+++ b/internal/jobs/exec/orders.go
@@ -149,7 +149,7 @@
 	case errors.Is(err, port.ErrRunFenced):
 		// Since the call, the agent has connected to a later leader, which expects the run
 		// to start.
-		if c.Start.FencingToken < a.fencingToken() && !r.stopping {
+		if c.Start.FencingToken < a.fencingToken() && !r.stopping && a.startDeadline(now) > 0 {
 			r.tries = 0
 			a.callStart(now, k, retryDelay)
 			return
