jobs/table, jobs/lead: a job whose stored progress cannot be read does not run again

Found by reading.

Cause: Load used the zero Progress for a job without one.

Ruled out: leaving the job out. Callers would be told 410, and copies of its submission would run.

Now such a job is not placed, its runs are unexpected and thus stopped, requests for its state are refused (503), and its record is left to a leader that can read it, unless the job is cancelled.

--- a/internal/jobs/lead/read.go
+++ b/internal/jobs/lead/read.go
@@ -12,6 +12,10 @@
 // maxReadAge is the maximum age of what callers are told of the progress of jobs.
 const maxReadAge = 2 * time.Second
 
+// unreadableRetryAfter is the retry delay for a job whose progress only another leader may be able
+// to read.
+const unreadableRetryAfter = time.Second
+
 // heldRequest is a caller's request whose response waits until the store has confirmed an append
 // that was sent after the request arrived. Only then is it certain that no other entry had
 // accepted, cancelled or completed jobs that this leader does not know of.
@@ -44,6 +48,10 @@
 		resp.Code = codes.JobNotFound
 		return resp, false
 	}
+	if e.Unreadable {
+		resp.Code, resp.RetryAfter = codes.NotReady, unreadableRetryAfter
+		return resp, true
+	}
 	resp.State = e.Stored.String()
 	return resp, e.Stored.Ended()
 }
--- a/internal/jobs/lead/read_test.go
+++ b/internal/jobs/lead/read_test.go
@@ -1,13 +1,19 @@
 package lead_test
 
 import (
+	"log/slog"
+	"slices"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/lead"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/table"
 )
 
 // receive collects what the leader has sent.
@@ -120,6 +126,34 @@
 	})
 })
 
+var _ = Describe("A job whose progress a new leader cannot read", func() {
+	It("is neither started nor denied, and can be cancelled", func() {
+		h := newHarness()
+		h.join(0)
+		h.submit(job(1, smallStep))
+		h.advance(100 * time.Millisecond)
+		records := slices.Clone(h.records)
+		for i := range records {
+			if strings.HasPrefix(records[i].Key, "progress/") {
+				records[i].Value = []byte("x")
+			}
+		}
+		state, _ := table.Load(records)
+		h.leader, h.out = lead.New(h.now, epoch+1, state, model.Config{}, slog.New(slog.DiscardHandler)), nil
+		h.join(0)
+		h.request(msgs.State, nil, job(1).ID)
+		h.advance(100 * time.Millisecond)
+		out := h.out
+		Expect(h.starts()).To(BeEmpty())
+		h.out = out
+		Expect(h.responses()).To(ConsistOf(HaveField("Code", codes.NotReady)))
+		h.request(msgs.Cancel, nil, job(1).ID)
+		h.advance(100 * time.Millisecond)
+		Expect(h.responses()).To(ConsistOf(HaveField("Code", codes.OK)))
+		Expect(h.state(job(1).ID)).To(Equal("cancelled"))
+	})
+})
+
 var _ = Describe("An append without changes", func() {
 	It("is sent only for requests that wait for it, or once a second", func() {
 		h := newHarness()
--- a/internal/jobs/table/entry.go
+++ b/internal/jobs/table/entry.go
@@ -22,6 +22,9 @@
 	// Unsubmitted is set if the job was cancelled and has not been submitted. Then Job has only
 	// an id, and there are no stages.
 	Unsubmitted bool
+	// Unreadable is set if the job's progress in the store is missing or cannot be decoded. No task
+	// of the job may start, as it may have ended, and Progress says nothing until it is cancelled.
+	Unreadable bool
 	// RunCount is the number of runs that may be present at workers.
 	RunCount int
 	// crashes holds the crashes for which each task may be the cause, by its index in
--- a/internal/jobs/table/record.go
+++ b/internal/jobs/table/record.go
@@ -131,7 +131,7 @@
 }
 
 // Load returns the table that is described by records of the store, and an error for each
-// record that cannot be used. It ignores records with other keys.
+// record that cannot be used and for each job that is Unreadable. It ignores records with other keys.
 func Load(records []port.Record) (*Table, []error) {
 	var errs []error
 	tbl := &Table{}
@@ -156,7 +156,12 @@
 			errs = append(errs, fmt.Errorf("record %q: %w", r.Key, err))
 			continue
 		}
-		e := newEntry(job, progress[id])
+		p, readable := progress[id]
+		e := newEntry(job, p)
+		if !readable {
+			e.Unreadable = true
+			errs = append(errs, fmt.Errorf("job %s does not run: no progress that can be read", id))
+		}
 		e.restoreCrashes(crashes[id])
 		e.Stored, e.InStore = e.State, true
 		tbl.insert(e)
--- a/internal/jobs/table/table.go
+++ b/internal/jobs/table/table.go
@@ -77,7 +77,7 @@
 		tbl.entries, tbl.active = map[model.ID]*Entry{}, map[model.ID]*Entry{}
 	}
 	tbl.entries[e.Job.ID] = e
-	if !e.State.Ended() {
+	if !e.State.Ended() && !e.Unreadable {
 		tbl.active[e.Job.ID] = e
 	}
 }
@@ -115,7 +115,7 @@
 	if e.State.Ended() {
 		return
 	}
-	e.State, e.Reason, e.Ended = state, reason, now
+	e.State, e.Reason, e.Ended, e.Unreadable = state, reason, now, false
 	delete(tbl.active, e.Job.ID)
 	tbl.markDirty(e)
 }
--- a/internal/jobs/table/table_test.go
+++ b/internal/jobs/table/table_test.go
@@ -285,6 +285,41 @@
 		Expect(tbl.Len()).To(BeZero())
 	})
 
+	// An earlier version of the program cannot decode what a later one has appended.
+	DescribeTable("runs no job again whose progress it cannot read", func(spoil func(progress []byte) []byte) {
+		tbl.Cancel(now, tbl.Add(job(model.Step{Tasks: 2})))
+		batch, err := tbl.NextBatch(1 << 20)
+		Expect(err).NotTo(HaveOccurred())
+		var records []port.Record
+		for _, r := range batch.Records {
+			if r.Key == "progress/"+id {
+				r.Value = spoil(r.Value)
+			}
+			if r.Value != nil {
+				records = append(records, r)
+			}
+		}
+		loaded, faults := table.Load(records)
+		Expect(faults).To(ContainElement(MatchError(ContainSubstring("does not run"))))
+		Expect(loaded.Active()).To(BeEmpty())
+		Expect(loaded.Get(id)).To(HaveField("Unreadable", true))
+		loaded.Purge(now.Add(time.Hour))
+		Expect(loaded.Dirty()).To(BeFalse(), "a leader that can read the record needs it")
+
+		loaded.Cancel(now, loaded.Get(id))
+		batch, err = loaded.NextBatch(1 << 20)
+		Expect(err).NotTo(HaveOccurred())
+		loaded, faults = table.Load(batch.Records)
+		Expect(faults).To(BeEmpty())
+		Expect(loaded.Get(id)).To(And(HaveField("Unreadable", false), HaveField("Stored", table.Cancelled)))
+	},
+		Entry("as it is no array", func([]byte) []byte { return []byte("x") }),
+		Entry("as it is a longer array", func(progress []byte) []byte {
+			return append([]byte{progress[0] + 1}, append(progress[1:], 0xf6)...)
+		}),
+		Entry("as it is missing", func([]byte) []byte { return nil }),
+	)
+
 	It("drops a job that is in no batch yet", func() {
 		tbl.Add(job(model.Step{Tasks: 1}))
 		Expect(tbl.Unrecorded()).To(HaveLen(1))
