--- a/internal/fake/tasks/witness.go
+++ b/internal/fake/tasks/witness.go
@@ -43,11 +43,12 @@
 	CancelBounds CancelBounds
 	// Late is set while a worker carries out an order late.
 	Late bool
-	// cancelled holds the acknowledged cancellings by job, lateStarts the start times of the runs
-	// that workers started late, reported the runs of cancelled jobs that are in faults.
-	cancelled  map[string]cancelling
-	lateStarts map[runID]time.Time
-	reported   map[runID]bool
+	// cancelled holds the acknowledged cancellings by job, late the latest times at which a worker
+	// started a run late or an order to stop it was held, reported the runs of cancelled jobs that
+	// are in faults.
+	cancelled map[string]cancelling
+	late      map[runID]time.Time
+	reported  map[runID]bool
 	// gangs holds the runs of gangs of which members are present.
 	gangs map[gangKey]*gang
 }
@@ -117,7 +118,7 @@
 		x.starts, x.finished = map[string]int{}, map[string]bool{}
 		x.lastStart = map[string]time.Time{}
 		x.crashes, x.startsAfter = map[string]int{}, map[string]int{}
-		x.cancelled, x.lateStarts, x.reported = map[string]cancelling{}, map[runID]time.Time{}, map[runID]bool{}
+		x.cancelled, x.late, x.reported = map[string]cancelling{}, map[runID]time.Time{}, map[runID]bool{}
 	}
 }
 
--- a/internal/proof/fleet/calls.go
+++ b/internal/proof/fleet/calls.go
@@ -61,6 +61,9 @@
 		err, delay = errCallTimeout, callTimeout
 	case w.rng.Float64() < w.DelayedShare:
 		err, delay = errCallTimeout, callTimeout
+		if c.Stop != nil {
+			w.Witness.LateStop(w.Now, a.Worker, c.Stop.Task, c.Stop.Run)
+		}
 		life := a.Worker.Lives()
 		w.After(2*time.Second+time.Duration(w.rng.Int64N(int64(10*time.Second))), func() { a.executeLate(life, execute) })
 	case w.CopiedShare > 0 && c.Start != nil && c.After == 0 && w.rng.Float64() < w.CopiedShare:
