run/peer: an order that arrived during a pause is read, although the deadline has passed

An agent that was paused for longer than its leader may be silent (1.2 s) took it for silent when it woke, and closed the connection with the orders that had arrived meanwhile, among them the one to stop the runs. They ran on until it had found a leader.

Cause: package net fails a read whose deadline has passed without reading. After a pause, the timer goes before the data, or not, by chance.

Ruled out: a longer deadline. A leader that is silent would be left later.

Before: the new spec failed (timeout). After: it and internal/run/... pass.

--- a/internal/run/peer/peer.go
+++ b/internal/run/peer/peer.go
@@ -8,8 +8,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +28,8 @@
 	writeTimeout = 2 * time.Second
 	// dialTimeout bounds the time to open a connection.
 	dialTimeout = 250 * time.Millisecond
+	// arrivedTimeout is how long a read goes on after its deadline, for what has arrived before.
+	arrivedTimeout = 20 * time.Millisecond
 	// bufferSize is the size of a connection's buffers, in bytes.
 	bufferSize = 4 << 10
 )
@@ -46,7 +50,7 @@
 // New returns a Conn over conn and starts the goroutine that writes its messages.
 func New(conn net.Conn) *Conn {
 	c := &Conn{
-		ID: lastID.Add(1), conn: conn, dec: codec.NewDecoder(bufio.NewReaderSize(conn, bufferSize)),
+		ID: lastID.Add(1), conn: conn, dec: codec.NewDecoder(bufio.NewReaderSize(arrivedReader{conn}, bufferSize)),
 		queue: make(chan *msgs.Message, queueLength), done: make(chan struct{}),
 	}
 	go c.write()
@@ -72,8 +76,25 @@
 	}
 }
 
+// arrivedReader reads from a connection. A deadline that passes while this process is paused does
+// not keep it from reading what has arrived meanwhile.
+type arrivedReader struct{ conn net.Conn }
+
+// Read implements io.Reader.
+func (r arrivedReader) Read(p []byte) (int, error) {
+	n, err := r.conn.Read(p)
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	if err := r.conn.SetReadDeadline(time.Now().Add(arrivedTimeout)); err != nil {
+		return 0, err
+	}
+	return r.conn.Read(p)
+}
+
 // Receive returns the next message. It fails if none arrives within timeout, or if the message
-// is out of range.
+// is out of range. A message that arrived in time is returned also if this process was paused
+// meanwhile.
 func (c *Conn) Receive(timeout time.Duration) (*msgs.Message, error) {
 	if err := c.conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		return nil, err
--- a/internal/run/peer/peer_test.go
+++ b/internal/run/peer/peer_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net"
+	"os"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -32,3 +33,27 @@
 		Entry("Ping", func(n uint64) *msgs.Message { return &msgs.Message{Ping: &msgs.Ping{Epoch: n}} }),
 	)
 })
+
+// An agent that was paused took its leader for silent, and lost the order to stop the runs of a
+// cancelled job that had arrived meanwhile.
+var _ = Describe("A process that was paused for longer than its peer may be silent", func() {
+	It("receives what has arrived meanwhile, and then the timeout", func() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(ln.Close)
+		a, err := net.Dial("tcp", ln.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		b, err := ln.Accept()
+		Expect(err).NotTo(HaveOccurred())
+		sender, receiver := peer.New(a), peer.New(b)
+		DeferCleanup(sender.Close)
+		DeferCleanup(receiver.Close)
+		order := &msgs.Message{Orders: &msgs.Orders{Epoch: 3, Stops: []msgs.Stop{{Task: "00000000000000aa.0.0.1", Run: 1}}}}
+		sender.Send(order)
+		time.Sleep(100 * time.Millisecond)
+		const passed = -time.Second // the deadline has passed before the message is read
+		Expect(receiver.Receive(passed)).To(Equal(order))
+		_, err = receiver.Receive(passed)
+		Expect(err).To(MatchError(os.ErrDeadlineExceeded))
+	})
+})
