jobs/table: a spec for the deletion of a purged job's records, once

Without 'tbl.purged = nil' in NextBatch, which would delete a job that was submitted again with each later batch (LOST), all specs of jobs/table and jobs/lead passed. The new one fails then.

--- a/internal/jobs/table/table_test.go
+++ b/internal/jobs/table/table_test.go
@@ -229,6 +229,23 @@
 		Expect(batch.Records).To(HaveEach(HaveField("Value", BeEmpty())))
 	})
 
+	It("deletes the records of a purged job once", func() {
+		tbl.Cancel(now, tbl.Add(job(model.Step{Tasks: 1})))
+		_, err := tbl.NextBatch(1 << 20)
+		Expect(err).NotTo(HaveOccurred())
+		tbl.Purge(now.Add(time.Second))
+		batch, err := tbl.NextBatch(1 << 20)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(batch.Empty()).To(BeFalse())
+		tbl.Add(job(model.Step{Tasks: 1}))
+		batch, err = tbl.NextBatch(1 << 20)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(batch.Records).To(HaveEach(HaveField("Value", Not(BeEmpty()))))
+		batch, err = tbl.NextBatch(1 << 20)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(batch.Empty()).To(BeTrue())
+	})
+
 	It("keeps a job that is submitted again just after it was purged", func() {
 		tbl.Cancel(now, tbl.Add(job(model.Step{Tasks: 1})))
 		_, err := tbl.NextBatch(1 << 20)
