node/entry: "fits on no VM" only from an entry that knows all VMs

What callers saw: "jobTooLarge" or "configInvalid" (422, ran no, retry no) for a job or a kind that fits on a VM of the cell, from an entry that had just started, had been paused (it then forgets the VMs), or did not hear from the entry that the VM reports to.

Cause: the sizes were compared with whatever VMs the entry knew, unless it knew none.

Ruled out: placement, which is the leader's and refuses nothing for good.

After: such a refusal needs contact with all other entries (FreshUntil, as for requests with a caller's id) and heartbeats listened to for 4 s without a pause; otherwise the answer is notReady, which asks to try again. What fits on a known VM is accepted as before.

The meaning of code 602 no longer speaks of the log alone.

--- a/internal/base/codes/code.go
+++ b/internal/base/codes/code.go
@@ -117,7 +117,7 @@
 	ConfigMissing:   {"configMissing", http.StatusNotFound, RanNo, false, "The team has no such revision."},
 	SettingsInvalid: {"settingsInvalid", http.StatusInternalServerError, RanNo, false, "The process settings have faults."},
 	Unreachable:     {"unreachable", http.StatusBadGateway, RanUnknown, true, "The process could not be reached."},
-	NotReady:        {"notReady", http.StatusServiceUnavailable, RanNo, true, "The entry has not yet caught up with the log."},
+	NotReady:        {"notReady", http.StatusServiceUnavailable, RanNo, true, "The entry may not know enough to answer, as it has just started, lags or is cut off."},
 	Internal:        {"internal", http.StatusInternalServerError, RanUnknown, false, "A fault of the system itself."},
 }
 
--- a/internal/node/core/core.go
+++ b/internal/node/core/core.go
@@ -56,6 +56,9 @@
 	barriers       barriers
 	// peerReplies holds the latest reply of each other entry, by writer id.
 	peerReplies map[string]peerReply
+	// tickedAt is the time of the latest Tick, and listeningSince the time of the first one
+	// since the start or since a pause.
+	tickedAt, listeningSince time.Time
 	// ready is set once the log was read to its end for the first time.
 	ready bool
 	// leaving is set once Leave was called.
@@ -147,6 +150,7 @@
 
 // Tick makes the decisions that are due at now.
 func (c *Core) Tick(now time.Time) {
+	c.listen(now)
 	c.members.Expire(now)
 	c.expireCommits(now)
 	c.announceAlive(now)
--- a/internal/node/core/sync.go
+++ b/internal/node/core/sync.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/ebonyarch/ebonyarch/internal/fleet/member"
 	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
 )
 
@@ -13,6 +14,9 @@
 	// freshDuration is how long another entry's reply counts as current, starting when the
 	// request was sent. Meanwhile this entry may assume that both know the same upstreams.
 	freshDuration = 2500 * time.Millisecond
+	// maxTickGap is the time between two calls of Tick above which the process counts as
+	// having been paused.
+	maxTickGap = time.Second
 )
 
 // MembersSince handles another entry's request for the VMs that changed after a
@@ -93,6 +97,22 @@
 	return until
 }
 
+// KnowsVMs reports whether this entry may assume that it knows all VMs: it is in contact
+// with all other entries, and has listened to heartbeats for long enough that each VM has
+// announced itself to one of them.
+func (c *Core) KnowsVMs(now time.Time) bool {
+	return now.Before(c.FreshUntil(now)) && now.Sub(c.tickedAt) <= maxTickGap &&
+		now.Sub(c.listeningSince) >= member.HeartbeatTimeout
+}
+
+// listen notes that the entry runs. After a pause, VMs may have been forgotten.
+func (c *Core) listen(now time.Time) {
+	if now.Sub(c.tickedAt) > maxTickGap {
+		c.listeningSince = now
+	}
+	c.tickedAt = now
+}
+
 // announceAlive queues a record that shows that the entry is alive, unless it
 // appended another record within aliveInterval.
 func (c *Core) announceAlive(now time.Time) {
--- a/internal/node/entry/config.go
+++ b/internal/node/entry/config.go
@@ -128,8 +128,9 @@
 	var warnings jsonc.Faults
 	if !put.Delete {
 		var faults jsonc.Faults
-		if faults, warnings = e.checkConfig(put); len(faults) > 0 {
-			writeFaults(w, codes.New(codes.ConfigInvalid, "the configuration has %d faults", len(faults)), faults)
+		var err error
+		if faults, warnings, err = e.checkConfig(put); err != nil {
+			writeFaults(w, err, faults)
 			return
 		}
 	}
@@ -146,21 +147,16 @@
 	})
 }
 
-// checkConfig returns the faults and warnings of a configuration. It compares the
-// configuration with the VMs of its cell, and the sum of all quotas in the cell with
-// the processors of these VMs.
-func (e *Entry) checkConfig(put *schema.ConfigPut) (faults, warnings jsonc.Faults) {
+// checkConfig returns the faults and warnings of a configuration, and an error if it has
+// faults. It compares the configuration with the VMs of its cell, and the sum of all
+// quotas in the cell with the processors of these VMs.
+func (e *Entry) checkConfig(put *schema.ConfigPut) (faults, warnings jsonc.Faults, err error) {
 	cfg, faults := teams.Parse(put.Team, put.Body)
 	if len(faults) > 0 {
-		return faults, nil
+		return faults, nil, faultsError(faults)
 	}
 	e.mu.Lock()
-	var vms []*schema.Size
-	for _, m := range e.core.Members().Present() {
-		if m.GetCell() == cfg.CellName() {
-			vms = append(vms, m.GetCapacity())
-		}
-	}
+	vms, knowsVMs := e.capacities(cfg.CellName()), e.core.KnowsVMs(time.Now())
 	otherQuotasMilli := uint64(0)
 	for _, t := range e.core.Fold().Teams() {
 		if t.Name != put.Team && !t.Deleted && t.Config.CellName() == cfg.CellName() {
@@ -168,7 +164,18 @@
 		}
 	}
 	e.mu.Unlock()
-	return teams.CheckFit(put.Team, put.Body, vms, otherQuotasMilli)
+	faults, warnings = teams.CheckFit(put.Team, put.Body, vms, otherQuotasMilli)
+	switch {
+	case len(faults) == 0:
+		return nil, warnings, nil
+	case !knowsVMs:
+		return faults, nil, vmsUnknownError()
+	}
+	return faults, nil, faultsError(faults)
+}
+
+func faultsError(faults jsonc.Faults) error {
+	return codes.New(codes.ConfigInvalid, "the configuration has %d faults", len(faults))
 }
 
 func (e *Entry) deleteConfig(w http.ResponseWriter, r *http.Request) {
--- a/internal/node/entry/helper_test.go
+++ b/internal/node/entry/helper_test.go
@@ -94,10 +94,18 @@
 // startEntry starts an entry that leads the cell if no other does. peers are the entries
 // that it may load the state from.
 func startEntry(name string, log port.Log, peers ...netip.AddrPort) *entry.Entry {
-	e, err := entry.Start(proc.Entry{
-		Name: name, Zone: "z", Callers: loopback, Peers: loopback, Admin: loopback, Cells: []string{"main"},
-		Entries: peers,
-	}, log, slog.New(slog.DiscardHandler))
+	return start(proc.Entry{Name: name, Entries: peers}, log)
+}
+
+// startEntryAt starts an entry that tells the others to connect to the given address.
+func startEntryAt(name string, log port.Log, advertise netip.AddrPort) *entry.Entry {
+	return start(proc.Entry{Name: name, Advertise: advertise}, log)
+}
+
+func start(cfg proc.Entry, log port.Log) *entry.Entry {
+	cfg.Zone, cfg.Cells = "z", []string{"main"}
+	cfg.Callers, cfg.Peers, cfg.Admin = loopback, loopback, loopback
+	e, err := entry.Start(cfg, log, slog.New(slog.DiscardHandler))
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(e.Kill)
 	return e
--- a/internal/node/entry/jobs.go
+++ b/internal/node/entry/jobs.go
@@ -161,17 +161,36 @@
 // checkTaskFits returns an error if a task of the given size is larger than every
 // known VM of the cell, but not if no VM of the cell is known. The caller holds mu.
 func (e *Entry) checkTaskFits(cell string, size *schema.Size) error {
+	vms := e.capacities(cell)
+	if len(vms) == 0 || teams.FitsAny(size, vms) {
+		return nil
+	}
+	if !e.core.KnowsVMs(time.Now()) {
+		return vmsUnknownError()
+	}
+	return codes.New(codes.JobTooLarge, "a task of %d processors/1000, %d MB and %d accelerators fits on no VM of cell %q",
+		size.GetCpuMilli(), size.GetMemoryMb(), size.GetAccelerators(), cell)
+}
+
+// capacities returns the capacities of the known VMs of a cell. The caller holds mu.
+func (e *Entry) capacities(cell string) []*schema.Size {
 	var vms []*schema.Size
 	for _, m := range e.core.Members().Present() {
 		if m.GetCell() == cell {
 			vms = append(vms, m.GetCapacity())
 		}
 	}
-	if len(vms) == 0 || teams.FitsAny(size, vms) {
-		return nil
-	}
-	return codes.New(codes.JobTooLarge, "a task of %d processors/1000, %d MB and %d accelerators fits on no VM of cell %q",
-		size.GetCpuMilli(), size.GetMemoryMb(), size.GetAccelerators(), cell)
+	return vms
+}
+
+// vmsRetryAfter is the retry delay suggested to callers of an entry that may not know all
+// VMs.
+const vmsRetryAfter = time.Second
+
+// vmsUnknownError returns the error for what fits on no known VM while others may exist.
+func vmsUnknownError() error {
+	err := codes.New(codes.NotReady, "it fits on no VM that the entry knows, but it may not know all of them")
+	return codes.WithRetryAfter(err, vmsRetryAfter)
 }
 
 // mayCommit returns an error if commit would refuse a record now.
