proof/world, proof/matrix: reads of jobs and late starts of cancelled jobs are checked

The matrix reads a random job at a random entry every 400 ms, while the faults strike, and the histories must have an order with these reads. world.Check looks at every start of an attempt whose job's cancelling was acknowledged: a leader acts on its state for at most TermLease, and a VM on its reply for at most VMLease (12.1 s with the margin for clocks).

--- a/internal/proof/matrix/run.go
+++ b/internal/proof/matrix/run.go
@@ -45,6 +45,8 @@
 	recoveryTime = 60 * time.Second
 	// endTime is when all work must have ended.
 	endTime = 150 * time.Second
+	// readInterval is the time between two reads of a job.
+	readInterval = 400 * time.Millisecond
 	// requestInterval is the time between two requests of callers.
 	requestInterval = 150 * time.Millisecond
 	// resendAfter is the time after which a caller sends a failed request again.
@@ -75,6 +77,7 @@
 type run struct {
 	w          *world.World
 	rnd        *rand.Rand
+	readRnd    *rand.Rand
 	injections []Injection
 	// counts holds the occurrences of each step so far while faults may be injected.
 	counts map[world.Step]int
@@ -86,7 +89,8 @@
 // log lines of all processes are written to it.
 func Run(seed uint64, trace io.Writer, injections ...Injection) Result {
 	r := &run{
-		w: world.New(seed), rnd: rand.New(rand.NewPCG(seed, 1)), injections: injections, counts: map[world.Step]int{},
+		w: world.New(seed), rnd: rand.New(rand.NewPCG(seed, 1)), readRnd: rand.New(rand.NewPCG(seed, 3)),
+		injections: injections, counts: map[world.Step]int{},
 	}
 	if trace != nil {
 		r.w.Trace(trace)
@@ -140,6 +144,20 @@
 	at(16*time.Second, func() { r.submit("second", "bulk", 20, 4*time.Second) })
 	at(20*time.Second, func() { r.submit("urgent too", "rush", 2, 2*time.Second) })
 	r.scheduleRequests()
+	r.scheduleReads()
+}
+
+// scheduleReads schedules reads of random jobs at random entries until the recovery.
+func (r *run) scheduleReads() {
+	r.w.After(readInterval, func() {
+		if s := r.w.History.Submissions; len(s) > 0 {
+			e := r.w.Entries[r.readRnd.IntN(len(r.w.Entries))]
+			e.ReadJob(s[r.readRnd.IntN(len(s))].Job)
+		}
+		if r.w.Elapsed() < recoveryTime {
+			r.scheduleReads()
+		}
+	})
 }
 
 // scheduleRequests schedules the callers' requests until workloadEnd.
--- a/internal/proof/world/check_test.go
+++ b/internal/proof/world/check_test.go
@@ -54,6 +54,18 @@
 			p := &world.PublishCall{Team: "t", Base: 8, Revision: 9, Done: true, From: w.Now, To: w.Now}
 			w.History.Publishes = append(w.History.Publishes, p)
 		}, "is not in force"),
+		Entry("an attempt that started long after its job was cancelled", func(w *world.World) {
+			s := w.Entries[0].Submit("t", "k", "bulk", 1, time.Second, ignore)
+			w.Run(10 * time.Second)
+			c := &world.CancelCall{Job: s.Job, From: w.Now.Add(-time.Minute), To: w.Now.Add(-time.Minute), Done: true}
+			w.History.Cancels = append(w.History.Cancels, c)
+		}, "after its job was cancelled"),
+		Entry("a read that shows an accepted job as absent", func(w *world.World) {
+			s := w.Entries[0].Submit("t", "k", "bulk", 1, time.Second, ignore)
+			w.Run(10 * time.Second)
+			c := &world.ReadCall{Job: s.Job, From: w.Now, To: w.Now, Done: true}
+			w.History.Reads = append(w.History.Reads, c)
+		}, "no order of the job calls"),
 		Entry("publish calls whose results no order explains", func(w *world.World) {
 			p := &world.PublishCall{Team: "t", Base: 0, Revision: 1, Done: true, From: w.Now, To: w.Now}
 			w.History.Publishes = append(w.History.Publishes, p)
--- a/internal/proof/world/history.go
+++ b/internal/proof/world/history.go
@@ -130,6 +130,7 @@
 		add("VM over its capacity: %s", start)
 	}
 	w.checkCalls(add)
+	w.checkCancelled(add)
 	w.checkLinearizable(add)
 	for _, e := range w.Entries {
 		if e.Dead {
--- a/internal/proof/world/query.go
+++ b/internal/proof/world/query.go
@@ -6,6 +6,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
 	"github.com/ebonyarch/ebonyarch/internal/node/core"
 	"github.com/ebonyarch/ebonyarch/internal/proof/check"
+	"github.com/ebonyarch/ebonyarch/internal/sched/leader"
 	"github.com/ebonyarch/ebonyarch/internal/state/fold"
 	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
 )
@@ -114,3 +115,25 @@
 	}
 	return calls
 }
+
+// cancelledStartLimit is how long after a job was cancelled an attempt of it may start. A
+// leader acts at most TermLease after it read its state, and a VM carries out the reply
+// within the lease that comes with it. Their clocks may run slow by a tenth.
+const cancelledStartLimit = (leader.TermLease + leader.VMLease) * 11 / 10
+
+// checkCancelled checks that no attempt of a cancelled job starts later than
+// cancelledStartLimit after the caller was told.
+func (w *World) checkCancelled(add func(string, ...any)) {
+	cancelledAt := map[string]time.Time{}
+	for _, c := range w.History.Cancels {
+		if _, known := cancelledAt[c.Job]; !known && c.Done && c.Code == codes.OK {
+			cancelledAt[c.Job] = c.To
+		}
+	}
+	for _, run := range w.Witness.Runs() {
+		at, ok := cancelledAt[run.Attempt.Job]
+		if late := run.From.Sub(at); ok && late > cancelledStartLimit {
+			add("%s: attempt %s started %s after its job was cancelled", run.VM, run.Attempt, late)
+		}
+	}
+}
