fake/tasks: runs save checkpoints, and starts and runs can be checked

Cause: the simulated worker listed no checkpoints, so no run was ever started with one, and the witness could say nothing about the payload of a start. Now a run of a plan with SaveInterval produces checkpoints as it works and one more when it is stopped; a start with one resumes there, and the witness records a start whose checkpoint neither the task nor its gang has produced. CheckStart lets a proof check each start as it happens; Runs returns what a worker runs. Before: proofs that submit jobs with checkpoints saw no resumed run.

--- a/internal/fake/tasks/ends.go
+++ b/internal/fake/tasks/ends.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 )
@@ -16,3 +17,20 @@
 	}
 	w.ended = slices.DeleteFunc(w.ended, func(e msgs.RunEnd) bool { return e.Number <= number })
 }
+
+// Run is a run that is present on a worker.
+type Run struct {
+	Task      string
+	Number    uint32
+	StartedAt time.Time
+}
+
+// Runs returns the runs that are present at now, those that are being stopped included.
+func (w *Worker) Runs(now time.Time) []Run {
+	w.Advance(now)
+	var list []Run
+	for _, r := range w.runs {
+		list = append(list, Run{r.task, r.number, r.startedAt})
+	}
+	return list
+}
--- a/internal/fake/tasks/witness.go
+++ b/internal/fake/tasks/witness.go
@@ -7,12 +7,13 @@
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 )
 
 // Witness records what all workers did and which of the scheduler's orders broke a rule.
 // The zero value is ready for use.
 type Witness struct {
-	// mu guards the fields below, except Dependencies.
+	// mu guards the fields below, except Dependencies and CheckStart.
 	mu     sync.Mutex
 	faults []string
 	// running holds the run number of each running task, by task and worker.
@@ -36,6 +37,10 @@
 	// Dependencies returns the tasks that must be done before a task starts; if it is nil,
 	// no task depends on another. It must be set before the first run starts.
 	Dependencies func(task string) []string
+	// CheckStart, if set, returns descriptions of the rules that an order to start a run breaks.
+	// It is called for each run that starts, without mu. It must be set before the first run
+	// starts.
+	CheckStart func(now time.Time, worker string, o port.StartOrder) []string
 	// finished holds the tasks of which at least one run ended with the outcome Done.
 	finished map[string]bool
 	// CancelBounds bounds what workers may do for cancelled jobs. It must be set before the first
@@ -50,6 +55,10 @@
 	reported   map[runID]bool
 	// gangs holds the runs of gangs of which members are present.
 	gangs map[gangKey]*gang
+	// saved holds the checkpoints of each task or gang and the progress in them.
+	saved map[string]map[string]time.Duration
+	// resumed is the number of runs that were started with a checkpoint.
+	resumed int
 }
 
 func (x *Witness) addFault(format string, args ...any) {
@@ -121,6 +130,19 @@
 	}
 }
 
+// takeOrder records the rules that an order to start a run breaks, and lets the run resume from
+// the order's checkpoint.
+func (x *Witness) takeOrder(now time.Time, w *Worker, r *run, o port.StartOrder) {
+	var broken []string
+	if x.CheckStart != nil {
+		broken = x.CheckStart(now, w.id, o)
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.faults = append(x.faults, broken...)
+	x.resume(now, w, r, o.Checkpoint)
+}
+
 // started records the start of a run and checks that the task may start now. The caller has
 // already added the run to w.runs.
 func (x *Witness) started(now time.Time, w *Worker, r *run) {
--- a/internal/fake/tasks/worker.go
+++ b/internal/fake/tasks/worker.go
@@ -36,6 +36,10 @@
 	// Members is the number of members of the gang that the run belongs to, 0 if it belongs to
 	// none.
 	Members int
+	// SaveInterval is the time between two checkpoints, 0 if the run produces none. Checkpoint
+	// returns the one with a number, counted from 1 in each run.
+	SaveInterval time.Duration
+	Checkpoint   func(number int) string
 }
 
 // Worker is a simulated worker with its successive incarnations. Create it with New.
@@ -100,6 +104,7 @@
 	stoppingSince time.Time
 	// gangOutcome is the outcome of the run's gang, 0 until another member has ended.
 	gangOutcome msgs.Outcome
+	saves       saves
 }
 
 // New returns a worker whose first incarnation starts at now. The plan function returns the
@@ -181,15 +186,16 @@
 		w.lastExpiredEnd = w.endCount
 	}
 	for _, r := range w.runs {
+		w.advanceSaves(now, r)
 		switch {
 		case w.clock(now) > w.deadline:
 			w.endRun(now, r, msgs.LeaseExpired)
 		case w.advanceMember(now, r):
 		case !r.stoppingSince.IsZero() && now.Sub(r.stoppingSince) >= stopDuration:
 			w.endRun(now, r, msgs.Stopped)
-		case r.plan.Work > 0 && w.witness.worked(now, r) >= r.plan.Work && r.plan.Fails:
+		case r.plan.Fails && w.witness.workDone(now, r):
 			w.endRun(now, r, msgs.Failed)
-		case r.plan.Work > 0 && w.witness.worked(now, r) >= r.plan.Work:
+		case w.witness.workDone(now, r):
 			w.endRun(now, r, msgs.Done)
 		default:
 			remaining = append(remaining, r)
@@ -200,12 +206,13 @@
 
 func (w *Worker) endRun(now time.Time, r *run, o msgs.Outcome) {
 	w.witness.leave(r, o)
+	checkpoint := w.saveAtEnd(now, r, o)
 	w.endCount++
 	w.endedAt[w.endCount] = now
 	if w.Oddity != nil {
 		w.odd[w.endCount] = w.Oddity()
 	}
-	w.ended = append(w.ended, msgs.RunEnd{Number: w.endCount, Task: r.task, Run: r.number, Outcome: o})
+	w.ended = append(w.ended, msgs.RunEnd{Number: w.endCount, Task: r.task, Run: r.number, Outcome: o, Checkpoint: checkpoint})
 	w.lastOver[r.task] = max(w.lastOver[r.task], r.number)
 	w.witness.ended(now, w.id, r.task, r.number, o)
 }
@@ -246,6 +253,7 @@
 		w.witness.noteRefused()
 		return port.ErrRunCapacity
 	}
+	w.witness.takeOrder(now, w, r, o)
 	w.runs = append(w.runs, r)
 	w.witness.started(now, w, r)
 	w.witness.join(now, r)
@@ -281,9 +289,9 @@
 	ended, err := w.listEnds()
 	result := port.PollResult{Incarnation: w.Incarnation(), Clock: w.clock(now), Ended: slices.Concat(ended, w.forgotten)}
 	for _, r := range w.runs {
-		status := msgs.RunStatus{Task: r.task, Run: r.number, Percent: 100}
+		status := msgs.RunStatus{Task: r.task, Run: r.number, Checkpoint: r.saves.latest, Percent: 100}
 		if r.plan.Work > 0 {
-			status.Percent = int(100 * w.witness.worked(now, r) / r.plan.Work)
+			status.Percent = int(100 * w.witness.progress(now, r) / r.plan.Work)
 		}
 		result.Running = append(result.Running, status)
 	}
