--- a/internal/fake/topics/topics.go
+++ b/internal/fake/topics/topics.go
@@ -38,7 +38,9 @@
 }
 
 type topic struct {
-	log     []port.Record
+	log []port.Record
+	// newest holds the newest record of each key, unless that has no value.
+	newest  map[string]port.Record
 	writers map[string]*writer
 	// changed is closed and replaced when records are appended.
 	changed chan struct{}
@@ -83,7 +85,7 @@
 	}
 	t := s.topics[name]
 	if t == nil {
-		t = &topic{writers: map[string]*writer{}, changed: make(chan struct{})}
+		t = &topic{newest: map[string]port.Record{}, writers: map[string]*writer{}, changed: make(chan struct{})}
 		s.topics[name] = t
 	}
 	return t
@@ -92,6 +94,12 @@
 // add appends records and wakes the readers that wait.
 func (t *topic) add(records ...port.Record) {
 	t.log = append(t.log, records...)
+	for _, r := range records {
+		t.newest[r.Key] = r
+		if len(r.Value) == 0 {
+			delete(t.newest, r.Key)
+		}
+	}
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
@@ -164,16 +172,9 @@
 		return nil, port.Position{}, err
 	}
 	t := s.topic(name)
-	newest := map[string]port.Record{}
-	for _, r := range t.log {
-		newest[r.Key] = r
-		if len(r.Value) == 0 {
-			delete(newest, r.Key)
-		}
-	}
-	records := make([]port.Record, 0, len(newest))
-	for _, key := range slices.Sorted(maps.Keys(newest)) {
-		records = append(records, newest[key])
+	records := make([]port.Record, 0, len(t.newest))
+	for _, key := range slices.Sorted(maps.Keys(t.newest)) {
+		records = append(records, t.newest[key])
 	}
 	return records, port.Position{End: int64(len(t.log))}, nil
 }
