proof/soak: UNASKED is checked all the while, with jobs that last, pauses in series and overload

Each start is checked as it happens (job, task, payload, checkpoint, lateness after the cancellation), and runs of cancelled jobs every 100 ms. Tasks take what they ask for.

--- a/internal/proof/soak/fault.go
+++ b/internal/proof/soak/fault.go
@@ -20,6 +20,8 @@
 	// minFaultGap and maxFaultGap are the limits of the time between the starts of two faults.
 	// Faults may overlap.
 	minFaultGap, maxFaultGap = 150 * time.Millisecond, 1500 * time.Millisecond
+	// silenceNoticed is how long a silent connection counts as a fault of its path.
+	silenceNoticed = 2 * time.Second
 	// relayDelay is the delay of the bytes on a slow path.
 	relayDelay = 150 * time.Millisecond
 )
@@ -70,21 +72,25 @@
 		return f.disturbStore(ctx, topics.Faults{LoseReplies: true}, duration)
 	}},
 	{"connections are silent for good", func(_ context.Context, f *fleet, rng *rand.Rand, _ time.Duration) error {
-		pick(rng, f.relays()).Blackhole()
+		p := pick(rng, f.paths())
+		p.Blackhole()
+		p.disturbed.until(time.Now().Add(silenceNoticed))
 		return nil
 	}},
 	{"connections are reset", func(_ context.Context, f *fleet, rng *rand.Rand, _ time.Duration) error {
-		pick(rng, f.relays()).Reset()
+		p := pick(rng, f.paths())
+		p.Reset()
+		p.disturbed.until(time.Now())
 		return nil
 	}},
 	{"a path is cut", func(ctx context.Context, f *fleet, rng *rand.Rand, duration time.Duration) error {
-		return impair(ctx, pick(rng, f.relays()), relay.Impairment{Cut: true}, duration)
+		return impair(ctx, pick(rng, f.paths()), relay.Impairment{Cut: true}, duration)
 	}},
 	{"a path is cut one way", func(ctx context.Context, f *fleet, rng *rand.Rand, duration time.Duration) error {
-		return impair(ctx, pick(rng, f.relays()), relay.Impairment{CutReplies: true}, duration)
+		return impair(ctx, pick(rng, f.paths()), relay.Impairment{CutReplies: true}, duration)
 	}},
 	{"a path is slow", func(ctx context.Context, f *fleet, rng *rand.Rand, duration time.Duration) error {
-		return impair(ctx, pick(rng, f.relays()), relay.Impairment{Delay: relayDelay}, duration)
+		return impair(ctx, pick(rng, f.paths()), relay.Impairment{Delay: relayDelay}, duration)
 	}},
 	{"the configuration changes", func(_ context.Context, f *fleet, _ *rand.Rand, _ time.Duration) error {
 		f.publish()
@@ -101,6 +107,7 @@
 		return nil // another fault restarts the process already
 	}
 	defer p.restarting.Unlock()
+	defer p.disturbed.begin()()
 	p.signal(syscall.SIGCONT)
 	p.stop(sig)
 	sleep(ctx, downtime)
@@ -109,15 +116,15 @@
 
 // suspend stops a process with SIGSTOP and continues it after d.
 func suspend(ctx context.Context, p *process, d time.Duration) error {
-	p.signal(syscall.SIGSTOP)
+	defer p.pause()()
 	sleep(ctx, d)
-	p.signal(syscall.SIGCONT)
 	return nil
 }
 
 // restartWorker starts a new incarnation of a worker under the same id. Its connections are
 // reset, and new ones are refused for d.
 func restartWorker(ctx context.Context, v *vm, d time.Duration) error {
+	defer v.disturbed.begin()()
 	end := v.toWorker.Impair(relay.Impairment{Refuse: true})
 	defer end()
 	v.worker.Do(func(w *tasks.Worker) {
@@ -130,28 +137,37 @@
 
 // disturbStore gives the store faults for d.
 func (f *fleet) disturbStore(ctx context.Context, faults topics.Faults, d time.Duration) error {
+	defer f.storeDisturbed.begin()()
 	end := f.store.Disturb(faults)
 	defer end()
 	sleep(ctx, d)
 	return nil
 }
 
-// impair gives a relay an impairment for d.
-func impair(ctx context.Context, r *relay.Relay, impairment relay.Impairment, d time.Duration) error {
-	end := r.Impair(impairment)
+// impair gives a path an impairment for d.
+func impair(ctx context.Context, p path, impairment relay.Impairment, d time.Duration) error {
+	defer p.disturbed.begin()()
+	end := p.Impair(impairment)
 	defer end()
 	sleep(ctx, d)
 	return nil
 }
 
-// relays returns the relays between the processes, the store and the workers.
-func (f *fleet) relays() []*relay.Relay {
-	var list []*relay.Relay
+// path is a path between a process and the store or a worker.
+type path struct {
+	*relay.Relay
+	// disturbed records the path's faults.
+	disturbed *disturbance
+}
+
+// paths returns the paths between the processes, the store and the workers.
+func (f *fleet) paths() []path {
+	var list []path
 	for _, e := range f.entries {
-		list = append(list, e.store)
+		list = append(list, path{e.store, &f.entriesDisturbed})
 	}
 	for _, v := range f.vms {
-		list = append(list, v.toWorker, v.log)
+		list = append(list, path{v.toWorker, &v.disturbed}, path{v.log, &v.disturbed})
 	}
 	return list
 }
--- a/internal/proof/soak/fleet.go
+++ b/internal/proof/soak/fleet.go
@@ -16,7 +16,6 @@
 	"github.com/ebonyarch/ebonyarch/internal/fake/serve"
 	"github.com/ebonyarch/ebonyarch/internal/fake/tasks"
 	"github.com/ebonyarch/ebonyarch/internal/fake/topics"
-	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 	"github.com/ebonyarch/ebonyarch/platform/fake"
@@ -25,15 +24,10 @@
 const (
 	// heartbeatInterval is the time between two heartbeats of a worker.
 	heartbeatInterval = 300 * time.Millisecond
-	// A task's run time is random, between minTaskTime and minTaskTime + taskTimeSpread.
-	minTaskTime, taskTimeSpread = 100 * time.Millisecond, 400 * time.Millisecond
 )
 
-// capacity is the size of each VM, taskSize that of each task.
-var (
-	capacity = place.Resources{CPU: 4000, Memory: 16000}
-	taskSize = place.Resources{CPU: 1000, Memory: 1000}
-)
+// capacity is the size of each VM.
+var capacity = place.Resources{CPU: 4000, Memory: 16000}
 
 // fleet is a running system: entries and agents as processes, with a simulated store and
 // simulated workers.
@@ -42,8 +36,16 @@
 	witness tasks.Witness
 	entries []*entry
 	vms     []*vm
+	// byID holds the VMs by id.
+	byID    map[string]*vm
 	servers serve.Servers
 	log     *slog.Logger
+	jobs    jobList
+	// entriesDisturbed records the faults of entries and of their paths to the store,
+	// storeDisturbed those of the store.
+	entriesDisturbed, storeDisturbed disturbance
+	// overloads is the number of overloads in effect.
+	overloads atomic.Int64
 	// version is the version of the newest configuration.
 	version atomic.Int64
 }
@@ -51,8 +53,8 @@
 // entry is an entry's process with its relay to the store.
 type entry struct {
 	*process
-	// callers is the address for callers.
-	callers netip.AddrPort
+	// callers is the address for callers, admin the one that serves metrics.
+	callers, admin netip.AddrPort
 	// store is the relay from the entry to the store.
 	store *relay.Relay
 }
@@ -67,15 +69,19 @@
 	// toWorker is the relay from the agent to the worker, log the one from the agent to the
 	// store.
 	toWorker, log *relay.Relay
+	// disturbed records the faults of the worker, the agent and the paths between them and to the
+	// store.
+	disturbed disturbance
 }
 
 // newFleet starts a system with the given numbers of entries and VMs. After an error it may
 // return a part of the fleet, which the caller has to close. Heartbeats stop when ctx ends.
 func newFleet(ctx context.Context, dir string, entries, vms int, rng *rand.Rand, log *slog.Logger) (*fleet, error) {
-	f := &fleet{log: log}
-	f.witness.Dependencies = dependencies
+	f := &fleet{log: log, byID: map[string]*vm{}}
+	f.witness.Dependencies = f.jobs.dependencies
+	f.witness.CheckStart = f.checkStart
 	f.publish()
-	store, err := f.servers.Serve(fake.NewStore(&f.store), log)
+	store, err := f.servers.Serve(fake.NewPagedStore(&f.store, fake.PlatformPage), log)
 	if err != nil {
 		return nil, err
 	}
@@ -102,20 +108,6 @@
 	return f, nil
 }
 
-// dependencies returns the tasks that must be done before a task starts: those of the step
-// before.
-func dependencies(task string) []string {
-	ref, err := model.ParseTaskRef(task)
-	if err != nil || ref.Step == 0 {
-		return nil
-	}
-	var list []string
-	for i := range tasksPerStep {
-		list = append(list, model.TaskRef{Job: ref.Job, Step: ref.Step - 1, Index: i}.String())
-	}
-	return list
-}
-
 // addrPool hands out loopback addresses. It derives a part of 127.0.0.0/8 from the process id,
 // so that soaks that run on the same machine use different addresses.
 type addrPool struct {
@@ -152,20 +144,20 @@
 
 // addEntry adds an entry, whose process it does not start, and its relay to the store.
 func (f *fleet) addEntry(dir string, i int, addrs *addrPool, seeds []netip.AddrPort, store netip.AddrPort) error {
-	e := &entry{callers: addrs.next()}
+	e := &entry{callers: addrs.next(), admin: addrs.next()}
 	var err error
 	if e.store, err = relay.Listen(store); err != nil {
 		return err
 	}
 	name := fmt.Sprintf("entry-%d", i+1)
 	settings, err := json.Marshal(map[string]any{
-		"name": name, "zone": "a", "callers": e.callers, "health": addrs.next(), "admin": addrs.next(),
+		"name": name, "zone": "a", "callers": e.callers, "health": addrs.next(), "admin": e.admin,
 		"peers": seeds[i], "store": e.store.Addr(), "seeds": seeds,
 	})
 	if err != nil {
 		return err
 	}
-	e.process, err = newProcess(dir, name, "entry", settings)
+	e.process, err = newProcess(dir, name, "entry", settings, &f.entriesDisturbed)
 	f.entries = append(f.entries, e)
 	return err
 }
@@ -174,10 +166,7 @@
 // it does not start. seed determines the run times of the VM's tasks.
 func (f *fleet) addVM(ctx context.Context, dir string, i int, addrs *addrPool, seeds []netip.AddrPort, store netip.AddrPort, seed uint64) error {
 	v := &vm{id: fmt.Sprintf("vm-%d", i+1)}
-	plan := func(task string, run uint32) tasks.Plan {
-		rng := rand.New(rand.NewPCG(seed, hash(task)+uint64(run)))
-		return tasks.Plan{Size: taskSize, Work: minTaskTime + time.Duration(rng.Int64N(int64(taskTimeSpread)))}
-	}
+	plan := func(task string, run uint32) tasks.Plan { return f.jobs.plan(seed, task, run) }
 	v.worker = fake.NewWorker(tasks.New(time.Now(), v.id, capacity, plan, &f.witness))
 	addr, err := f.servers.Serve(v.worker, f.log)
 	if err != nil {
@@ -198,8 +187,9 @@
 	if err != nil {
 		return err
 	}
-	v.process, err = newProcess(dir, name, "agent", settings)
+	v.process, err = newProcess(dir, name, "agent", settings, &v.disturbed)
 	f.vms = append(f.vms, v)
+	f.byID[v.id] = v
 	go f.sendHeartbeats(ctx, v)
 	return err
 }
--- a/internal/proof/soak/process.go
+++ b/internal/proof/soak/process.go
@@ -29,6 +29,11 @@
 	restarting sync.Mutex
 	// incarnations is the number of starts so far.
 	incarnations atomic.Int64
+	// disturbed records the faults of the process.
+	disturbed *disturbance
+
+	// pauses is the number of pauses in effect.
+	pauses atomic.Int64
 
 	// mu guards the fields below.
 	mu  sync.Mutex
@@ -39,8 +44,8 @@
 
 // newProcess returns a process that is not started yet, and writes its settings to dir, where
 // its log goes too.
-func newProcess(dir, name, role string, settings []byte) (*process, error) {
-	p := &process{name: name, settings: filepath.Join(dir, name+".jsonc")}
+func newProcess(dir, name, role string, settings []byte, disturbed *disturbance) (*process, error) {
+	p := &process{name: name, settings: filepath.Join(dir, name+".jsonc"), disturbed: disturbed}
 	if err := os.WriteFile(p.settings, settings, 0o600); err != nil {
 		return nil, err
 	}
@@ -100,6 +105,20 @@
 	}
 }
 
+// pause stops the process with SIGSTOP until end is called. A process that is paused several
+// times goes on when the last pause ends.
+func (p *process) pause() (end func()) {
+	calm := p.disturbed.begin()
+	p.pauses.Add(1)
+	p.signal(syscall.SIGSTOP)
+	return func() {
+		if p.pauses.Add(-1) == 0 {
+			p.signal(syscall.SIGCONT)
+		}
+		calm()
+	}
+}
+
 // stop sends a signal that ends the process and waits until it has exited.
 func (p *process) stop(sig syscall.Signal) {
 	p.signal(sig)
--- a/internal/proof/soak/soak.go
+++ b/internal/proof/soak/soak.go
@@ -2,13 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
 	"os"
+	"slices"
 	"strings"
+	"sync"
 	"time"
+
+	"github.com/ebonyarch/ebonyarch/internal/fake/tasks"
 )
 
 // settleTimeout is how long the system may take to finish its work after the last fault is
@@ -39,15 +45,25 @@
 		return fmt.Errorf("seed %d could not be run: %w (logs in %s)", o.Seed, err, dir)
 	}
 	if len(violations) > 0 {
-		return fmt.Errorf("seed %d, logs in %s:\n%s", o.Seed, dir, strings.Join(violations, "\n"))
+		return fmt.Errorf("seed %d, %s, logs in %s: %d violations:\n%s", o.Seed, count, dir, len(violations), strings.Join(violations, "\n"))
 	}
-	fmt.Fprintf(out, "seed %d: %d faults, %d jobs, %d completed, %d refused: held\n", o.Seed, count.faults, count.jobs, count.completed, count.refused)
+	fmt.Fprintf(out, "seed %d: %s: held\n", o.Seed, count)
 	return os.RemoveAll(dir)
 }
 
 // counts holds the numbers of faults and jobs of a run.
 type counts struct {
-	faults, jobs, completed, refused int
+	faults, jobs, lasting, completed, refused int
+	// cancelled is the number of jobs that count as cancelled, unknown that of those among them
+	// that an entry said not to know.
+	cancelled, unknown int
+	// resumed is the number of runs that were started with a checkpoint.
+	resumed int
+}
+
+func (n counts) String() string {
+	return fmt.Sprintf("%d faults, %d jobs (%d lasting), %d completed, %d refused, %d cancelled (%d of them unknown), %d runs resumed",
+		n.faults, n.jobs, n.lasting, n.completed, n.refused, n.cancelled, n.unknown, n.resumed)
 }
 
 // run runs one seed and returns its counts and violations.
@@ -65,43 +81,65 @@
 	c := newCallers(f)
 	faultCtx, stopFaults := context.WithTimeout(ctx, o.For)
 	defer stopFaults()
-	n := 0
-	loadEnded, watchEnded := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(loadEnded)
-		c.submitJobs(faultCtx, rand.New(rand.NewPCG(o.Seed, 1)))
-	}()
-	go func() {
-		defer close(watchEnded)
-		c.watch(faultCtx)
-	}()
-	err = f.injectFaults(faultCtx, rng, func(what string) {
-		n++
-		if o.Verbose {
-			fmt.Fprintf(out, "%s: %s\n", time.Now().Format("05.000"), what)
-		}
-	})
-	<-watchEnded
-	<-loadEnded
-	if err != nil {
+	var loadErr, faultErr error
+	var background sync.WaitGroup
+	watchCtx, stopWatch := context.WithCancel(ctx)
+	defer stopWatch()
+	runs := runWatch{fleet: f, reported: map[tasks.Run]bool{}}
+	background.Go(func() { runs.watch(watchCtx) })
+	report := reporter{out: out, verbose: o.Verbose}
+	var load sync.WaitGroup
+	load.Go(func() { loadErr = c.submitJobs(faultCtx, rand.New(rand.NewPCG(o.Seed, 1))) })
+	load.Go(func() { c.watch(faultCtx) })
+	load.Go(func() { f.injectPauses(faultCtx, rand.New(rand.NewPCG(o.Seed, 2)), report.report) })
+	load.Go(func() { faultErr = f.injectFaults(faultCtx, rng, report.report) })
+	load.Wait()
+	if err := errors.Join(loadErr, faultErr); err != nil {
 		return counts{}, nil, err
 	}
 	settle, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	c.settle(settle)
-	return c.count(n), c.faults, ctx.Err()
+	stopWatch()
+	background.Wait()
+	return f.count(report.n), slices.Concat(f.jobs.faults, f.witness.Faults()), ctx.Err()
+}
+
+// reporter counts faults and prints them if verbose is set.
+type reporter struct {
+	out     io.Writer
+	verbose bool
+	mu      sync.Mutex
+	n       int
+}
+
+func (r *reporter) report(what string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.n++
+	if r.verbose {
+		fmt.Fprintf(r.out, "%s: %s\n", time.Now().Format("05.000"), what)
+	}
 }
 
 // count returns the counts of a run with the given number of faults.
-func (c *callers) count(faults int) counts {
-	n := counts{faults: faults, jobs: len(c.jobs)}
-	for _, j := range c.jobs {
-		if j.completed {
-			n.completed++
-		}
-		if j.refused {
-			n.refused++
-		}
+func (f *fleet) count(faults int) counts {
+	n := counts{faults: faults, resumed: f.witness.Resumed()}
+	for _, j := range f.jobs.all() {
+		n.jobs++
+		n.lasting += count(j.lasts())
+		n.completed += count(j.completed)
+		n.refused += count(j.refused)
+		n.cancelled += count(!j.goneAt.IsZero())
+		n.unknown += count(j.goneStatus == http.StatusGone)
 	}
 	return n
 }
+
+// count returns 1 if b is set, else 0.
+func count(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
