proof/asked: the rule on starts and runs is a package of its own, with tests

Cause: the soak's checks of UNASKED had no test that shows that each can fail. They are pure functions of the job, the order and the faults now, apart from the processes. Odd texts are internal/fake/texts. Tests: each part of the rule and each exception at its bound; checkpoints of the simulated worker; a run without a run time lasts until it is stopped.

--- a/internal/proof/soak/text.go
+++ b/internal/fake/texts/text.go
@@ -1,4 +1,6 @@
-package soak
+// Package texts makes texts that are hard to carry: with characters that encodings have to take
+// care of, and up to the longest that the platform allows.
+package texts
 
 import (
 	"fmt"
@@ -9,8 +11,8 @@
 )
 
 const (
-	// maxText is the limit of a payload's and a checkpoint's length, in bytes.
-	maxText = 4000
+	// MaxLen is the limit of a payload's and a checkpoint's length, in bytes.
+	MaxLen = 4000
 	// longTextShare is the fraction of texts that have the maximum length, usualText the limit
 	// of the length of the others.
 	longTextShare, usualText = 0.05, 60
@@ -23,19 +25,19 @@
 // those that HTML and JavaScript treat specially, and the limits of each length in UTF-8.
 var unusual = []rune("\x00\x01\b\t\n\f\r\x1b\"\\/'<>&\x7f\u0080\u07ff\u0800\u2028\u2029\ud7ff\ue000\ufeff\ufffd\uffff\U00010000\U0001f600\U0010ffff")
 
-// oddText returns a text that begins with prefix and goes on with random characters, half of
-// them unusual ones. It is at most maxText bytes long.
-func oddText(rng *rand.Rand, prefix string) string {
+// Odd returns a text that begins with prefix and goes on with random characters, half of
+// them unusual ones. It is at most MaxLen bytes long.
+func Odd(rng *rand.Rand, prefix string) string {
 	var b strings.Builder
 	b.WriteString(prefix)
 	n := len(prefix) + rng.IntN(usualText)
 	if rng.Float64() < longTextShare {
-		n = maxText
+		n = MaxLen
 	}
 	for b.Len() < n {
 		r := rune(' ' + rng.IntN('~'-' '))
 		if rng.IntN(2) == 0 {
-			r = pick(rng, unusual)
+			r = unusual[rng.IntN(len(unusual))]
 		}
 		if b.Len()+utf8.RuneLen(r) > n {
 			r = '.'
@@ -45,9 +47,9 @@
 	return b.String()
 }
 
-// quote returns s as a JSON string in which some characters are escaped although they need not
+// Quote returns s as a JSON string in which some characters are escaped although they need not
 // be.
-func quote(rng *rand.Rand, s string) []byte {
+func Quote(rng *rand.Rand, s string) []byte {
 	b := []byte{'"'}
 	for _, r := range s {
 		switch {
--- a/internal/proof/soak/caller.go
+++ b/internal/proof/soak/caller.go
@@ -160,7 +160,7 @@
 		if status == http.StatusOK || status == http.StatusGone {
 			c.jobs.update(func() {
 				if status == http.StatusOK || !j.acceptedAt.IsZero() {
-					j.goneAt, j.goneStatus = time.Now(), status
+					j.GoneAt, j.GoneStatus = time.Now(), status
 				}
 			})
 			return
@@ -209,7 +209,7 @@
 // completed records that an entry reported a job as completed, and checks that all its tasks
 // are done.
 func (c *callers) completed(e *entry, j *job) {
-	for step := range j.steps {
+	for step := range j.Steps {
 		for _, task := range j.tasksOf(step) {
 			if !c.fleet.witness.Done(task) {
 				c.jobs.addFault("%s reports job %s as completed, but task %s is not done", e.name, j.id, task)
--- a/internal/proof/soak/fault.go
+++ b/internal/proof/soak/fault.go
@@ -12,6 +12,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/fake/tasks"
 	"github.com/ebonyarch/ebonyarch/internal/fake/topics"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
+	"github.com/ebonyarch/ebonyarch/internal/proof/asked"
 )
 
 const (
@@ -74,13 +75,13 @@
 	{"connections are silent for good", func(_ context.Context, f *fleet, rng *rand.Rand, _ time.Duration) error {
 		p := pick(rng, f.paths())
 		p.Blackhole()
-		p.disturbed.until(time.Now().Add(silenceNoticed))
+		p.disturbed.Until(time.Now().Add(silenceNoticed))
 		return nil
 	}},
 	{"connections are reset", func(_ context.Context, f *fleet, rng *rand.Rand, _ time.Duration) error {
 		p := pick(rng, f.paths())
 		p.Reset()
-		p.disturbed.until(time.Now())
+		p.disturbed.Until(time.Now())
 		return nil
 	}},
 	{"a path is cut", func(ctx context.Context, f *fleet, rng *rand.Rand, duration time.Duration) error {
@@ -107,7 +108,7 @@
 		return nil // another fault restarts the process already
 	}
 	defer p.restarting.Unlock()
-	defer p.disturbed.begin()()
+	defer p.disturbed.Begin()()
 	p.signal(syscall.SIGCONT)
 	p.stop(sig)
 	sleep(ctx, downtime)
@@ -124,7 +125,7 @@
 // restartWorker starts a new incarnation of a worker under the same id. Its connections are
 // reset, and new ones are refused for d.
 func restartWorker(ctx context.Context, v *vm, d time.Duration) error {
-	defer v.disturbed.begin()()
+	defer v.disturbed.Begin()()
 	end := v.toWorker.Impair(relay.Impairment{Refuse: true})
 	defer end()
 	v.worker.Do(func(w *tasks.Worker) {
@@ -137,7 +138,7 @@
 
 // disturbStore gives the store faults for d.
 func (f *fleet) disturbStore(ctx context.Context, faults topics.Faults, d time.Duration) error {
-	defer f.storeDisturbed.begin()()
+	defer f.storeDisturbed.Begin()()
 	end := f.store.Disturb(faults)
 	defer end()
 	sleep(ctx, d)
@@ -146,7 +147,7 @@
 
 // impair gives a path an impairment for d.
 func impair(ctx context.Context, p path, impairment relay.Impairment, d time.Duration) error {
-	defer p.disturbed.begin()()
+	defer p.disturbed.Begin()()
 	end := p.Impair(impairment)
 	defer end()
 	sleep(ctx, d)
@@ -157,7 +158,7 @@
 type path struct {
 	*relay.Relay
 	// disturbed records the path's faults.
-	disturbed *disturbance
+	disturbed *asked.Faults
 }
 
 // paths returns the paths between the processes, the store and the workers.
--- a/internal/proof/soak/fleet.go
+++ b/internal/proof/soak/fleet.go
@@ -17,6 +17,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/fake/tasks"
 	"github.com/ebonyarch/ebonyarch/internal/fake/topics"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
+	"github.com/ebonyarch/ebonyarch/internal/proof/asked"
 	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 	"github.com/ebonyarch/ebonyarch/platform/fake"
 )
@@ -43,7 +44,7 @@
 	jobs    jobList
 	// entriesDisturbed records the faults of entries and of their paths to the store,
 	// storeDisturbed those of the store.
-	entriesDisturbed, storeDisturbed disturbance
+	entriesDisturbed, storeDisturbed asked.Faults
 	// overloads is the number of overloads in effect.
 	overloads atomic.Int64
 	// version is the version of the newest configuration.
@@ -71,7 +72,7 @@
 	toWorker, log *relay.Relay
 	// disturbed records the faults of the worker, the agent and the paths between them and to the
 	// store.
-	disturbed disturbance
+	disturbed asked.Faults
 }
 
 // newFleet starts a system with the given numbers of entries and VMs. After an error it may
--- a/internal/proof/soak/jobs.go
+++ b/internal/proof/soak/jobs.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/fake/tasks"
+	"github.com/ebonyarch/ebonyarch/internal/fake/texts"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
+	"github.com/ebonyarch/ebonyarch/internal/proof/asked"
 	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 	"github.com/ebonyarch/ebonyarch/platform/fake"
 )
@@ -16,11 +18,11 @@
 // job is a job that a caller submits, and what the caller knows about it.
 type job struct {
 	id string
-	// payload and steps are what the caller asks for, body is the request's body.
-	payload string
-	steps   []model.Step
-	body    string
-	shape   *shape
+	// Job is what the caller asks for, body the request's body. Its changing fields are guarded by
+	// the mutex of jobList.
+	asked.Job
+	body  string
+	shape *shape
 
 	// The fields below are guarded by the mutex of jobList.
 
@@ -30,10 +32,6 @@
 	refused bool
 	// cancelledAt is the time of the first request to cancel, zero if none was sent.
 	cancelledAt time.Time
-	// goneAt is the time of the first response after which the job counts as cancelled, zero
-	// before it, and goneStatus is the status of that response.
-	goneAt     time.Time
-	goneStatus int
 	// completed is set once an entry reported the job as completed.
 	completed bool
 	// started is set once a worker has started a task of the job.
@@ -43,14 +41,14 @@
 // tasksOf returns the names of a step's tasks.
 func (j *job) tasksOf(step int) []string {
 	var list []string
-	for i := range j.steps[step].Tasks {
+	for i := range j.Steps[step].Tasks {
 		list = append(list, model.TaskRef{Job: model.ID(j.id), Step: step, Index: i}.String())
 	}
 	return list
 }
 
 // lasts reports whether the job's tasks run until it is cancelled.
-func (j *job) lasts() bool { return j.steps[0].LongRunning }
+func (j *job) lasts() bool { return j.Steps[0].LongRunning }
 
 // shape is a kind of job.
 type shape struct {
@@ -110,16 +108,16 @@
 
 // newJob returns a job of the given kind.
 func newJob(rng *rand.Rand, s *shape) (*job, error) {
-	j := &job{id: fmt.Sprintf("%016x", rng.Uint64()), shape: s, steps: s.steps(rng)}
-	j.payload = oddText(rng, "payload of "+j.id+" ")
-	body, err := fake.EncodeJob(quote(rng, j.payload), j.steps)
+	j := &job{id: fmt.Sprintf("%016x", rng.Uint64()), shape: s}
+	j.Payload, j.Steps = texts.Odd(rng, "payload of "+j.id+" "), s.steps(rng)
+	body, err := fake.EncodeJob(texts.Quote(rng, j.Payload), j.Steps)
 	j.body = string(body)
 	return j, err
 }
 
 // plan returns the behavior of a run of one of the job's tasks. rng determines what is random.
 func (j *job) plan(ref model.TaskRef, run uint32, rng *rand.Rand) tasks.Plan {
-	step := &j.steps[ref.Step]
+	step := &j.Steps[ref.Step]
 	p := tasks.Plan{Size: step.ResourceRequest()}
 	if !step.LongRunning {
 		p.Work = j.shape.minTime + time.Duration(rng.Int64N(int64(j.shape.timeSpread)))
@@ -129,7 +127,7 @@
 	}
 	if step.Checkpoints {
 		p.SaveInterval = saveInterval
-		p.Checkpoint = func(n int) string { return oddText(rng, fmt.Sprintf("%s run %d save %d ", ref, run, n)) }
+		p.Checkpoint = func(n int) string { return texts.Odd(rng, fmt.Sprintf("%s run %d save %d ", ref, run, n)) }
 	}
 	return p
 }
@@ -162,7 +160,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	j := l.byID[ref.Job]
-	found := err == nil && j != nil && ref.Occurrence == 0 && ref.Step < len(j.steps) && ref.Index < j.steps[ref.Step].Tasks
+	found := err == nil && j != nil && j.HasTask(ref)
 	return j, ref, found
 }
 
@@ -184,7 +182,7 @@
 		return nil
 	}
 	var list []string
-	for _, step := range j.steps[ref.Step].After {
+	for _, step := range j.Steps[ref.Step].After {
 		list = append(list, j.tasksOf(step)...)
 	}
 	return list
@@ -226,8 +224,8 @@
 // lastGone returns the time at which the last job was cancelled.
 func (l *jobList) lastGone() (last time.Time) {
 	for _, j := range l.all() {
-		if j.goneAt.After(last) {
-			last = j.goneAt
+		if j.GoneAt.After(last) {
+			last = j.GoneAt
 		}
 	}
 	return last
--- a/internal/proof/soak/pauses.go
+++ b/internal/proof/soak/pauses.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -18,9 +19,12 @@
 	minPauseGap, maxPauseGap = 400 * time.Millisecond, 3500 * time.Millisecond
 	// metricsTimeout is how long an entry may take to say whether it leads.
 	metricsTimeout = 300 * time.Millisecond
-	// agentsPaused is the fraction of the agents that are paused together.
-	agentsPaused = 0.15
-	// overloadDuration is how long an overload lasts.
+	// vmsPaused is the fraction of the VMs whose agents are paused, or whose workers start again,
+	// together. workerDowntime is how long such a worker does not listen.
+	vmsPaused      = 0.15
+	workerDowntime = 500 * time.Millisecond
+	// One in overloadOneIn pauses comes with an overload, which lasts for overloadDuration.
+	overloadOneIn    = 6
 	overloadDuration = 2 * time.Second
 )
 
@@ -28,21 +32,24 @@
 type pauseKind struct {
 	name string
 	// weight is the kind's share among all kinds.
-	weight  int
-	entries func(f *fleet, rng *rand.Rand) []*process
-	agents  func(f *fleet, rng *rand.Rand) []*process
+	weight int
+	// entries selects which entries are paused, agents is set if someVMs' agents are, and workers
+	// if someVMs' workers start again.
+	entries         func(f *fleet, rng *rand.Rand) []*process
+	agents, workers bool
 }
 
-func nobody(*fleet, *rand.Rand) []*process { return nil }
-
 // pauseKinds lists what is paused together.
 var pauseKinds = []pauseKind{
-	{"the leader", 4, leaderOf, nobody},
-	{"the leader and agents", 2, leaderOf, someAgents},
-	{"an entry", 1, anEntry, nobody},
-	{"agents", 1, nobody, someAgents},
+	{"the leader", 4, leaderOf, false, false},
+	{"the leader and agents", 2, leaderOf, true, false},
+	{"an entry", 1, anEntry, false, false},
+	{"agents", 1, noEntry, true, false},
+	{"the leader while workers start again", 1, leaderOf, false, true},
 }
 
+func noEntry(*fleet, *rand.Rand) []*process { return nil }
+
 // leaderOf returns the entry that leads, if one says so.
 func leaderOf(f *fleet, _ *rand.Rand) []*process {
 	for _, e := range f.entries {
@@ -72,9 +79,9 @@
 
 func anEntry(f *fleet, rng *rand.Rand) []*process { return []*process{pick(rng, f.entries).process} }
 
-func someAgents(f *fleet, rng *rand.Rand) (list []*process) {
-	for range max(1, int(agentsPaused*float64(len(f.vms)))) {
-		list = append(list, pick(rng, f.vms).process)
+func someVMs(f *fleet, rng *rand.Rand) (list []*vm) {
+	for range max(1, int(vmsPaused*float64(len(f.vms)))) {
+		list = append(list, pick(rng, f.vms))
 	}
 	return list
 }
@@ -103,27 +110,45 @@
 }
 
 // injectPauses pauses random processes until ctx ends, and returns when all go on. At times it
-// overloads the system meanwhile. It calls report for each pause.
+// overloads the system meanwhile. It calls report for each event.
 func (f *fleet) injectPauses(ctx context.Context, rng *rand.Rand, report func(string)) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for sleep(ctx, between(rng, minPauseGap, maxPauseGap)); ctx.Err() == nil; sleep(ctx, between(rng, minPauseGap, maxPauseGap)) {
-		kind, duration, overload := pickPause(rng), between(rng, minPause, maxPause), rng.IntN(6) == 0
-		paused := kind.agents(f, rng)
+		kind, duration, overload := pickPause(rng), between(rng, minPause, maxPause), rng.IntN(overloadOneIn) == 0
+		vms := someVMs(f, rng)
+		var paused []*process
 		if f.mayPause() {
-			paused = append(paused, kind.entries(f, rng)...)
+			paused = kind.entries(f, rng)
+		}
+		for _, v := range vms {
+			if kind.workers {
+				wg.Go(func() { restartWorker(ctx, v, workerDowntime) })
+			}
+			if kind.agents {
+				paused = append(paused, v.process)
+			}
 		}
 		for _, p := range paused {
-			report(p.name + " is paused for " + duration.Round(time.Millisecond).String() + ", as are: " + kind.name)
 			wg.Go(func() { suspend(ctx, p, duration) })
 		}
+		report(fmt.Sprintf("pause of %s for %s: %s", kind.name, duration.Round(time.Millisecond), names(paused)))
 		if overload {
-			report("an overload")
+			report("overload")
 			wg.Go(func() { f.overload(ctx) })
 		}
 	}
 }
 
+// names returns the names of processes.
+func names(processes []*process) string {
+	var list []string
+	for _, p := range processes {
+		list = append(list, p.name)
+	}
+	return strings.Join(list, " ")
+}
+
 // overload lets callers submit more than fits, for overloadDuration.
 func (f *fleet) overload(ctx context.Context) {
 	f.overloads.Add(1)
--- a/internal/proof/soak/process.go
+++ b/internal/proof/soak/process.go
@@ -14,6 +14,8 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+
+	"github.com/ebonyarch/ebonyarch/internal/proof/asked"
 )
 
 // process is a program that the soak starts and restarts.
@@ -30,7 +32,7 @@
 	// incarnations is the number of starts so far.
 	incarnations atomic.Int64
 	// disturbed records the faults of the process.
-	disturbed *disturbance
+	disturbed *asked.Faults
 
 	// pauses is the number of pauses in effect.
 	pauses atomic.Int64
@@ -44,7 +46,7 @@
 
 // newProcess returns a process that is not started yet, and writes its settings to dir, where
 // its log goes too.
-func newProcess(dir, name, role string, settings []byte, disturbed *disturbance) (*process, error) {
+func newProcess(dir, name, role string, settings []byte, disturbed *asked.Faults) (*process, error) {
 	p := &process{name: name, settings: filepath.Join(dir, name+".jsonc"), disturbed: disturbed}
 	if err := os.WriteFile(p.settings, settings, 0o600); err != nil {
 		return nil, err
@@ -108,7 +110,7 @@
 // pause stops the process with SIGSTOP until end is called. A process that is paused several
 // times goes on when the last pause ends.
 func (p *process) pause() (end func()) {
-	calm := p.disturbed.begin()
+	calm := p.disturbed.Begin()
 	p.pauses.Add(1)
 	p.signal(syscall.SIGSTOP)
 	return func() {
--- a/internal/proof/soak/soak.go
+++ b/internal/proof/soak/soak.go
@@ -130,8 +130,8 @@
 		n.lasting += count(j.lasts())
 		n.completed += count(j.completed)
 		n.refused += count(j.refused)
-		n.cancelled += count(!j.goneAt.IsZero())
-		n.unknown += count(j.goneStatus == http.StatusGone)
+		n.cancelled += count(!j.GoneAt.IsZero())
+		n.unknown += count(j.GoneStatus == http.StatusGone)
 	}
 	return n
 }
--- a/internal/proof/soak/watch.go
+++ b/internal/proof/soak/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
+	"github.com/ebonyarch/ebonyarch/internal/proof/asked"
 )
 
 // watchInterval is the time between two rounds of requests for configuration and job states.
@@ -16,7 +17,7 @@
 
 // finalStretch is how long the soak waits after the last cancellation and the last fault, so
 // that runs that do not stop are seen.
-const finalStretch = cancelDelay + stopTime + 2*runsInterval
+const finalStretch = asked.CancelDelay + asked.StopTime + 2*runsInterval
 
 // configSeen is the newest configuration version that an incarnation of an entry was seen to
 // use.
