--- a/internal/fake/tasks/checkpoint.go
+++ b/internal/fake/tasks/checkpoint.go
@@ -1,83 +1,101 @@
 package tasks
 
 import (
-	"fmt"
 	"time"
 
-	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
-	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 )
 
-// checkpointInterval is the work after which a run saves another checkpoint.
-const checkpointInterval = 200 * time.Millisecond
+// saves is what a run has saved of its progress.
+type saves struct {
+	// resumed is the progress in the checkpoint with which the run was started.
+	resumed time.Duration
+	// count is the number of checkpoints that the run has produced, latest the latest one.
+	count  int
+	latest string
+}
 
-// oddText is part of each checkpoint, to show whether all text is carried unchanged.
-const oddText = "\x00\"\\<é\u2028\ufffd\U0001f600"
+// progress returns how much of its run time a run has behind it, including what its checkpoint
+// spared it.
+func (x *Witness) progress(now time.Time, r *run) time.Duration {
+	return r.saves.resumed + x.worked(now, r)
+}
 
-// save returns the latest checkpoint of a run: the one that it resumed from until it has saved one.
-func (w *Worker) save(now time.Time, r *run) string {
-	worked := w.witness.worked(now, r)
-	if worked < checkpointInterval {
-		return r.checkpoint
+// workDone reports whether a run has its run time behind it. A member of a gang has it only once
+// the gang is complete, however far its checkpoint was.
+func (x *Witness) workDone(now time.Time, r *run) bool {
+	complete := r.plan.Members == 0 || x.worked(now, r) > 0
+	return r.plan.Work > 0 && complete && x.progress(now, r) >= r.plan.Work
+}
+
+// owner returns whose checkpoints a run may be started with: its gang or its task.
+func owner(r *run) string { return ownerOf(r.task, r.plan.Members) }
+
+// ownerOf returns whose checkpoints a run of a task may be started with. members is the number of
+// members of its gang, 0 if it has none.
+func ownerOf(task string, members int) string {
+	if members > 0 {
+		return stepOf(task)
 	}
-	return w.witness.saved(r, fmt.Sprintf("%s run %d interval %d %s", r.task, r.number, worked/checkpointInterval, oddText))
+	return task
 }
 
-// saveAtEnd returns the checkpoint that the end of a run names: a stop saves another one.
-func (w *Worker) saveAtEnd(now time.Time, r *run, o msgs.Outcome) string {
-	if o != msgs.Stopped {
-		return w.save(now, r)
+// advanceSaves produces the checkpoint that is due, if there is one. Those of earlier intervals
+// that nobody could have seen are left out.
+func (w *Worker) advanceSaves(now time.Time, r *run) {
+	if r.plan.SaveInterval == 0 {
+		return
+	}
+	worked := w.witness.worked(now, r)
+	if due := int(worked / r.plan.SaveInterval); due > r.saves.count {
+		w.save(now, r, due)
 	}
-	return w.witness.saved(r, fmt.Sprintf("%s run %d stop %s", r.task, r.number, oddText))
 }
 
-// texts holds what the Witness knows of payloads and checkpoints. The zero value is empty.
-type texts struct {
-	// payloads holds the payload of each job, as the first order to start one of its runs named it.
-	payloads map[model.ID]string
-	// savedBy holds the task that saved each checkpoint.
-	savedBy map[string]string
-	// gangs holds the checkpoint of each run of a gang, as the first order to start a member named it.
-	gangs map[gangKey]string
+// save produces the checkpoint with the given number of a run.
+func (w *Worker) save(now time.Time, r *run, number int) {
+	r.saves.count = number
+	r.saves.latest = r.plan.Checkpoint(number)
+	w.witness.noteSaved(r, r.saves.latest, w.witness.progress(now, r))
 }
 
-// saved records a checkpoint of a run and returns it.
-func (x *Witness) saved(r *run, checkpoint string) string {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.texts.savedBy == nil {
-		x.texts.savedBy = map[string]string{}
+// saveAtEnd returns the checkpoint that a run's end lists. A run that is stopped produces one
+// more.
+func (w *Worker) saveAtEnd(now time.Time, r *run, o msgs.Outcome) string {
+	switch {
+	case o == msgs.Done:
+		return ""
+	case o == msgs.Stopped && r.plan.SaveInterval > 0:
+		w.save(now, r, r.saves.count+1)
 	}
-	x.texts.savedBy[checkpoint] = r.task
-	return checkpoint
+	return r.saves.latest
 }
 
-// told checks the payload and the checkpoint of an order to start a run, also if the order is
-// repeated or refused. members is the number of members of the run's gang, 0 if it has none.
-func (x *Witness) told(o port.StartOrder, members int) {
+// noteSaved records a checkpoint and the progress in it.
+func (x *Witness) noteSaved(r *run, checkpoint string, progress time.Duration) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.texts.payloads == nil {
-		x.texts.payloads, x.texts.gangs = map[model.ID]string{}, map[gangKey]string{}
-	}
-	job := model.JobOf(o.Task)
-	if payload, known := x.texts.payloads[job]; known && payload != o.Payload {
-		x.addFault("%s run %d is told the payload %q, an earlier run of the job %q", o.Task, o.Run, o.Payload, payload)
-	} else {
-		x.texts.payloads[job] = o.Payload
+	if x.saved == nil {
+		x.saved = map[string]map[string]time.Duration{}
 	}
-	saver := x.texts.savedBy[o.Checkpoint]
-	if o.Checkpoint != "" && saver != o.Task && (members == 0 || saver == "" || stepOf(saver) != stepOf(o.Task)) {
-		x.addFault("%s run %d is told to resume from %q, which is not the task's", o.Task, o.Run, o.Checkpoint)
+	if x.saved[owner(r)] == nil {
+		x.saved[owner(r)] = map[string]time.Duration{}
 	}
-	if members == 0 {
+	x.saved[owner(r)][checkpoint] = progress
+}
+
+// resume sets the progress of a run that starts with a checkpoint. x.mu is held.
+func (x *Witness) resume(r *run, checkpoint string) {
+	if checkpoint == "" {
 		return
 	}
-	key := gangKey{stepOf(o.Task), o.Run}
-	if checkpoint, known := x.texts.gangs[key]; known && checkpoint != o.Checkpoint {
-		x.addFault("%s run %d is told to resume from %q, another member of its gang from %q", o.Task, o.Run, o.Checkpoint, checkpoint)
-	} else {
-		x.texts.gangs[key] = o.Checkpoint
-	}
+	r.saves.resumed = x.saved[owner(r)][checkpoint]
+	x.resumed++
+}
+
+// Resumed returns the number of runs that were started with a checkpoint.
+func (x *Witness) Resumed() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.resumed
 }
--- a/internal/proof/fleet/world.go
+++ b/internal/proof/fleet/world.go
@@ -124,9 +124,19 @@
 	if step.Gang {
 		members = step.Tasks
 	}
-	return tasks.Plan{Size: step.ResourceRequest(), Work: step.Estimate, Fails: run == 1 && ref.Index == 3, Crashes: job.deadly && ref.Index == 2, Members: members}
+	return tasks.Plan{
+		Size: step.ResourceRequest(), Work: step.Estimate, Fails: run == 1 && ref.Index == 3, Crashes: job.deadly && ref.Index == 2, Members: members,
+		SaveInterval: saveInterval, Checkpoint: func(n int) string { return fmt.Sprintf("%s run %d save %d %s", task, run, n, unusualText) },
+	}
 }
 
+const (
+	// saveInterval is the work between two checkpoints of a run.
+	saveInterval = 200 * time.Millisecond
+	// unusualText is part of each checkpoint, to show whether all text is carried unchanged.
+	unusualText = "\x00\"\\<\u00e9\u2028\ufffd\U0001f600"
+)
+
 // electLeader lets the first entry that can lead claim the leadership, unless such an entry
 // leads in the latest epoch already. It schedules itself every 100 ms.
 func (w *World) electLeader() {
