--- a/internal/jobs/lead/callers.go
+++ b/internal/jobs/lead/callers.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
+	"github.com/ebonyarch/ebonyarch/internal/base/digest"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/admit"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
@@ -90,7 +91,7 @@
 func (l *Leader) confirmAccepted(now time.Time, id model.ID) {
 	if e := l.table.Get(id); e != nil {
 		l.stats.Accepted++
-		l.log.Info("job accepted", "req", id, "queue", e.Job.Queue.Name, "tasks", len(e.Tasks),
+		l.log.Info("job accepted", "req", id, "queue", e.Job.Queue.Name, "tasks", len(e.Tasks), "payload", digest.Text(e.Job.Payload),
 			"objective", l.describeStage(e, &e.Stages[0]).Objective.Sub(now), "waited", now.Sub(e.Job.Accepted))
 	}
 	for _, p := range l.pendingReplies[id] {
