jobs/lead: stops do not wait for the confirmation that repeated starts need

Found in the review: an agent's list is answered with stops and repeated starts in one message, so that with a silent store the stops waited too, and runs of a cancelled job went on. The message is split when nothing else has to be stored. The reviewer's spec failed before.

--- a/internal/jobs/lead/flush.go
+++ b/internal/jobs/lead/flush.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/table"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 )
@@ -68,17 +69,24 @@
 	return l.inFlight, nil
 }
 
-// releaseAllButStarts releases the messages that need no confirmation of the leadership, and
-// returns the others. Another entry may lead by now, and may have cancelled a job whose runs this
-// one would start.
+// releaseAllButStarts releases the messages, and parts of messages, that need no confirmation of the
+// leadership, and returns the others. Another entry may lead by now, and may have cancelled a job
+// whose runs this one would start.
 func (l *Leader) releaseAllButStarts(messages []OutboundMessage) []OutboundMessage {
 	var starts []OutboundMessage
 	for _, m := range messages {
-		if o := m.Message.Orders; o != nil && len(o.Starts) > 0 {
-			starts = append(starts, m)
+		o := m.Message.Orders
+		if o == nil || len(o.Starts) == 0 {
+			l.release([]OutboundMessage{m})
 			continue
 		}
-		l.release([]OutboundMessage{m})
+		if len(o.Stops)+len(o.Throttles) > 0 {
+			others := *o
+			others.Starts = nil
+			l.release([]OutboundMessage{{m.Conn, &msgs.Message{Orders: &others}}})
+			o.Stops, o.Throttles = nil, nil
+		}
+		starts = append(starts, m)
 	}
 	return starts
 }
--- a/internal/jobs/lead/read_test.go
+++ b/internal/jobs/lead/read_test.go
@@ -124,6 +124,19 @@
 		h.confirmBatch()
 		Expect(h.starts()).To(ConsistOf(HaveField("Task", string(job(1).ID)+".0.0.0")))
 	})
+
+	It("stops unwanted runs at once, also beside runs that it starts again", func() {
+		h := newHarness()
+		h.join(0)
+		h.submit(job(1, smallStep))
+		h.advance(100 * time.Millisecond)
+		h.out = nil
+		unwanted := string(job(2).ID) + ".0.0.0"
+		h.join(0, msgs.RunStatus{Task: unwanted, Run: 1})
+		h.now = h.now.Add(20 * time.Millisecond)
+		Expect(h.nextBatch()).To(BeTrue())
+		Expect(h.orders()).To(ConsistOf(And(HaveField("Stops", ConsistOf(HaveField("Task", unwanted))), HaveField("Starts", BeEmpty()))))
+	})
 })
 
 var _ = Describe("A job whose progress a new leader cannot read", func() {
