jobs/relay: a cancelling that a leader may have received has an unknown fate

It expired with 'no entry leads', which says that it was not carried out, although the leader may still do so.

--- a/internal/jobs/relay/relay.go
+++ b/internal/jobs/relay/relay.go
@@ -103,9 +103,10 @@
 	return r, resp
 }
 
-// ExpiryCode returns the code for a request without a response in time.
+// ExpiryCode returns the code for a request without a response in time. A leader may still carry
+// out what was sent to it.
 func (r *Request) ExpiryCode() codes.Code {
-	if r.sent && r.Message.Verb == msgs.Submit {
+	if r.sent && (r.Message.Verb == msgs.Submit || r.Message.Verb == msgs.Cancel) {
 		return codes.FateUnknown
 	}
 	return codes.NoLeader
--- a/internal/jobs/relay/relay_test.go
+++ b/internal/jobs/relay/relay_test.go
@@ -60,9 +60,11 @@
 	})
 
 	It("are refused for want of a leader only if no leader may have received them", func() {
-		first := add(msgs.Submit)
+		first, cancelled := add(msgs.Submit), add(msgs.Cancel)
 		q.SendAll(1, send)
 		second, third := add(msgs.Submit), add(msgs.State)
+		Expect(cancelled.ExpiryCode()).To(Equal(codes.FateUnknown), "the job may still be cancelled")
+		Expect(add(msgs.Cancel).ExpiryCode()).To(Equal(codes.NoLeader))
 		Expect(q.Unsent(now)).To(BeEmpty())
 		Expect(q.Unsent(now.Add(1))).To(ConsistOf(second))
 		Expect(first.ExpiryCode()).To(Equal(codes.FateUnknown))
