jobs/table: a job that an earlier version accepted after its cancelling is cancelled

During an update, a leader of an earlier version ignores the record of a cancelling that came before the submission, and accepts it; a later leader of this version then found both records and let the job run. Found in the review.

--- a/internal/jobs/table/early.go
+++ b/internal/jobs/table/early.go
@@ -58,11 +58,15 @@
 }
 
 // loadEarly adds the jobs that were cancelled before they were submitted. Those that were
-// submitted since must be in the table already.
+// submitted since must be in the table already. If one of them has both records, an earlier version
+// of the program has accepted it, and it is cancelled now.
 func (tbl *Table) loadEarly(records []port.Record) []error {
 	early, faults := decodeRecords[time.Time](records, earlyPrefix)
 	for id, cancelledAt := range early {
-		if tbl.entries[model.ID(id)] != nil {
+		if e := tbl.entries[model.ID(id)]; e != nil {
+			e.early = true
+			tbl.Cancel(cancelledAt, e)
+			tbl.markDirty(e)
 			continue
 		}
 		e := newEarlyEntry(model.ID(id), cancelledAt)
--- a/internal/jobs/table/table_test.go
+++ b/internal/jobs/table/table_test.go
@@ -290,6 +290,25 @@
 		Expect(stored()).To(ConsistOf(And(HaveField("Key", records[0].Key), HaveField("Value", BeEmpty()))))
 	})
 
+	// An earlier version of the program does not know the records of such cancellings.
+	It("cancels a job that was accepted by a leader that did not know that it was cancelled", func() {
+		tbl.CancelEarly(now, id)
+		cancelled, err := tbl.NextBatch(1 << 20)
+		Expect(err).NotTo(HaveOccurred())
+		earlier := &table.Table{}
+		e := earlier.Add(job(model.Step{Tasks: 2}))
+		run := earlier.Assign(e, ref(0, 0), table.Run{VM: "vm-1"}).Number
+		accepted, err := earlier.NextBatch(1 << 20)
+		Expect(err).NotTo(HaveOccurred())
+		loaded, faults := table.Load(append(cancelled.Records, accepted.Records...))
+		Expect(faults).To(BeEmpty())
+		Expect(loaded.Get(id).State).To(Equal(table.Cancelled))
+		Expect(loaded.Get(id).Surplus()).To(ConsistOf(HaveField("Run.Number", run)))
+		batch, err := loaded.NextBatch(1 << 20)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(batch.Records).To(ContainElement(And(HaveField("Key", cancelled.Records[0].Key), HaveField("Value", BeEmpty()))))
+	})
+
 	It("keeps a job that was cancelled early for as long after its submission as others", func() {
 		j := job(model.Step{Tasks: 1})
 		j.Accepted = now.Add(time.Minute)
--- a/internal/run/entry/callers.go
+++ b/internal/run/entry/callers.go
@@ -78,7 +78,7 @@
 }
 
 // expire responds to a request whose deadline has passed or whose caller has gone. A
-// submission that may have reached a leader gets FateUnknown.
+// submission or cancelling that may have reached a leader gets FateUnknown.
 func (e *Entry) expire(r *relay.Request) {
 	if !e.pending.Waits(r) {
 		return
