node/entry: the administrative state shows how old the entry's knowledge may be

What operators saw: nothing told an entry that was cut off from the log, or lagged, from one that knew everything: `ready` stays true, and nextOffset says nothing alone.

`logAge` is the time since the start of the latest read that reached the end of the log.

--- a/internal/node/core/barrier.go
+++ b/internal/node/core/barrier.go
@@ -69,11 +69,23 @@
 	// From is the offset to read from.
 	From uint64
 	// barrier is the id of the latest barrier that was queued before the read.
-	barrier uint64
+	barrier   uint64
+	startedAt time.Time
 }
 
 // StartRead begins a read of the log. The caller passes it to Read or ReadFailed.
-func (c *Core) StartRead() LogRead { return LogRead{From: c.fold.Next(), barrier: c.barriers.last} }
+func (c *Core) StartRead(now time.Time) LogRead {
+	return LogRead{From: c.fold.Next(), barrier: c.barriers.last, startedAt: now}
+}
+
+// LogAge returns how old the state may be: the time since the start of the latest read
+// that reached the end of the log. It is 0 if there was none.
+func (c *Core) LogAge(now time.Time) time.Duration {
+	if c.readStartedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(c.readStartedAt)
+}
 
 // ReadFailed fails the barriers that the read would have passed.
 func (c *Core) ReadFailed(r LogRead) { c.barriers.settle(r.barrier, NotReadyError()) }
--- a/internal/node/core/core.go
+++ b/internal/node/core/core.go
@@ -54,6 +54,8 @@
 	pendingCommits []pendingCommit
 	commitResults  []CommitResult
 	barriers       barriers
+	// readStartedAt is the start of the latest read that reached the end of the log.
+	readStartedAt time.Time
 	// peerReplies holds the latest reply of each other entry, by writer id.
 	peerReplies map[string]peerReply
 	// tickedAt is the time of the latest Tick, and listeningSince the time of the first one
@@ -115,6 +117,9 @@
 		return
 	}
 	c.ready = true
+	if read.startedAt.After(c.readStartedAt) {
+		c.readStartedAt = read.startedAt
+	}
 	c.writer.Read(now, c.fold.Next())
 	c.barriers.settle(read.barrier, nil)
 	for _, l := range c.leaders {
--- a/internal/node/core/sync_test.go
+++ b/internal/node/core/sync_test.go
@@ -15,7 +15,7 @@
 	It("knows all VMs once it has listened for a heartbeat's timeout, and again after a pause", func() {
 		now := time.Unix(1e9, 0)
 		c := core.New(now, core.Config{Log: slog.New(slog.DiscardHandler)}, nil)
-		c.Read(now, c.StartRead(), nil, true)
+		c.Read(now, c.StartRead(now), nil, true)
 		listen := func() {
 			for end := now.Add(member.HeartbeatTimeout); now.Before(end); {
 				c.Tick(now)
--- a/internal/node/entry/barrier.go
+++ b/internal/node/entry/barrier.go
@@ -69,7 +69,7 @@
 // it fails the barriers that the read would have passed.
 func (e *Entry) readOnce(ctx context.Context) error {
 	e.mu.Lock()
-	read := e.core.StartRead()
+	read := e.core.StartRead(time.Now())
 	e.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, barrierTimeout)
 	defer cancel()
--- a/internal/node/entry/journal.go
+++ b/internal/node/entry/journal.go
@@ -35,7 +35,7 @@
 	e.loadFromPeer(ctx)
 	for ctx.Err() == nil {
 		e.mu.Lock()
-		read := e.core.StartRead()
+		read := e.core.StartRead(time.Now())
 		e.mu.Unlock()
 		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 		entries, _, err := e.platformLog.Read(callCtx, read.From, maxReadEntries, readWait)
--- a/internal/node/entry/state.go
+++ b/internal/node/entry/state.go
@@ -16,7 +16,7 @@
 	s := view.Entry{
 		Role: "entry", Name: e.cfg.Name, Zone: e.cfg.Zone, Writer: e.core.Writer().ID(),
 		Leaving: e.leaving.Load(), InFlight: e.inFlight.Load(), LogDown: e.core.Writer().LogUnavailable(now),
-		NextOffset: f.Next(), Pending: e.core.Writer().Pending(), Fold: f.Stats(),
+		NextOffset: f.Next(), LogAge: e.core.LogAge(now).Round(time.Millisecond).String(), Pending: e.core.Writer().Pending(), Fold: f.Stats(),
 		Appends: e.core.Writer().Stats(), Discarded: e.links.Discarded(),
 	}
 	for _, t := range f.Teams() {
--- a/internal/node/view/state.go
+++ b/internal/node/view/state.go
@@ -9,22 +9,24 @@
 
 // Entry is the state of an entry as the administrative endpoint shows it.
 type Entry struct {
-	Role       string       `json:"role"`
-	Name       string       `json:"name"`
-	Zone       string       `json:"zone"`
-	Writer     string       `json:"writer"`
-	Leaving    bool         `json:"leaving"`
-	InFlight   int64        `json:"requestsInFlight"`
-	LogDown    bool         `json:"logDown"`
-	NextOffset uint64       `json:"nextOffset"`
-	Pending    int          `json:"recordsPending"`
-	Fold       fold.Stats   `json:"fold"`
-	Appends    writer.Stats `json:"appends"`
-	Config     []Revision   `json:"config"`
-	Cells      []Cell       `json:"cells"`
-	Entries    []Peer       `json:"entries"`
-	VMs        []VM         `json:"vms"`
-	Services   []Service    `json:"services"`
+	Role       string `json:"role"`
+	Name       string `json:"name"`
+	Zone       string `json:"zone"`
+	Writer     string `json:"writer"`
+	Leaving    bool   `json:"leaving"`
+	InFlight   int64  `json:"requestsInFlight"`
+	LogDown    bool   `json:"logDown"`
+	NextOffset uint64 `json:"nextOffset"`
+	// LogAge is how old what the entry knows of the log may be, as a Go duration.
+	LogAge   string       `json:"logAge"`
+	Pending  int          `json:"recordsPending"`
+	Fold     fold.Stats   `json:"fold"`
+	Appends  writer.Stats `json:"appends"`
+	Config   []Revision   `json:"config"`
+	Cells    []Cell       `json:"cells"`
+	Entries  []Peer       `json:"entries"`
+	VMs      []VM         `json:"vms"`
+	Services []Service    `json:"services"`
 	// Discarded is how often connections to peers were discarded because they may no
 	// longer work.
 	Discarded int `json:"discardedConnections"`
--- a/internal/proof/world/journal.go
+++ b/internal/proof/world/journal.go
@@ -25,7 +25,7 @@
 // startRead reads the next log entries, applies them and calls done. While the process
 // is paused, the response waits.
 func (e *Entry) startRead(done func(core.LogRead, error)) {
-	w, incarnation, read := e.world, e.incarnation, e.Core.StartRead()
+	w, incarnation, read := e.world, e.incarnation, e.Core.StartRead(e.clock())
 	w.After(w.LogLatency/2, func() {
 		if e.Dead || e.incarnation != incarnation {
 			return
