node/entry: an old job is shown, and its key taken for known, only while the log has it

Cause: an ended job is final only as long as it is kept, for 24 h after its end. The read of an ended job and the look for a known key needed no barrier, whatever the job's age.

Ruled out: the job's own state, which does not change after its end.

After: without a barrier only if the entry has read the log, and the job has ended, less than 12 h ago; with the barrier otherwise.

--- a/internal/node/core/barrier.go
+++ b/internal/node/core/barrier.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
+	"github.com/ebonyarch/ebonyarch/internal/state/fold"
 )
 
 // barrierRetryAfter is the retry delay suggested to callers if the log could not be
@@ -89,3 +90,11 @@
 
 // ReadFailed fails the barriers that the read would have passed.
 func (c *Core) ReadFailed(r LogRead) { c.barriers.settle(r.barrier, NotReadyError()) }
+
+// Keeps reports whether the log certainly still has a job of the state, whatever was
+// appended since: an ended job and its key are forgotten after fold.JobRetention, of which
+// half is left for differences between clocks.
+func (c *Core) Keeps(now time.Time, j *fold.Job) bool {
+	const limit = fold.JobRetention / 2
+	return c.ready && c.LogAge(now) < limit && (j.Ended.IsZero() || now.Sub(j.Ended) < limit)
+}
--- a/internal/node/entry/jobs.go
+++ b/internal/node/entry/jobs.go
@@ -76,14 +76,13 @@
 // accepted, whatever the configuration says now; only a new one is checked against the
 // configuration, after a read barrier.
 func (e *Entry) accept(ctx context.Context, s *submission) error {
-	if known, err := e.knowsJob(s); known {
-		return err
-	}
-	if err := e.mayCommit(); err != nil {
-		return err
-	}
-	if err := e.readBarrier(ctx); err != nil {
-		return err
+	if !e.keepsJob(s.job()) {
+		if err := e.mayCommit(); err != nil {
+			return err
+		}
+		if err := e.readBarrier(ctx); err != nil {
+			return err
+		}
 	}
 	if known, err := e.knowsJob(s); known {
 		return err
@@ -96,6 +95,14 @@
 	return err
 }
 
+// keepsJob reports whether the log certainly has a job with the id.
+func (e *Entry) keepsJob(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	j := e.core.Fold().Job(id)
+	return j != nil && e.core.Keeps(time.Now(), j)
+}
+
 // knowsJob reports whether the state has a job with the submission's key. It returns an
 // error if that is another job.
 func (e *Entry) knowsJob(s *submission) (bool, error) {
--- a/internal/node/entry/query.go
+++ b/internal/node/entry/query.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/gorilla/mux"
 
@@ -50,11 +51,12 @@
 	return e.lookupJob(team, id)
 }
 
+// jobEnded reports whether a job has ended that the log still has.
 func (e *Entry) jobEnded(id string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	j := e.core.Fold().Job(id)
-	return j != nil && !j.Ended.IsZero()
+	return j != nil && !j.Ended.IsZero() && e.core.Keeps(time.Now(), j)
 }
 
 // lookupJob returns a job of a team from the state, as far as the log has been read.
--- a/internal/proof/world/query.go
+++ b/internal/proof/world/query.go
@@ -61,7 +61,7 @@
 		c.Done, c.Code, c.To = true, codes.Of(err), e.world.Now
 		c.Observed = jobState(e.Core.Fold().Job(c.Job))
 	}
-	if j := e.Core.Fold().Job(c.Job); j != nil && !j.Ended.IsZero() {
+	if j := e.Core.Fold().Job(c.Job); j != nil && !j.Ended.IsZero() && e.Core.Keeps(e.clock(), j) {
 		finish(nil)
 		return
 	}
