proof/soak: long pauses are more frequent

Cause: a paused leader answers a caller from memory only if another entry has accepted jobs meanwhile, which takes a pause of 2 s or more. A pause lasts for the longer one of two random times now; the limits stay.

--- a/internal/proof/soak/pauses.go
+++ b/internal/proof/soak/pauses.go
@@ -97,6 +97,12 @@
 	return pick(rng, list)
 }
 
+// pauseDuration returns the random duration of a pause. Long ones, in which another entry takes
+// over, are more frequent.
+func pauseDuration(rng *rand.Rand) time.Duration {
+	return max(between(rng, minPause, maxPause), between(rng, minPause, maxPause))
+}
+
 // mayPause reports whether one more entry may be paused: a minority of them, or the only other
 // one.
 func (f *fleet) mayPause() bool {
@@ -115,7 +121,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for sleep(ctx, between(rng, minPauseGap, maxPauseGap)); ctx.Err() == nil; sleep(ctx, between(rng, minPauseGap, maxPauseGap)) {
-		kind, duration, overload := pickPause(rng), between(rng, minPause, maxPause), rng.IntN(overloadOneIn) == 0
+		kind, duration, overload := pickPause(rng), pauseDuration(rng), rng.IntN(overloadOneIn) == 0
 		vms := someVMs(f, rng)
 		var paused []*process
 		if f.mayPause() {
