--- a/internal/proof/soak/seeds.go
+++ b/internal/proof/soak/seeds.go
@@ -15,4 +15,5 @@
 	{703, "as seed 301"},
 	{105, "an entry could not listen, because a connection of another soak on the machine used its port"},
 	{204, "as seed 105"},
+	{303, "a leader that woke from a pause said that it did not know a job that its successor had accepted, and the job ran on"},
 }
