--- a/internal/proof/fleet/agent.go
+++ b/internal/proof/fleet/agent.go
@@ -7,7 +7,6 @@
 
 	"github.com/ebonyarch/ebonyarch/internal/fake/tasks"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/exec"
-	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 )
