--- a/internal/jobs/lead/read.go
+++ b/internal/jobs/lead/read.go
@@ -24,11 +24,11 @@
 	request *msgs.JobRequest
 }
 
-// read responds to a request that changes nothing. A final state is true whoever leads now, and
-// other progress may be maxReadAge old. That there is no such job must be confirmed by the store.
+// read responds to a request that changes nothing. A final state is true whichever entry leads now,
+// and other progress may be maxReadAge old. That there is no such job must be confirmed by the store.
 func (l *Leader) read(now time.Time, conn uint64, req *msgs.JobRequest) {
-	resp, final := l.lookup(req)
-	if final || resp.Code == codes.OK && l.StoreAge(now) <= maxReadAge {
+	resp, certain := l.lookup(req)
+	if certain || resp.Code == codes.OK && l.StoreAge(now) <= maxReadAge {
 		l.reply(conn, resp)
 		return
 	}
@@ -36,8 +36,8 @@
 }
 
 // lookup returns the response to a request that changes nothing, from the jobs and states in the
-// store. final is set if the response can't change any more.
-func (l *Leader) lookup(req *msgs.JobRequest) (resp msgs.JobResponse, final bool) {
+// store. certain is set if the response is true whichever entry leads now.
+func (l *Leader) lookup(req *msgs.JobRequest) (resp msgs.JobResponse, certain bool) {
 	resp.Seq = req.Seq
 	if req.Verb == msgs.Pending {
 		resp.Pending = l.pending(req.Queue)
