--- a/internal/fake/tasks/told.go
+++ b/internal/fake/tasks/texts.go
@@ -16,9 +16,9 @@
 	gangs map[gangKey]string
 }
 
-// told checks the payload and the checkpoint of an order to start a run, also if the order is
+// checkTexts checks the payload and the checkpoint of an order to start a run, also if the order is
 // repeated or refused. members is the number of members of the run's gang, 0 if it has none.
-func (x *Witness) told(now time.Time, worker string, o port.StartOrder, members int) {
+func (x *Witness) checkTexts(now time.Time, worker string, o port.StartOrder, members int) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.texts.payloads == nil {
@@ -26,7 +26,7 @@
 	}
 	job := model.JobOf(o.Task)
 	if payload, known := x.texts.payloads[job]; known && payload != o.Payload {
-		x.addFault("%s run %d is told the payload %.200q, an earlier run of the job %.200q", o.Task, o.Run, o.Payload, payload)
+		x.addFault("%s run %d is started with the payload %.200q, an earlier run of the job %.200q", o.Task, o.Run, o.Payload, payload)
 	} else {
 		x.texts.payloads[job] = o.Payload
 	}
@@ -39,7 +39,7 @@
 	}
 	key := gangKey{stepOf(o.Task), o.Run}
 	if checkpoint, known := x.texts.gangs[key]; known && checkpoint != o.Checkpoint {
-		x.addFault("%s run %d is told to resume from %.200q, another member of its gang from %.200q", o.Task, o.Run, o.Checkpoint, checkpoint)
+		x.addFault("%s run %d is to resume from %.200q, another member of its gang from %.200q", o.Task, o.Run, o.Checkpoint, checkpoint)
 	} else {
 		x.texts.gangs[key] = o.Checkpoint
 	}
--- a/internal/fake/tasks/worker.go
+++ b/internal/fake/tasks/worker.go
@@ -218,7 +218,7 @@
 	if err := w.check(o.Worker, o.FencingToken); err != nil {
 		return err
 	}
-	w.witness.told(now, w.id, o, w.plan(o.Task, o.Run).Members)
+	w.witness.checkTexts(now, w.id, o, w.plan(o.Task, o.Run).Members)
 	w.deadline = max(w.deadline, o.Deadline)
 	if slices.ContainsFunc(w.runs, func(r *run) bool { return r.task == o.Task && r.number == o.Run }) {
 		return nil
