--- a/review/_standin2/advised.go
+++ b/review/_standin2/advised.go
@@ -22,7 +22,7 @@
 		finish  = 14 * time.Second
 		idle    = 3 * time.Second
 	)
-	q, urgent := Queue{"checked", 2, 4, true}, Queue{"urgent", 0, 4, true}
+	q, urgent := Queue{name: "checked", priority: 2, attempts: 4, advised: true}, Queue{name: "urgent", priority: 0, attempts: 4, advised: true}
 	f, err := startFleet(rec, Settings{entries: 3, workers: 11, cpu: 64000, mem: 256000, queues: []Queue{q, urgent}})
 	if f != nil {
 		defer f.stop()
--- a/review/_standin2/client.go
+++ b/review/_standin2/client.go
@@ -46,8 +46,21 @@
 	Estimate      int64  `json:"estimate_ms,omitempty"`
 	After         []int  `json:"after,omitempty"`
 	Checkpointing bool   `json:"checkpointing,omitempty"`
-	Requires      string `json:"requires,omitempty"`
 	Fills         bool   `json:"fills,omitempty"`
+	LongRunning   bool   `json:"long_running,omitempty"`
+	Image         string `json:"image,omitempty"`
+	Target        int64  `json:"target_ms,omitempty"`
+	Apart         int    `json:"anti_affinity,omitempty"`
+}
+
+// chain returns n steps like s, each after the one before.
+func chain(s Step, n int) []Step {
+	steps := []Step{s}
+	for i := range n - 1 {
+		s.After = []int{i}
+		steps = append(steps, s)
+	}
+	return steps
 }
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
--- a/review/_standin2/fills.go
+++ b/review/_standin2/fills.go
@@ -22,7 +22,7 @@
 		finish  = 14 * time.Second
 		idle    = 3 * time.Second
 	)
-	quick, batch, bulk := Queue{"quick", 0, 4, false}, Queue{"batch", 1, 4, false}, Queue{"bulk", 2, 4, false}
+	quick, batch, bulk := Queue{name: "quick", priority: 0, attempts: 4}, Queue{name: "batch", priority: 1, attempts: 4}, Queue{name: "bulk", priority: 2, attempts: 4}
 	f, err := startFleet(rec, Settings{entries: 3, workers: workers, cpu: cpu, mem: mem, queues: []Queue{quick, batch, bulk}})
 	if f != nil {
 		defer f.stop()
--- a/review/_standin2/fleet.go
+++ b/review/_standin2/fleet.go
@@ -34,8 +34,8 @@
 	entries, workers int
 	cpu, mem         int64
 	queues           []Queue
-	// label is one that only the first worker has, empty if there is none.
-	label string
+	// second is the number of workers, of the last ones, that belong to a second service.
+	second int
 }
 
 // Queue is a route of the configuration.
@@ -43,13 +43,18 @@
 	name     string
 	priority int
 	attempts int
+	// second is set if the workers of the second service run the queue's tasks.
+	second bool
 	// advised is set if the queue has advice.
 	advised bool
 }
 
 const (
-	host    = "queues.example"
-	service = "service-a"
+	host = "queues.example"
+	// The deployment's services. Only some cases have workers of the second one.
+	service, service2 = "service-a", "service-b"
+	// adminPort is the port of the processes' admin addresses, which the templates name.
+	adminPort = 9464
 )
 
 func (q Queue) prefix() string { return "/" + q.name + "/" }
@@ -68,6 +73,27 @@
 	return ports, nil
 }
 
+// service returns the service whose workers run the queue's tasks.
+func (q Queue) service() string {
+	if q.second {
+		return service2
+	}
+	return service
+}
+
+// reserveNet returns the second number of the deployment's addresses, which no other one uses for as
+// long as this process runs.
+func reserveNet() (int, error) {
+	var err error
+	for range 50 {
+		n := rand.IntN(200) + 20
+		if _, err = net.Listen("tcp", fmt.Sprintf("127.%d.4.1:%d", n, adminPort)); err == nil {
+			return n, nil
+		}
+	}
+	return 0, err
+}
+
 // startFleet starts all processes and waits until an entry accepts requests.
 func startFleet(rec *Recorder, cfg Settings) (*Fleet, error) {
 	dir, err := os.MkdirTemp("", "review")
@@ -76,8 +102,11 @@
 	}
 	f := &Fleet{rec: rec, dir: dir, store: newStore(), cfg: cfg}
 	f.stopOnSignal()
-	net2 := rand.IntN(200) + 20
-	ip := func(class, i int) string { return fmt.Sprintf("127.%d.%d.%d", net2, class, i+1) }
+	second, err := reserveNet()
+	if err != nil {
+		return f, err
+	}
+	ip := func(class, i int) string { return fmt.Sprintf("127.%d.%d.%d", second, class, i+1) }
 	ports, err := freePorts(ip(1, 0), 5)
 	if err != nil {
 		return f, err
@@ -118,8 +147,8 @@
 			id: fmt.Sprintf("i-%08x%02x", rand.Uint32(), i), service: service, zone: "mx-centro-a", addr: fmt.Sprintf("%s:%d", ip(2, i), app), registry: addr,
 			labels: []string{"a", fmt.Sprintf("r1-%d", i/3+1)}, cpu: cfg.cpu, mem: cfg.mem, rec: rec, advisor: f.advisor,
 		}
-		if i == 0 && cfg.label != "" {
-			w.labels = append(w.labels, cfg.label)
+		if i >= cfg.workers-cfg.second {
+			w.service = service2
 		}
 		f.workers = append(f.workers, w)
 		err := f.start("agent", fmt.Sprintf("side-mx-centro-a-%d", i+1), seeds, map[string]string{
@@ -142,17 +171,20 @@
 	for _, q := range f.cfg.queues {
 		route := map[string]any{
 			"name": q.name, "host": host, "path_prefix": q.prefix(), "kind": "unsafe", "timeout_ms": 3000, "target_latency_ms": 1000,
-			"priority": q.priority, "service": service, "max_attempts": q.attempts, "stretch": 2.0,
+			"priority": q.priority, "service": q.service(), "max_attempts": q.attempts, "stretch": 2.0,
 		}
 		if q.advised {
 			route["advice"] = map[string]any{"decide_ms": decideTime.Milliseconds(), "period_ms": periodTime.Milliseconds(), "valid_ms": adviceValid.Milliseconds()}
 		}
 		routes = append(routes, route)
 	}
+	var services []any
+	for _, name := range []string{service, service2} {
+		services = append(services, map[string]any{"name": name, "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": false, "enforces_capacity": false, "spare": false})
+	}
 	data, err := json.Marshal(map[string]any{
-		"version": version, "routes": routes,
-		"services": []any{map[string]any{"name": service, "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": false, "enforces_capacity": false, "spare": false}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"version": version, "routes": routes, "services": services,
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	if err != nil {
 		panic(err)
--- a/review/_standin2/large.go
+++ b/review/_standin2/large.go
@@ -17,8 +17,8 @@
 		finish  = 14 * time.Second
 		idle    = 3 * time.Second
 	)
-	q := Queue{"quick", 0, 4, false}
-	bulk := Queue{"bulk", 2, 4, false}
+	q := Queue{name: "quick", priority: 0, attempts: 4}
+	bulk := Queue{name: "bulk", priority: 2, attempts: 4}
 	rec.quiet = true
 	f, err := startFleet(rec, Settings{entries: 3, workers: 11, cpu: 64000, mem: 256000, queues: []Queue{q, bulk}})
 	if f != nil {
@@ -56,8 +56,8 @@
 			j = Job{id: newID(), queue: bulk, Spec: "work=1500,1500,60000,8000 checkpoint", Steps: []Step{
 				{Count: 2000, CPU: 50, Mem: 60, Estimate: 1500, Checkpointing: true},
 				{Count: 2000, CPU: 50, Mem: 60, Estimate: 1500, Checkpointing: true, After: []int{0}},
-				{Count: 3150, CPU: 50, Mem: 60, Estimate: 60000, Checkpointing: true, After: []int{1}},
-				{Count: 20, CPU: 50, Mem: 60, Estimate: 8000, Checkpointing: true, After: []int{1}},
+				{Count: 2950, CPU: 50, Mem: 60, Estimate: 60000, Checkpointing: true, After: []int{1}},
+				{Count: 220, CPU: 50, Mem: 60, Estimate: 8000, Checkpointing: true, After: []int{1}},
 			}}
 			rec.add("large-job", "job", j.id, "tasks", 7170)
 		}
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -16,11 +16,11 @@
 )
 
 var cases = map[string]func(*Recorder, bool) (int, error){
-	"large":   largeJob,
-	"crashes": crashes,
-	"fills":   fills,
-	"advice":  advised,
-	"pending": pending,
+	"large":    largeJob,
+	"moves":    moves,
+	"fills":    fills,
+	"advice":   advised,
+	"services": services,
 }
 
 func main() {
--- a/review/_standin2/record.go
+++ b/review/_standin2/record.go
@@ -24,11 +24,9 @@
 
 // seenRun is a run as a worker saw it.
 type seenRun struct {
-	worker    string
-	number    uint32
-	from, to  time.Time
-	how       string
-	takenNote bool
+	worker string
+	number uint32
+	over   bool
 }
 
 func newRecorder(path string) (*Recorder, error) {
@@ -56,7 +54,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.starts++
-	r.runs[task] = append(r.runs[task], &seenRun{worker: worker, number: number, from: time.Now()})
+	r.runs[task] = append(r.runs[task], &seenRun{worker: worker, number: number})
 	if !r.quiet {
 		r.write("task-started", "task", task, "run", number, "worker", worker)
 	}
@@ -67,8 +65,8 @@
 	defer r.mu.Unlock()
 	r.ends[how]++
 	for _, x := range r.runs[task] {
-		if x.worker == worker && x.number == number && x.to.IsZero() {
-			x.to, x.how = time.Now(), how
+		if x.worker == worker && x.number == number {
+			x.over = true
 		}
 	}
 	if !r.quiet {
@@ -76,33 +74,6 @@
 	}
 }
 
-// noted records that last_seen has reached the end of a run.
-func (r *Recorder) noted(worker, task string, number uint32, _ string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, x := range r.runs[task] {
-		if x.worker == worker && x.number == number {
-			x.takenNote = true
-		}
-	}
-}
-
-// runsOf returns copies of all runs of a job's tasks, by task.
-func (r *Recorder) runsOf(job string) map[string][]seenRun {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	runs := map[string][]seenRun{}
-	for task, list := range r.runs {
-		if !strings.HasPrefix(task, job+".") {
-			continue
-		}
-		for _, x := range list {
-			runs[task] = append(runs[task], *x)
-		}
-	}
-	return runs
-}
-
 // present returns the number of a job's runs that are present at workers, of all jobs if job is empty.
 func (r *Recorder) present(job string) int {
 	r.mu.Lock()
@@ -113,7 +84,7 @@
 			continue
 		}
 		for _, x := range list {
-			if x.to.IsZero() {
+			if !x.over {
 				n++
 			}
 		}
--- a/review/_standin2/worker.go
+++ b/review/_standin2/worker.go
@@ -1,12 +1,11 @@
 package main
 
 import (
-	"bytes"
-	"context"
 	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,12 +13,11 @@
 )
 
 const (
-	heartbeatInterval = 1500 * time.Millisecond
-	stopTime          = 100 * time.Millisecond
-	holdMax           = 10 * time.Second
-	checkpointTime    = 500 * time.Millisecond
-	maxHoldWait       = 2 * time.Second
-	maxEnds           = 500
+	stopTime       = 100 * time.Millisecond
+	holdMax        = 10 * time.Second
+	checkpointTime = 500 * time.Millisecond
+	maxHoldWait    = 2 * time.Second
+	maxEnds        = 500
 )
 
 // Worker is a stand-in for a worker of the platform. It does not guard its capacity.
@@ -31,8 +29,6 @@
 	advisor                           *Advisor
 
 	mu      sync.Mutex
-	server  *http.Server
-	cancel  context.CancelFunc
 	started time.Time
 	// token is the highest fencing token seen; until is the end of the lease on the worker's clock.
 	token   uint64
@@ -43,76 +39,48 @@
 	ends    int
 	changed chan struct{}
 	seq     int
-	// unhealthy is set while the worker answers each start with 503 and does nothing.
-	unhealthy bool
 }
 
 type taskRun struct {
-	task       string
-	number     uint32
-	spec       string
-	work       time.Duration
-	from       time.Time
-	worked     time.Duration
-	pace       int
-	stopping   time.Time
+	task     string
+	number   uint32
+	spec     string
+	work     time.Duration
+	from     time.Time
+	worked   time.Duration
+	pace     int
+	stopping time.Time
+	// lasts is set if the run goes on until it is stopped.
+	lasts      bool
 	checkpoint string
 }
 
-// up starts an incarnation of the worker and returns once it listens.
+// up starts the worker and returns once it listens.
 func (w *Worker) up() error {
 	ln, err := net.Listen("tcp", w.addr)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	w.mu.Lock()
-	w.started, w.token, w.until, w.ends, w.seq = time.Now(), 0, 0, 0, 0
-	w.runs, w.over, w.ended, w.changed = map[string]*taskRun{}, map[string]uint32{}, nil, make(chan struct{})
-	w.server, w.cancel = &http.Server{Handler: w, BaseContext: func(net.Listener) context.Context { return ctx }}, cancel
-	server := w.server
-	w.mu.Unlock()
-	go server.Serve(ln)
-	go w.work(ctx)
-	go w.beat(ctx)
+	w.started = time.Now()
+	w.runs, w.over, w.changed = map[string]*taskRun{}, map[string]uint32{}, make(chan struct{})
+	go http.Serve(ln, w)
+	go w.work()
+	go w.beat()
 	w.rec.add("worker-up", "worker", w.id)
 	return nil
 }
 
-// crash ends the incarnation: what runs is over and the connections are closed.
-func (w *Worker) crash() {
-	w.mu.Lock()
-	w.cancel()
-	w.server.Close()
-	for _, r := range w.runs {
-		w.rec.runEnded(w.id, r.task, r.number, "crash")
-	}
-	w.runs = map[string]*taskRun{}
-	w.mu.Unlock()
-	w.rec.add("worker-crash", "worker", w.id)
-}
-
-// setUnhealthy sets whether the worker answers each start with 503 and does nothing.
-func (w *Worker) setUnhealthy(unhealthy bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.unhealthy = unhealthy
-	w.rec.add("worker-unhealthy", "worker", w.id, "is", unhealthy)
-}
-
 // clock returns the worker's clock, which starts at 1 s.
 func (w *Worker) clock(now time.Time) time.Duration { return now.Sub(w.started) + time.Second }
 
-// work advances the runs until the incarnation ends.
-func (w *Worker) work(ctx context.Context) {
+// work advances the runs.
+func (w *Worker) work() {
 	last := time.Now()
-	for ctx.Err() == nil {
+	for {
 		time.Sleep(10 * time.Millisecond)
 		now := time.Now()
 		w.mu.Lock()
-		if ctx.Err() == nil {
-			w.advance(now, now.Sub(last))
-		}
+		w.advance(now, now.Sub(last))
 		w.mu.Unlock()
 		last = now
 	}
@@ -131,7 +99,7 @@
 			w.end(r, "lapsed")
 		case !r.stopping.IsZero() && now.Sub(r.stopping) >= stopTime:
 			w.end(r, "stopped")
-		case r.worked >= r.work:
+		case r.worked >= r.work && !r.lasts:
 			w.end(r, "done")
 		}
 	}
@@ -180,11 +148,6 @@
 	refuse := func(reason string) {
 		reply(rw, http.StatusConflict, map[string]any{"clock_ms": w.clock(now).Milliseconds(), "reason": reason})
 	}
-	if w.unhealthy && r.URL.Path == "/run-start" {
-		w.rec.add("start-refused", "worker", w.id, "task", c.Task, "run", c.Run, "status", http.StatusServiceUnavailable)
-		reply(rw, http.StatusServiceUnavailable, struct{}{})
-		return
-	}
 	if c.Token < w.token {
 		refuse("fence")
 		return
@@ -232,9 +195,15 @@
 }
 
 // newRun returns the run of a start. The spec says how long the tasks of each step work, in ms, as in
-// "work=640,300"; further steps take as long as the last one named.
+// "work=640,300"; further steps take as long as the last one named. The word "lasts" stands for tasks
+// that last, "serves" for those that serve, "disturbs" for those that disturb them, "checkpoint" for
+// those that checkpoint their progress.
 func newRun(c call, now time.Time) *taskRun {
 	r := &taskRun{task: c.Task, number: c.Run, spec: c.Spec, from: now, pace: 100, work: time.Second, checkpoint: c.Checkpoint}
+	r.lasts = slices.Contains(strings.Fields(c.Spec), "lasts")
+	if n, err := strconv.ParseInt(c.Checkpoint, 16, 64); err == nil {
+		r.worked = time.Duration(n) * checkpointTime
+	}
 	for _, f := range strings.Fields(c.Spec) {
 		if ms, ok := strings.CutPrefix(f, "work="); ok {
 			list := strings.Split(ms, ",")
@@ -246,14 +215,36 @@
 	return r
 }
 
+// The tail latency of tasks that serve, in ms: alone, and what a task that disturbs adds at full pace.
+const (
+	ownLatency     = 10
+	addedLatency   = 30
+	disturbingCPUs = 14000
+)
+
+// row returns a run's entry in the list of what runs.
+func (w *Worker) row(r *taskRun) [5]any {
+	figure, percent := 0, min(int(100*r.worked/r.work), 100)
+	switch {
+	case strings.Contains(r.spec, "serves"):
+		figure, percent = ownLatency, 100
+		for _, other := range w.runs {
+			if strings.Contains(other.spec, "disturbs") {
+				figure += addedLatency * other.pace / 100
+			}
+		}
+	case strings.Contains(r.spec, "disturbs"):
+		figure = disturbingCPUs * r.pace / 100
+	}
+	return [5]any{r.task, r.number, r.checkpoint, percent, figure}
+}
+
 // hold answers with both lists, once an end is listed or the wait is over. The caller holds w.mu.
 func (w *Worker) hold(rw http.ResponseWriter, r *http.Request, c call) {
 	kept := w.ended[:0:0]
 	for _, e := range w.ended {
 		if e[0].(int) > c.Seen {
 			kept = append(kept, e)
-		} else {
-			w.rec.noted(w.id, e[1].(string), e[2].(uint32), e[3].(string))
 		}
 	}
 	w.ended = kept
@@ -276,7 +267,7 @@
 	}
 	running := [][5]any{}
 	for _, run := range w.runs {
-		running = append(running, [5]any{run.task, run.number, run.checkpoint, int(100 * run.worked / run.work), 0})
+		running = append(running, w.row(run))
 	}
 	ended := w.ended[:min(len(w.ended), maxEnds)]
 	if ended == nil {
@@ -286,33 +277,3 @@
 		"born": w.started.UnixMilli(), "clock_ms": w.clock(time.Now()).Milliseconds(), "running": running, "ended": ended,
 	})
 }
-
-// beat sends heartbeats to the agent on the worker's machine until the incarnation ends.
-func (w *Worker) beat(ctx context.Context) {
-	client := &http.Client{Timeout: time.Second}
-	for ctx.Err() == nil {
-		w.mu.Lock()
-		w.seq++
-		body, err := json.Marshal(map[string]any{
-			"service": w.service, "address": w.addr, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
-			"capacity": map[string]int64{"cpu": w.cpu, "mem_mb": w.mem, "gpus": 0}, "labels": w.labels,
-			"clock_ms": w.clock(time.Now()).Milliseconds(), "seq": w.seq, "born": w.started.UnixMilli(),
-		})
-		w.mu.Unlock()
-		if err != nil {
-			panic(err)
-		}
-		wait := 100 * time.Millisecond
-		resp, err := client.Post("http://"+w.registry+"/Instances.Heartbeat/"+w.id, "application/json", bytes.NewReader(body))
-		if err == nil {
-			resp.Body.Close()
-			if resp.StatusCode/100 == 2 {
-				wait = heartbeatInterval
-			}
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		}
-	}
-}
