--- a/review/_standin2/fleet.go
+++ b/review/_standin2/fleet.go
@@ -26,7 +26,9 @@
 	workers []*Worker
 	entries []string
 	procs   []*exec.Cmd
-	cfg     Settings
+	// reserved is the listener that reserves the deployment's addresses.
+	reserved net.Listener
+	cfg      Settings
 }
 
 // Settings describes a deployment.
@@ -82,12 +84,12 @@
 }
 
 // reserveNet returns the second number of the deployment's addresses, which no other one uses for as
-// long as this process runs.
-func reserveNet() (int, error) {
+// long as this one is kept.
+func (f *Fleet) reserveNet() (int, error) {
 	var err error
 	for range 50 {
 		n := rand.IntN(200) + 20
-		if _, err = net.Listen("tcp", fmt.Sprintf("127.%d.4.1:%d", n, adminPort)); err == nil {
+		if f.reserved, err = net.Listen("tcp", fmt.Sprintf("127.%d.4.1:%d", n, adminPort)); err == nil {
 			return n, nil
 		}
 	}
@@ -102,7 +104,7 @@
 	}
 	f := &Fleet{rec: rec, dir: dir, store: newStore(), cfg: cfg}
 	f.stopOnSignal()
-	second, err := reserveNet()
+	second, err := f.reserveNet()
 	if err != nil {
 		return f, err
 	}
@@ -273,6 +275,9 @@
 
 // stop ends all processes that were started.
 func (f *Fleet) stop() {
+	if f.reserved != nil {
+		defer f.reserved.Close()
+	}
 	for _, p := range f.procs {
 		p.Process.Kill()
 	}
