run/entry: an entry that stops leading stops its appends

Cause: a batch was appended with retries until the process ended, not until the leadership did. Each replaced leader went on to repeat its last append beside the next one's. Ruled out: the fence, which holds; a refusal before the check of the epoch hides it. Before: "An entry that has stopped leading appends nothing more" counted 4 appends where 3 are allowed, after 143 ms. After: it passes. Conclusion: this bounds the load of any append that fails for long, not only of this one.

--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -66,6 +66,9 @@
 	// next append.
 	leader  *lead.Leader
 	nextSeq uint64
+	// leadCtx is done once the latest leadership has ended, which stopAppends does.
+	leadCtx     context.Context
+	stopAppends context.CancelFunc
 	// epoch is the highest epoch known. leaderAddr is the address of the leader, invalid
 	// if it is unknown.
 	epoch      uint64
@@ -125,7 +128,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Entry{
 		cfg: cfg, store: store, advisor: advisor, log: log, metrics: newMetrics(), events: make(chan func(), eventQueueSize), ctx: ctx, cancel: cancel,
-		laterLeader: make(chan struct{}, 1), conns: map[uint64]*client{},
+		laterLeader: make(chan struct{}, 1), stopAppends: func() {}, conns: map[uint64]*client{},
 		entries: elect.MergeAddrs(nil, cfg.Peers, cfg.Seeds.WithPort(cfg.Peers.Port())...),
 	}
 }
--- a/internal/run/entry/leading.go
+++ b/internal/run/entry/leading.go
@@ -58,6 +58,8 @@
 	if p := e.config.Load(); p != nil {
 		cfg = *p
 	}
+	e.stopAppends()
+	e.leadCtx, e.stopAppends = context.WithCancel(e.ctx)
 	e.suspended = won.suspended
 	e.leader = lead.New(now, won.epoch, won.table, cfg, e.log)
 	e.leader.SetConfirmed(won.confirmedAt)
@@ -99,6 +101,7 @@
 	}
 	e.log.Warn("no longer leads", "epoch", e.epoch, "reason", reason, "storeAge", e.leader.StoreAge(time.Now()))
 	e.leader = nil
+	e.stopAppends()
 	e.metrics.leading.Set(0)
 	e.metrics.stats.Reset() // the counts belong to the leadership that ended
 	e.leaderAddr, e.leaderHeardAt = netip.AddrPort{}, time.Time{}
@@ -107,7 +110,7 @@
 	}
 }
 
-// append appends a batch to the store in the background, with retries. A batch without
+// append appends a batch to the store in the background, with retries while this entry leads. A batch without
 // records writes the claim again, which confirms that this entry still leads.
 func (e *Entry) append(batch *lead.Batch) {
 	records := batch.Records
@@ -121,10 +124,10 @@
 	}
 	w := port.Write{Topic: jobsTopic, Writer: leaderWriter, Epoch: e.epoch, Seq: e.nextSeq, ExpectedEnd: -1, Records: records}
 	e.nextSeq++
-	l := e.leader
+	l, ctx := e.leader, e.leadCtx
 	e.wg.Go(func() {
 		startedAt := time.Now()
-		err := e.appendWithRetry(e.ctx, w)
+		err := e.appendWithRetry(ctx, w)
 		e.metrics.appends.WithLabelValues(outcomeOf(err)).Observe(time.Since(startedAt).Seconds())
 		e.post(func() { e.batchAppended(l, err) })
 	})
