jobs/table, jobs/lead: what a job adds to the store stays within the store's limits

Cause: the progress of a job was one record whatever its size. With 8,000 tasks running with checkpoints it takes 520,007 bytes (spec run on the code before); the store takes 262,144. The batch that holds it, and with it each later change of any job, was never stored. Ruled out: the size of calls alone. The batch was far below call_bytes when it was refused.

The progress of a job is now divided into parts of 64 tasks once it, or the record of its crashes, comes to three quarters of the largest record; only parts that changed are written, with a head that lists the version of each. Up to that size the record is what earlier versions read. They cannot decode a head, so they start no task of such a job. A part that is missing or of another time makes the job unreadable; parts that an earlier version leaves behind are deleted. The same class, now bounded and tested: - the description of a job, which the limit of bodies does not bound: refused as invalid; - checkpoints, of any length: left out beyond 1 MiB a job and 128 KiB a part; - the record of estimates, whose names come from callers: at most 32 KiB; - a batch: it ended only after it was over its limit, and deletions were not counted; - what still exceeds one append (names of hundreds of bytes in 8,000 tasks) fails its own job. Claims, members and cancellations before a submission have fixed fields only. The limits come from the platform's settings, with its usual ones as defaults.

--- a/internal/conf/proc/check.go
+++ b/internal/conf/proc/check.go
@@ -54,3 +54,10 @@
 		c.Add(field, "want between 0s and %s", limit)
 	}
 }
+
+// bytes checks a size that may be missing.
+func (c checker) bytes(field string, n int) {
+	if n < 0 {
+		c.Add(field, "is negative; want a size in bytes")
+	}
+}
--- a/internal/conf/proc/placed.go
+++ b/internal/conf/proc/placed.go
@@ -4,6 +4,7 @@
 	"net/netip"
 
 	"github.com/ebonyarch/ebonyarch/internal/conf/jsonc"
+	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 )
 
 // Seeds are addresses of some entries, from which a process learns the others. Their
@@ -38,6 +39,15 @@
 	// Advisor is the address of the advice service. Without it, jobs in queues that
 	// need its advice wait.
 	Advisor netip.AddrPort `json:"advisor"`
+	// RecordBytes and CallBytes are the sizes up to which the store accepts a record and
+	// all records of one append; 0 means the store's usual ones.
+	RecordBytes int `json:"recordBytes"`
+	CallBytes   int `json:"callBytes"`
+}
+
+// StoreLimits returns the sizes up to which the store accepts appends.
+func (e *JobEntry) StoreLimits() port.Limits {
+	return port.Limits{Record: e.RecordBytes, Call: e.CallBytes}
 }
 
 // ParseJobEntry reads and checks the settings of an entry on the users' platform.
@@ -54,6 +64,8 @@
 	if cfg.Processors < 0 {
 		c.Add("processors", "is negative; want the number of processors that the entry may use")
 	}
+	c.bytes("recordBytes", cfg.RecordBytes)
+	c.bytes("callBytes", cfg.CallBytes)
 	return cfg, c.Faults()
 }
 
--- a/internal/conf/proc/proc_test.go
+++ b/internal/conf/proc/proc_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/ebonyarch/ebonyarch/internal/conf/proc"
+	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 )
 
 var _ = Describe("process settings", func() {
@@ -44,6 +45,18 @@
 		Expect(faults).To(HaveLen(1))
 	})
 
+	It("of an entry on the users' platform tell the limits of the store", func() {
+		base := `{"name": "e", "zone": "z", "callers": "127.0.0.1:0", "health": "127.0.0.1:0", "peers": "127.0.0.1:81", "admin": "127.0.0.1:0", "store": "127.0.0.1:9"`
+		cfg, faults := proc.ParseJobEntry("e", []byte(base+`, "recordBytes": 5000, "callBytes": 9000}`))
+		Expect(faults).To(BeEmpty())
+		Expect(cfg.StoreLimits()).To(Equal(port.Limits{Record: 5000, Call: 9000}))
+		cfg, faults = proc.ParseJobEntry("e", []byte(base+"}"))
+		Expect(faults).To(BeEmpty())
+		Expect(cfg.StoreLimits()).To(BeZero())
+		_, faults = proc.ParseJobEntry("e", []byte(base+`, "recordBytes": -1, "callBytes": -1}`))
+		Expect(faults).To(HaveLen(2))
+	})
+
 	It("report an address that is empty", func() {
 		_, faults := proc.ParseEntry("e", []byte(`{"name": "e", "zone": "z", "callers": "127.0.0.1:0", "peers": "127.0.0.1:81", "admin": "", "log": ""}`))
 		var fields []string
--- a/internal/jobs/lead/callers.go
+++ b/internal/jobs/lead/callers.go
@@ -48,6 +48,11 @@
 		l.reply(conn, msgs.JobResponse{Seq: req.Seq, Code: codes.JobInvalid})
 		return
 	}
+	if !l.table.Storable(req.Spec) {
+		l.log.Warn("refused a job that is larger than what the store takes", "req", req.Job, "steps", len(req.Spec.Steps))
+		l.reply(conn, msgs.JobResponse{Seq: req.Seq, Code: codes.JobInvalid})
+		return
+	}
 	e := l.table.Get(req.Job)
 	if e != nil && e.InStore && !e.Unsubmitted {
 		l.log.Info("job handed in again", "req", req.Job, "queue", req.Queue, "state", e.Stored)
--- a/internal/jobs/lead/flush.go
+++ b/internal/jobs/lead/flush.go
@@ -21,9 +21,10 @@
 
 // Batch is the content of one append to the store.
 type Batch struct {
-	Records  []port.Record
-	changes  table.Batch
-	messages []OutboundMessage
+	Records []port.Record
+	changes table.Batch
+	// messages may be sent once the batch is in the store.
+	messages []heldMessage
 	// requests are answered once the batch is in the store.
 	requests []heldRequest
 	sentAt   time.Time
@@ -32,23 +33,20 @@
 // NextBatch places waiting tasks and returns the next batch, or nil if none is due. The
 // caller appends it, repeatedly if necessary, and then calls Stored. Only one batch is in
 // flight at a time. A batch without records only confirms the leadership.
-func (l *Leader) NextBatch(now time.Time) (*Batch, error) {
+func (l *Leader) NextBatch(now time.Time) *Batch {
 	if l.inFlight != nil || now.Sub(l.flushedAt) < batchInterval {
-		return nil, nil
+		return nil
 	}
 	if l.placementDue {
 		l.placementDue = false
 		l.placeWaiting(now)
 	}
-	changes, err := l.table.NextBatch(maxBatchBytes)
-	if err != nil {
-		return nil, err
-	}
+	changes := l.nextChanges(now)
 	messages := l.takeStored()
 	if changes.Empty() {
 		messages = l.releaseAllButStarts(messages)
 		if len(messages)+len(l.heldRequests) == 0 && now.Sub(l.storeConfirmedAt) < confirmInterval {
-			return nil, nil
+			return nil
 		}
 	}
 	records := changes.Records
@@ -66,24 +64,32 @@
 	for _, r := range records {
 		l.stats.BytesWritten += uint64(len(r.Key) + len(r.Value))
 	}
-	return l.inFlight, nil
+	return l.inFlight
+}
+
+// nextChanges returns the table's next batch. It gives up the jobs that the store cannot take.
+func (l *Leader) nextChanges(now time.Time) table.Batch {
+	limit := min(maxBatchBytes, l.table.Limits.OrDefault().Call-maxLearnedBytes)
+	changes, err := l.table.NextBatch(limit)
+	l.giveUpUnstorable(now, changes.Unstorable, err)
+	return changes
 }
 
 // releaseAllButStarts releases the messages, and parts of messages, that need no confirmation of the
 // leadership, and returns the others. Another entry may lead by now, and may have cancelled a job
 // whose runs this one would start.
-func (l *Leader) releaseAllButStarts(messages []OutboundMessage) []OutboundMessage {
-	var starts []OutboundMessage
+func (l *Leader) releaseAllButStarts(messages []heldMessage) []heldMessage {
+	var starts []heldMessage
 	for _, m := range messages {
 		o := m.Message.Orders
 		if o == nil || len(o.Starts) == 0 {
-			l.release([]OutboundMessage{m})
+			l.release(m.OutboundMessage)
 			continue
 		}
 		if len(o.Stops)+len(o.Throttles) > 0 {
 			others := *o
 			others.Starts = nil
-			l.release([]OutboundMessage{{m.Conn, &msgs.Message{Orders: &others}}})
+			l.release(OutboundMessage{m.Conn, &msgs.Message{Orders: &others}})
 			o.Stops, o.Throttles = nil, nil
 		}
 		starts = append(starts, m)
@@ -102,7 +108,9 @@
 	// The store confirms that this entry led when the batch was sent, not later.
 	l.storeConfirmedAt, l.flushedAt = b.sentAt, now
 	b.changes.Stored()
-	l.release(b.messages)
+	for _, m := range b.messages {
+		l.release(m.OutboundMessage)
+	}
 	for _, id := range b.changes.NewJobs() {
 		l.confirmAccepted(now, id)
 	}
@@ -124,11 +132,11 @@
 const tickInterval = 100 * time.Millisecond
 
 // takeStored removes and returns the held messages whose changes are all in a batch.
-func (l *Leader) takeStored() []OutboundMessage {
+func (l *Leader) takeStored() []heldMessage {
 	batched := l.table.Batched()
-	var ready []OutboundMessage
+	var ready []heldMessage
 	for len(l.heldForStore) > 0 && l.heldForStore[0].changes <= batched {
-		ready = append(ready, l.heldForStore[0].OutboundMessage)
+		ready = append(ready, l.heldForStore[0])
 		l.heldForStore = l.heldForStore[1:]
 	}
 	return ready
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -17,6 +17,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/plan"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/table"
+	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 )
 
 const (
@@ -150,6 +151,9 @@
 	return d + time.Duration(float64(d)*clockDriftMargin) + leaseSlack
 }
 
+// SetLimits sets the sizes up to which the store accepts records.
+func (l *Leader) SetLimits(limits port.Limits) { l.table.Limits = limits }
+
 // Epoch returns the epoch of the leadership.
 func (l *Leader) Epoch() uint64 { return l.epoch }
 
@@ -268,21 +272,19 @@
 	l.heldForStore = append(l.heldForStore, heldMessage{OutboundMessage{conn, m}, l.table.Marked()})
 }
 
-// release makes messages outbound whose changes are stored. It leaves out orders to start runs
-// that were given up, or became unwanted, while the messages were held.
-func (l *Leader) release(messages []OutboundMessage) {
-	for _, m := range messages {
-		if o := m.Message.Orders; o != nil {
-			o.Starts = slices.DeleteFunc(o.Starts, func(s msgs.Start) bool { return !l.wants(o.VM, runKey{s.Task, s.Run}) })
-			if len(o.Starts)+len(o.Stops)+len(o.Throttles) == 0 {
-				continue
-			}
-			if len(o.Starts) > 0 {
-				o.Follows = l.vms[o.VM].listSeq
-			}
+// release makes a message outbound whose changes are stored. It leaves out orders to start runs
+// that were given up, or became unwanted, while the message was held.
+func (l *Leader) release(m OutboundMessage) {
+	if o := m.Message.Orders; o != nil {
+		o.Starts = slices.DeleteFunc(o.Starts, func(s msgs.Start) bool { return !l.wants(o.VM, runKey{s.Task, s.Run}) })
+		if len(o.Starts)+len(o.Stops)+len(o.Throttles) == 0 {
+			return
+		}
+		if len(o.Starts) > 0 {
+			o.Follows = l.vms[o.VM].listSeq
 		}
-		l.outbound = append(l.outbound, m)
 	}
+	l.outbound = append(l.outbound, m)
 }
 
 // wants reports whether a run is to be present at a VM.
--- a/internal/jobs/lead/learned.go
+++ b/internal/jobs/lead/learned.go
@@ -15,8 +15,10 @@
 	// learnedInterval is the minimum time between such records. They are only written
 	// together with changes of jobs.
 	learnedInterval = 3 * time.Second
-	// maxLearnedPairs bounds the pairs of images in a record.
-	maxLearnedPairs = 512
+	// maxLearnedBytes bounds the size of a record, learnedItemBytes that of an estimate without its
+	// names. Estimates beyond it are left out.
+	maxLearnedBytes  = 32 << 10
+	learnedItemBytes = 40
 	// inheritedStdDev is the standard deviation that is added to the coefficients of an
 	// earlier leader, since they may be out of date.
 	inheritedStdDev = 0.15
@@ -69,16 +71,32 @@
 	}
 	l.estimatesSavedAt = now
 	var m learned
-	for pair, c := range l.interference.coefficients {
-		if len(m.Pairs) < maxLearnedPairs {
-			m.Pairs = append(m.Pairs, learnedPair{LongRunning: pair.longRunning, BestEffort: pair.bestEffort, Coefficient: c.mean, Variance: c.variance})
+	size := 0
+	fits := func(names ...string) bool {
+		item := learnedItemBytes
+		for _, name := range names {
+			item += len(name)
+		}
+		if size+item > maxLearnedBytes {
+			return false
+		}
+		size += item
+		return true
+	}
+	for queue, w := range l.onTimePlan.queueWork {
+		if fits(queue) {
+			m.QueueWork = append(m.QueueWork, learnedWork{Queue: queue, Mean: w.value, Jobs: w.n})
 		}
 	}
 	for image, latency := range l.interference.minLatency {
-		m.MinLatencies = append(m.MinLatencies, learnedLatency{Image: image, Latency: latency})
+		if fits(image) {
+			m.MinLatencies = append(m.MinLatencies, learnedLatency{Image: image, Latency: latency})
+		}
 	}
-	for queue, w := range l.onTimePlan.queueWork {
-		m.QueueWork = append(m.QueueWork, learnedWork{Queue: queue, Mean: w.value, Jobs: w.n})
+	for pair, c := range l.interference.coefficients {
+		if fits(pair.longRunning, pair.bestEffort) {
+			m.Pairs = append(m.Pairs, learnedPair{LongRunning: pair.longRunning, BestEffort: pair.bestEffort, Coefficient: c.mean, Variance: c.variance})
+		}
 	}
 	data, err := codec.Marshal(m)
 	if err != nil {
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -122,7 +122,7 @@
 			stops = append(stops, l.stopOf(key))
 			continue
 		}
-		l.table.Checkpoint(r.ref, status.Run, status.Checkpoint)
+		l.noteCheckpoint(r, status)
 	}
 	l.noteUnexpected(v, unexpected, req.Synced)
 	v.estimateSpeeds(req.Runs)
@@ -149,6 +149,16 @@
 	}
 }
 
+// noteCheckpoint records the checkpoint of a run that an agent lists.
+func (l *Leader) noteCheckpoint(r *run, status msgs.RunStatus) {
+	if !r.checkpointTooLarge && !r.entry.TakesCheckpoint(status.Checkpoint) {
+		r.checkpointTooLarge = true
+		l.log.Warn("a checkpoint is too large to be stored; the task would resume from an earlier one", "req", r.ref.Job,
+			"task", status.Task, "run", status.Run, "bytes", len(status.Checkpoint), "tasks", len(r.entry.Tasks))
+	}
+	l.table.Checkpoint(r.ref, status.Run, status.Checkpoint)
+}
+
 // orderWhenStored sends orders for a VM once all changes made so far are stored.
 func (l *Leader) orderWhenStored(v *vm, o msgs.Orders) {
 	o.Epoch, o.VM, o.Incarnation = l.epoch, v.info.ID, v.info.Incarnation
--- a/internal/jobs/lead/vm.go
+++ b/internal/jobs/lead/vm.go
@@ -68,6 +68,8 @@
 	// checkpoint is the one that the run resumes from, empty if there is none. It does not change:
 	// all members of a gang must resume from the same one, also if an order is repeated.
 	checkpoint string
+	// checkpointTooLarge is set once the worker has listed a checkpoint that cannot be stored.
+	checkpointTooLarge bool
 	// ordered is set once this leader has given the order to start the run.
 	ordered bool
 	// stopped is set once the order to stop the run was given.
--- a/internal/jobs/table/crash.go
+++ b/internal/jobs/table/crash.go
@@ -106,7 +106,7 @@
 		e.crashes = map[int][]Crash{}
 	}
 	e.crashes[i] = append(e.crashes[i], c)
-	tbl.markDirty(e)
+	tbl.markTask(e, i)
 	if mustGiveUp(e.crashes[i]) {
 		tbl.finish(now, e, Failed, fmt.Sprintf("%d workers crashed as task %s started", len(e.crashes[i]), ref))
 	}
--- a/internal/jobs/table/entry.go
+++ b/internal/jobs/table/entry.go
@@ -30,6 +30,11 @@
 	// crashes holds the crashes for which each task may be the cause, by its index in
 	// Progress.Tasks. It is stored as a record of its own.
 	crashes map[int][]Crash
+	// parts is set once the tasks are stored in parts.
+	parts *parts
+	// withheld is set once the job was given up because the store does not take its progress. Then
+	// only that it has failed is stored.
+	withheld bool
 	// dirty is set while the latest change is in no batch, unrecorded while the job as
 	// submitted is in none.
 	dirty, unrecorded bool
@@ -62,11 +67,18 @@
 			total += job.Steps[s].Tasks
 		}
 	}
-	e.Tasks = slices.Grow(e.Tasks, max(0, total-len(e.Tasks)))[:total]
+	e.setTasks(slices.Grow(e.Tasks, max(0, total-len(e.Tasks)))[:total])
+	return e
+}
+
+// setTasks sets the progress of the tasks, and the counts that follow from it.
+func (e *Entry) setTasks(tasks []Task) {
+	e.Tasks, e.RunCount = tasks, 0
 	for i := range e.Stages {
-		e.countStage(&e.Stages[i])
+		st := &e.Stages[i]
+		st.Waiting, st.Open = nil, 0
+		e.countStage(st)
 	}
-	return e
 }
 
 // countStage sets the stage's counts and adds its runs to those of the entry.
--- a/internal/jobs/table/runs.go
+++ b/internal/jobs/table/runs.go
@@ -24,7 +24,7 @@
 	if e.State == Queued {
 		e.State = Running
 	}
-	tbl.markDirty(e)
+	tbl.markTask(e, st.First+ref.Index)
 	return run
 }
 
@@ -48,7 +48,7 @@
 	t.Runs = append(t.Runs, run)
 	e.RunCount++
 	st.Waiting = slices.DeleteFunc(st.Waiting, func(i int) bool { return i == ref.Index })
-	tbl.markDirty(e)
+	tbl.markTask(e, st.First+ref.Index)
 	return true
 }
 
@@ -85,14 +85,14 @@
 	run := t.Runs[i]
 	t.Runs = slices.Delete(t.Runs, i, i+1)
 	e.RunCount--
-	if checkpoint != "" {
+	if checkpoint != "" && e.TakesCheckpoint(checkpoint) {
 		t.Checkpoint = checkpoint
 	}
 	if outcome == msgs.Lost {
 		t.GivenUp = append(t.GivenUp, number)
 		t.GivenUp = t.GivenUp[max(0, len(t.GivenUp)-maxGivenUp):]
 	}
-	tbl.markDirty(e)
+	tbl.markTask(e, e.Stage(ref).First+ref.Index)
 	tbl.applyOutcome(now, e, ref, number, outcome)
 	return run, true
 }
@@ -106,7 +106,7 @@
 		return false
 	}
 	t.GivenUp = slices.Delete(t.GivenUp, i, i+1)
-	tbl.markDirty(e)
+	tbl.markTask(e, e.Stage(ref).First+ref.Index)
 	tbl.countFailure(now, e, e.Stage(ref), t)
 	return true
 }
@@ -120,7 +120,7 @@
 	if t.Done || e.State.Ended() || step.LongRunning || number == 0 || number > t.LastRun {
 		return false
 	}
-	tbl.markDirty(e)
+	tbl.markTask(e, st.First+ref.Index)
 	tbl.complete(now, e, st, ref.Index, number)
 	return true
 }
@@ -158,6 +158,7 @@
 			continue
 		}
 		t.Done = true
+		tbl.markTask(e, st.First+i)
 		if len(members) > 1 {
 			// Only one member of a gang reports its end. Later runs of the gang are still present.
 			kept := slices.DeleteFunc(t.Runs, func(r Run) bool { return r.Number == number })
@@ -182,6 +183,7 @@
 	step := e.StepOf(st)
 	if step.Gang {
 		t = &e.Tasks[st.First]
+		tbl.markTask(e, st.First)
 	}
 	t.Failures++
 	if limit := e.Job.Queue.MaxAttempts; !step.LongRunning && limit > 0 && int(t.Failures) >= limit {
@@ -190,10 +192,11 @@
 }
 
 // Checkpoint sets the checkpoint of a task whose run a worker listed. It does not make
-// the entry dirty: the checkpoint is stored with the next change of the job.
+// the entry dirty: the checkpoint is stored with the next change of the job or, if the tasks are in
+// parts, of its part.
 func (tbl *Table) Checkpoint(ref model.TaskRef, number uint32, checkpoint string) {
 	e := tbl.entries[ref.Job]
-	if e == nil || checkpoint == "" {
+	if e == nil || checkpoint == "" || !e.TakesCheckpoint(checkpoint) {
 		return
 	}
 	t := e.Task(ref)
@@ -201,3 +204,16 @@
 		t.Checkpoint = checkpoint
 	}
 }
+
+// Sizes of the checkpoints that a job may have, in bytes: in a part, and in all.
+const (
+	maxPartCheckpoints = 128 << 10
+	maxJobCheckpoints  = 1 << 20
+)
+
+// TakesCheckpoint reports whether a checkpoint is small enough to be stored with those of the job's
+// other tasks. A task resumes from an earlier one otherwise.
+func (e *Entry) TakesCheckpoint(checkpoint string) bool {
+	n := max(1, len(e.Tasks))
+	return len(checkpoint) <= min(maxPartCheckpoints/min(n, partTasks), maxJobCheckpoints/n)
+}
--- a/internal/jobs/table/table.go
+++ b/internal/jobs/table/table.go
@@ -13,10 +13,13 @@
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
+	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 )
 
 // Table is the job table. Its zero value is empty and ready for use.
 type Table struct {
+	// Limits are the sizes up to which the store accepts records.
+	Limits  port.Limits
 	entries map[model.ID]*Entry
 	// active holds the entries of jobs that have not ended.
 	active map[model.ID]*Entry
@@ -100,6 +103,33 @@
 	e.mark = tbl.marked
 }
 
+// markTask adds an entry to those that the next batch must contain, with the task at an index in
+// Progress.Tasks.
+func (tbl *Table) markTask(e *Entry, index int) {
+	if e.parts != nil {
+		e.parts.touch(index / e.parts.size)
+	}
+	tbl.markDirty(e)
+}
+
+// Withhold fails a job whose progress the store does not take. Only that it has failed is stored.
+// It reports whether the job was not withheld before.
+func (tbl *Table) Withhold(now time.Time, e *Entry) bool {
+	if e.withheld {
+		return false
+	}
+	e.withheld = true
+	tbl.finish(now, e, Failed, "the store does not take the progress of the job")
+	tbl.markDirty(e)
+	return true
+}
+
+// Skip leaves the changes of an entry out of further batches until there is a new one.
+func (tbl *Table) Skip(e *Entry) {
+	tbl.dirty = slices.DeleteFunc(tbl.dirty, func(other *Entry) bool { return other == e })
+	e.dirty = false
+}
+
 // Cancel ends a job at its caller's request. It does nothing if the job has ended.
 func (tbl *Table) Cancel(now time.Time, e *Entry) {
 	tbl.finish(now, e, Cancelled, "cancelled by the caller")
--- a/internal/plat/port/store.go
+++ b/internal/plat/port/store.go
@@ -30,6 +30,49 @@
 	Value []byte
 }
 
+// recordOverhead is the size, in bytes, of what the store adds to a key and a value: the length
+// of the record and that of the key.
+const recordOverhead = 5
+
+// Size returns the size of the record in the store, in bytes.
+func (r Record) Size() int { return recordOverhead + len(r.Key) + len(r.Value) }
+
+// Limits are the sizes up to which the store accepts appends, in bytes.
+type Limits struct {
+	// Record limits a record, Call the sum of the records of one append.
+	Record, Call int
+}
+
+// Sizes of the store's default limits, in bytes.
+const (
+	defaultRecordLimit = 256 << 10
+	defaultCallLimit   = 2 << 20
+)
+
+// OrDefault returns the limits with defaults in place of those that are not set.
+func (l Limits) OrDefault() Limits {
+	if l.Record <= 0 {
+		l.Record = defaultRecordLimit
+	}
+	if l.Call <= 0 {
+		l.Call = defaultCallLimit
+	}
+	return l
+}
+
+// Covers reports whether the store accepts an append of the records.
+func (l Limits) Covers(records []Record) bool {
+	l = l.OrDefault()
+	sum := 0
+	for _, r := range records {
+		if r.Size() > l.Record {
+			return false
+		}
+		sum += r.Size()
+	}
+	return sum <= l.Call
+}
+
 // Write is an append to a topic. The topic retains the newest record of each key.
 type Write struct {
 	Topic string
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -229,11 +229,7 @@
 	}
 	e.noteSuspended()
 	e.leader.Tick(now)
-	batch, err := e.leader.NextBatch(now)
-	if err != nil {
-		e.log.Error("cannot encode records for the store", "err", err)
-	}
-	if batch != nil {
+	if batch := e.leader.NextBatch(now); batch != nil {
 		e.append(batch)
 	}
 	e.requestAdvice()
--- a/internal/run/entry/metrics.go
+++ b/internal/run/entry/metrics.go
@@ -69,7 +69,7 @@
 		"preempted": s.Preempted, "moved": s.Moved, "copied": s.Copied, "done": s.Done, "failed": s.Failed, "lost": s.Lost,
 		"lostRefused": s.LostRefused, "lostWithVM": s.LostWithVM,
 		"otherEnds": s.OtherEnds, "batches": s.Batches, "records": s.Records, "bytesWritten": s.BytesWritten,
-		"crashes": s.Crashes, "givenUp": s.GivenUp,
+		"unstorable": s.Unstorable, "crashes": s.Crashes, "givenUp": s.GivenUp,
 	} {
 		m.stats.WithLabelValues(kind).Set(float64(n))
 	}
