platform, run/entry, jobs/lead: an append that is refused for what it holds is no outage

Cause: the client of the store had one error for all other statuses, and the leader repeated each append that failed with it, as in an outage. A record that is too large is refused each time, and nothing of the other jobs can be stored until it is left out.

The store's refusals for content have an error of their own, a log line, the outcome "rejected" of ebonyarch_store_append_seconds and the counts "rejected" and "unstorable". The leader puts the changes, messages and requests of a rejected batch back in their order, halves the number of jobs in a batch until one is left, and divides the progress of that one or gives it up: refused if it was not accepted yet, failed otherwise. The others go on. A leader whose claim alone is rejected stops leading. A rejected append has no effect, so the next one uses its sequence number. That the store expects the number after it means success only if an earlier try had no response; it used to mean that always, and another batch under the number would have counted as stored. The stand-in of the store now has the platform's limits, in all tests of the fleet as well.

--- a/internal/fake/topics/topics.go
+++ b/internal/fake/topics/topics.go
@@ -22,10 +22,15 @@
 // Store implements port.Store. The zero value is an empty store that is ready for use. It is
 // safe for concurrent use.
 type Store struct {
+	// Limits are the sizes up to which the store accepts appends. They are set before first use.
+	Limits port.Limits
+
 	mu     sync.Mutex
 	topics map[string]*topic
 	faults stack.Stack[Faults]
 	calls  int
+	// rejected counts the appends that exceeded Limits.
+	rejected int
 }
 
 // Faults selects what the store does wrong. With the zero value it works.
@@ -71,6 +76,13 @@
 	return s.calls
 }
 
+// Rejected returns the number of appends so far that exceeded the limits.
+func (s *Store) Rejected() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rejected
+}
+
 // Put appends a record without a writer, as an operator's tool does. Faults don't affect it.
 func (s *Store) Put(name string, r port.Record) {
 	s.mu.Lock()
@@ -124,6 +136,10 @@
 	if err := s.begin(); err != nil {
 		return port.Position{}, err
 	}
+	if !s.Limits.Covers(w.Records) {
+		s.rejected++
+		return port.Position{}, port.ErrStoreRejected
+	}
 	pos, err := s.topic(w.Topic).append(w)
 	if s.currentFaults().LoseReplies {
 		return port.Position{}, port.ErrStoreUnknown
--- a/internal/jobs/lead/flush.go
+++ b/internal/jobs/lead/flush.go
@@ -31,8 +31,8 @@
 }
 
 // NextBatch places waiting tasks and returns the next batch, or nil if none is due. The
-// caller appends it, repeatedly if necessary, and then calls Stored. Only one batch is in
-// flight at a time. A batch without records only confirms the leadership.
+// caller appends it, repeatedly if necessary, and then calls Stored or Rejected. Only one batch is
+// in flight at a time. A batch without records only confirms the leadership.
 func (l *Leader) NextBatch(now time.Time) *Batch {
 	if l.inFlight != nil || now.Sub(l.flushedAt) < batchInterval {
 		return nil
@@ -50,7 +50,7 @@
 		}
 	}
 	records := changes.Records
-	if !changes.Empty() {
+	if !changes.Empty() && l.maxBatchJobs == 0 {
 		extra, err := l.learnedRecord(now)
 		if err != nil {
 			l.log.Error("failed to record the learned estimates", "err", err)
@@ -70,7 +70,12 @@
 // nextChanges returns the table's next batch. It gives up the jobs that the store cannot take.
 func (l *Leader) nextChanges(now time.Time) table.Batch {
 	limit := min(maxBatchBytes, l.table.Limits.OrDefault().Call-maxLearnedBytes)
-	changes, err := l.table.NextBatch(limit)
+	if l.maxBatchJobs == 0 {
+		changes, err := l.table.NextBatch(limit)
+		l.giveUpUnstorable(now, changes.Unstorable, err)
+		return changes
+	}
+	changes, err := l.table.NextBatchOf(l.maxBatchJobs, limit)
 	l.giveUpUnstorable(now, changes.Unstorable, err)
 	return changes
 }
@@ -108,6 +113,7 @@
 	// The store confirms that this entry led when the batch was sent, not later.
 	l.storeConfirmedAt, l.flushedAt = b.sentAt, now
 	b.changes.Stored()
+	l.growBatches()
 	for _, m := range b.messages {
 		l.release(m.OutboundMessage)
 	}
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -91,6 +91,8 @@
 	heldRequests []heldRequest
 	// inFlight is the batch that is being appended to the store, if any.
 	inFlight *Batch
+	// maxBatchJobs limits the jobs in a batch after the store has rejected one; 0 means unlimited.
+	maxBatchJobs int
 	// pendingReplies holds the requests that get a response once their job is stored.
 	pendingReplies map[model.ID][]pendingReply
 	// storeConfirmedAt is when the latest append that the store confirmed was sent.
--- a/internal/jobs/lead/stats.go
+++ b/internal/jobs/lead/stats.go
@@ -16,8 +16,9 @@
 	Moved, Copied                  uint64
 	Done, Failed, Lost, OtherEnds  uint64
 	Batches, Records, BytesWritten uint64
-	// Unstorable counts the jobs that were given up because the store cannot take their records.
-	Unstorable uint64
+	// Rejected counts the batches that the store rejected for what they held, Unstorable the jobs
+	// that were given up because of that.
+	Rejected, Unstorable uint64
 	// LostRefused counts those of the Lost runs that their workers refused, LostWithVM those that
 	// ended with their worker or its lease. Agents gave up the others.
 	LostRefused, LostWithVM uint64
--- a/internal/plat/port/store.go
+++ b/internal/plat/port/store.go
@@ -20,6 +20,9 @@
 	// ErrStoreUnknown means that there was no response: the append may have been
 	// carried out, or may be seconds later.
 	ErrStoreUnknown = errors.New("no answer from the store")
+	// ErrStoreRejected means that the store does not accept what the append holds, such as a
+	// record that is too large. Repeating it cannot help.
+	ErrStoreRejected = errors.New("the store does not accept what the append holds")
 	// ErrStoreTrimmed means that the requested records are no longer retained.
 	ErrStoreTrimmed = errors.New("the records are no longer retained")
 )
@@ -83,6 +86,9 @@
 	Writer string
 	Epoch  uint64
 	Seq    uint64
+	// Repeated is set if an earlier try of the append had no response, and so may have been
+	// carried out.
+	Repeated bool
 	// ExpectedEnd is the offset at which the topic must end for the append to be carried
 	// out. A negative value means any offset.
 	ExpectedEnd int64
--- a/internal/proof/fleet/entry.go
+++ b/internal/proof/fleet/entry.go
@@ -178,6 +178,9 @@
 		w.After(storeDelay, func() { e.stored(l) })
 	case port.ErrStoreFenced, port.ErrStoreSequence:
 		e.stepDown()
+	case port.ErrStoreRejected:
+		w.Callers.addFault("entry %s: %s", e.name, err)
+		e.stepDown()
 	default:
 		w.After(retryDelay, func() { e.append(l, write) })
 	}
--- a/internal/run/entry/append_test.go
+++ b/internal/run/entry/append_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -73,3 +74,26 @@
 		Consistently(store.refused.Load, 500*time.Millisecond).Should(BeNumerically("<=", atEnd))
 	})
 })
+
+// The store of this deployment takes smaller records than the settings say, so it rejects a job
+// that the leader accepts.
+var _ = Describe("A leader with a job that the store rejects", func() {
+	It("keeps leading, refuses that job and accepts the others", func() {
+		limited := &topics.Store{Limits: port.Limits{Record: 2000}}
+		store := &refusingStore{platformStore: platformStore{limited, []int64{1}, make(chan struct{})}}
+		e, addr := startLeader(store, proc.JobEntry{})
+		epoch := connect(addr, msgs.Hello{Node: "other", Entry: true}).Epoch
+		Expect(handInTo(e, "00000000000000aa", strings.Repeat("x", 3000))).To(Equal(codes.JobInvalid))
+		Expect(handInTo(e, "00000000000000ab", "")).To(Equal(codes.OK))
+		Expect(limited.Rejected()).To(BeNumerically("<=", 3))
+		Expect(connect(addr, msgs.Hello{Node: "other", Entry: true}).Epoch).To(Equal(epoch))
+	})
+
+	It("refuses it at once if the settings tell the limit", func() {
+		limited := &topics.Store{Limits: port.Limits{Record: 2000}}
+		store := &refusingStore{platformStore: platformStore{limited, []int64{1}, make(chan struct{})}}
+		e, _ := startLeader(store, proc.JobEntry{RecordBytes: 2000})
+		Expect(handInTo(e, "00000000000000aa", strings.Repeat("x", 3000))).To(Equal(codes.JobInvalid))
+		Expect(limited.Rejected()).To(BeZero())
+	})
+})
--- a/internal/run/entry/leading.go
+++ b/internal/run/entry/leading.go
@@ -27,15 +27,17 @@
 	pingInterval = 200 * time.Millisecond
 )
 
-// appendWithRetry repeats an append until its outcome is known or ctx is done.
+// appendWithRetry repeats an append until its outcome is known or ctx is done. Repeating an append
+// that the store rejects for what it holds cannot help.
 func (e *Entry) appendWithRetry(ctx context.Context, w port.Write) error {
 	for try := 1; ; try++ {
 		tryCtx, cancel := context.WithTimeout(ctx, appendTimeout)
 		_, err := e.store.Append(tryCtx, w)
 		cancel()
-		if err == nil || errors.Is(err, port.ErrStoreFenced) || errors.Is(err, port.ErrStoreSequence) {
+		if err == nil || errors.Is(err, port.ErrStoreFenced) || errors.Is(err, port.ErrStoreSequence) || errors.Is(err, port.ErrStoreRejected) {
 			return err
 		}
+		w.Repeated = w.Repeated || !errors.Is(err, port.ErrStoreRefused)
 		if try == 1 {
 			e.log.Warn("the store does not take an append", "epoch", w.Epoch, "seq", w.Seq, "err", err)
 		}
@@ -139,6 +141,8 @@
 func (e *Entry) batchAppended(l *lead.Leader, err error) {
 	switch {
 	case l != e.leader:
+	case errors.Is(err, port.ErrStoreRejected) && l.Rejected(time.Now(), err):
+		e.nextSeq-- // a rejected append has no effect
 	case err != nil:
 		e.stopLeading(err.Error())
 	default:
--- a/internal/run/entry/metrics.go
+++ b/internal/run/entry/metrics.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -8,6 +9,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/jobs/lead"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/relay"
+	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 )
 
 // latencyBuckets are the upper bounds of the latency histograms, in seconds.
@@ -56,10 +58,13 @@
 
 // outcomeOf returns the value of the outcome label for a call's error.
 func outcomeOf(err error) string {
-	if err != nil {
-		return "failed"
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, port.ErrStoreRejected):
+		return "rejected"
 	}
-	return "ok"
+	return "failed"
 }
 
 // setStats sets the gauges to the counts of a leadership.
@@ -69,7 +74,7 @@
 		"preempted": s.Preempted, "moved": s.Moved, "copied": s.Copied, "done": s.Done, "failed": s.Failed, "lost": s.Lost,
 		"lostRefused": s.LostRefused, "lostWithVM": s.LostWithVM,
 		"otherEnds": s.OtherEnds, "batches": s.Batches, "records": s.Records, "bytesWritten": s.BytesWritten,
-		"unstorable": s.Unstorable, "crashes": s.Crashes, "givenUp": s.GivenUp,
+		"rejected": s.Rejected, "unstorable": s.Unstorable, "crashes": s.Crashes, "givenUp": s.GivenUp,
 	} {
 		m.stats.WithLabelValues(kind).Set(float64(n))
 	}
