jobs/table, jobs/lead: a job has begun once a run has certainly started

Cause: Assign set the state to running when a run was placed, before the order left, and nothing took that back when the start was refused, lost or given up with its VM, or when the leader that ordered it was gone. Ruled out: an old value. It did not change with time or with another leader.

The state now changes when a worker has shown that a run was there: it lists the run as proven or with a measurement, reports an end, or crashed under a run that it had confirmed. A run that an agent lists because it has the order is no evidence, nor are Lost ends and crashes in doubt. It is stored with the job's next change, or within a second, so that the count is at most 2 s old and a job that began stays so with the next leader. The same cause: the time since which a job is idle was reset by each placement, so a best-effort job whose starts were lost again and again never counted as idle. On-time plans keep counting a start that is under way, as it is expected to succeed; its refusal ends that at once.

--- a/internal/fake/tasks/witness.go
+++ b/internal/fake/tasks/witness.go
@@ -21,8 +21,8 @@
 	// acknowledged holds the tasks with an acknowledged run end whose outcome is Done.
 	acknowledged map[string]bool
 	starts       map[string]int
-	// lastStart holds the time of the latest start of each task.
-	lastStart map[string]time.Time
+	// firstStart and lastStart hold the times of the first and of the latest start of each task.
+	firstStart, lastStart map[string]time.Time
 	// crashes counts the crashes of workers that ran a task, startsAfter the starts of a task
 	// that crashes workers after maxCrashes of them.
 	crashes, startsAfter map[string]int
@@ -81,6 +81,14 @@
 	return x.starts[task]
 }
 
+// FirstStart returns when a task first started, or false if it never has.
+func (x *Witness) FirstStart(task string) (time.Time, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	at, ok := x.firstStart[task]
+	return at, ok
+}
+
 // Done reports whether a run of the task has ended with the outcome Done.
 func (x *Witness) Done(task string) bool {
 	x.mu.Lock()
@@ -126,7 +134,7 @@
 	if x.running == nil {
 		x.running, x.acknowledged = map[string]map[string]uint32{}, map[string]bool{}
 		x.starts, x.finished = map[string]int{}, map[string]bool{}
-		x.lastStart = map[string]time.Time{}
+		x.firstStart, x.lastStart = map[string]time.Time{}, map[string]time.Time{}
 		x.crashes, x.startsAfter = map[string]int{}, map[string]int{}
 		x.cancelled, x.late, x.reported = map[string]cancelling{}, map[runID]time.Time{}, map[runID]bool{}
 	}
@@ -152,6 +160,9 @@
 	defer x.mu.Unlock()
 	x.init()
 	x.starts[r.task]++
+	if _, ok := x.firstStart[r.task]; !ok {
+		x.firstStart[r.task] = now
+	}
 	if !x.Unpreventable {
 		x.lastStart[r.task] = now
 	}
--- a/internal/jobs/lead/crash.go
+++ b/internal/jobs/lead/crash.go
@@ -24,6 +24,9 @@
 func (l *Leader) countCrash(now time.Time, c *msgs.Crash) {
 	runs := slices.Concat(c.Runs, c.Unanswered)
 	cause, alone := l.attribute(runs)
+	for _, run := range c.Runs {
+		l.noteStarted(now, c.VM, runKey{run.Task, run.Run}, "crashed")
+	}
 	var counted []model.TaskRef
 	for i, run := range runs {
 		ref, err := model.ParseTaskRef(run.Task)
@@ -89,27 +92,6 @@
 	return run.Task
 }
 
-// noteProven marks the runs that a lease request lists and that are proven.
-func (l *Leader) noteProven(req *msgs.LeaseRequest, u *msgs.Unproven) {
-	v := l.vms[req.VM.ID]
-	if v == nil || !req.RunsListed || req.VM.Incarnation != v.info.Incarnation {
-		return
-	}
-	unproven := map[runKey]bool{}
-	if u != nil {
-		for _, run := range u.Runs {
-			unproven[runKey{run.Task, run.Run}] = true
-		}
-	}
-	for _, status := range req.Runs {
-		key := runKey{status.Task, status.Run}
-		if r := v.runs[key]; r != nil && !r.proven && !unproven[key] {
-			v.prove(r)
-			l.placementDue = l.placementDue || len(l.suspectSince) > 0
-		}
-	}
-}
-
 // prove marks a run as proven.
 func (v *vm) prove(r *run) {
 	if r.proven {
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -71,7 +71,8 @@
 	interference interference
 	backoffs     backoffs
 	onTimePlan   onTimePlan
-	// idle holds, for each active job without a run, the time since which it has none.
+	// idle holds, for each active job without a run, the time since which it has none. A run that
+	// was placed but has not started changes nothing.
 	idle map[model.ID]time.Time
 	// suspectSince holds, for each waiting task that may have crashed a worker, since when it
 	// could start.
@@ -177,7 +178,7 @@
 	}
 	if m.LeaseRequest != nil {
 		l.handleLeaseRequest(now, conn, m.LeaseRequest)
-		l.noteProven(m.LeaseRequest, m.Unproven)
+		l.noteListed(now, m.LeaseRequest, m.Unproven)
 	}
 	if m.JobRequest != nil {
 		l.handleRequest(now, conn, m.JobRequest)
@@ -205,6 +206,7 @@
 	if now.Sub(l.prunedAt) > time.Second {
 		l.prunedAt = now
 		l.table.Purge(now.Add(-endedRetention))
+		l.table.StoreBegun()
 		maps.DeleteFunc(l.idle, func(id model.ID, _ time.Time) bool { e := l.table.Get(id); return e == nil || e.State.Ended() })
 		maps.DeleteFunc(l.suspectSince, func(ref model.TaskRef, _ time.Time) bool {
 			e := l.table.Get(ref.Job)
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -107,11 +107,10 @@
 // its best-effort tasks starts even where no processors are free.
 const maxIdle = 1500 * time.Millisecond
 
-// trackIdle updates the time since which a job has no run.
+// trackIdle updates the time since which a job has no run. The start of one ends it, see
+// noteStarted.
 func (l *Leader) trackIdle(now time.Time, e *table.Entry) {
-	if _, idle := l.idle[e.Job.ID]; e.RunCount > 0 {
-		delete(l.idle, e.Job.ID)
-	} else if !idle {
+	if _, idle := l.idle[e.Job.ID]; !idle && e.RunCount == 0 {
 		l.idle[e.Job.ID] = now
 	}
 }
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -226,6 +226,9 @@
 		l.log.Warn("ignored a run end with an invalid task reference", "vm", v.info.ID, "task", key.task, "err", err)
 		return
 	}
+	if outcome != msgs.Lost {
+		l.noteStarted(now, v.info.ID, key, "ended")
+	}
 	if _, known := l.table.EndRun(now, ref, key.number, outcome, checkpoint); !known {
 		l.log.Info("ignored the end of a run that is not in the job table", "req", ref.Job, "task", key.task, "run", key.number, "vm", v.info.ID, "outcome", outcome, "epoch", l.epoch)
 		return
--- a/internal/jobs/lead/store_test.go
+++ b/internal/jobs/lead/store_test.go
@@ -86,6 +86,8 @@
 		h.join(0)
 		h.submit(job(1, smallStep))
 		h.advance(100 * time.Millisecond)
+		h.requestLease(0, false, msgs.RunStatus{Task: "0000000000000001.0.0.0", Run: 1})
+		h.advance(1200 * time.Millisecond)
 		h.out = nil
 		end := &msgs.Message{Report: &msgs.Report{VM: "vm-0", Incarnation: 5, Ends: []msgs.RunEnd{{Number: 1, Task: "0000000000000001.0.0.0", Run: 1, Outcome: msgs.Done}}}}
 		for range 2 {
--- a/internal/jobs/lead/vm.go
+++ b/internal/jobs/lead/vm.go
@@ -72,6 +72,8 @@
 	checkpointTooLarge bool
 	// ordered is set once this leader has given the order to start the run.
 	ordered bool
+	// started is set once it is certain that the run has started.
+	started bool
 	// stopped is set once the order to stop the run was given.
 	stopped bool
 	// speedLimit is the latest speed limit ordered for the run, in percent. speedUnknown is
--- a/internal/jobs/table/runs.go
+++ b/internal/jobs/table/runs.go
@@ -21,13 +21,35 @@
 	if i := slices.Index(st.Waiting, ref.Index); i >= 0 {
 		st.Waiting = slices.Delete(st.Waiting, i, i+1)
 	}
-	if e.State == Queued {
-		e.State = Running
-	}
 	tbl.markTask(e, st.First+ref.Index)
 	return run
 }
 
+// NoteStarted records that a run of a task certainly started, and with it the job, and reports
+// whether the job had not begun before. It does not make the entry dirty: that is stored with the
+// next change of the job or by StoreBegun. A run that was placed may never start.
+func (tbl *Table) NoteStarted(ref model.TaskRef, number uint32) bool {
+	e := tbl.entries[ref.Job]
+	if e == nil || e.State != Queued || e.Unreadable {
+		return false
+	}
+	t := e.Task(ref)
+	if t == nil || number == 0 || number > t.LastRun {
+		return false
+	}
+	e.State = Running
+	return true
+}
+
+// StoreBegun makes the next batch contain the jobs that have begun and are not stored as such.
+func (tbl *Table) StoreBegun() {
+	for _, e := range tbl.active {
+		if e.State == Running && e.Stored == Queued && e.InStore {
+			tbl.markDirty(e)
+		}
+	}
+}
+
 // Readopt adds a run to a task that waits although a worker lists the run, which was given up
 // before and has not ended since. It returns false if the task does not wait for a run or if the
 // run cannot be taken back.
@@ -72,6 +94,9 @@
 	if t == nil {
 		return Run{}, false
 	}
+	if outcome != msgs.Lost {
+		tbl.NoteStarted(ref, number)
+	}
 	i := slices.IndexFunc(t.Runs, func(r Run) bool { return r.Number == number })
 	if i < 0 && outcome == msgs.Failed {
 		return Run{}, tbl.countLateFailure(now, e, ref, number)
--- a/internal/jobs/table/state.go
+++ b/internal/jobs/table/state.go
@@ -11,7 +11,7 @@
 
 // The states. The last three are final.
 const (
-	// Queued is the state until the first run is assigned.
+	// Queued is the state until it is certain that a run has started. Runs may have been assigned.
 	Queued State = iota
 	Running
 	Completed
--- a/internal/proof/fleet/callers.go
+++ b/internal/proof/fleet/callers.go
@@ -24,6 +24,9 @@
 // defaultTaskTime is the run time of a task unless the world sets another.
 const defaultTaskTime = 700 * time.Millisecond
 
+// callersQueue is the name of the queue of all jobs.
+const callersQueue = "assign"
+
 // Callers submits jobs, cancels some of them and records the responses.
 type Callers struct {
 	world *World
@@ -38,6 +41,7 @@
 	spec model.Job
 	// pending is set while a request to submit or to cancel the job has no final response.
 	pending, accepted bool
+	acceptedAt        time.Time
 	// attempts is the number of requests so far, retries the number of refusals after which the
 	// caller tries again.
 	attempts, retries int
@@ -72,7 +76,7 @@
 
 // submit submits a job.
 func (c *Callers) submit(n int, cancelAfter time.Duration, deadly bool) {
-	q := model.Queue{Name: "assign", Service: "registry", Priority: n % 3, MaxAttempts: 4, Stretch: 2, TargetLatency: time.Second}
+	q := model.Queue{Name: callersQueue, Service: "registry", Priority: n % 3, MaxAttempts: 4, Stretch: 2, TargetLatency: time.Second}
 	firstStep := model.Step{Tasks: 4, Size: place.Resources{CPU: 3000, Memory: 8000}, Estimate: cmp.Or(c.world.TaskTime, defaultTaskTime), Checkpoints: n%2 == 0}
 	secondStep := firstStep
 	secondStep.After, secondStep.MaxPerVM = []int{0}, 2
@@ -131,7 +135,7 @@
 	case j.cancelling:
 		c.retry(j, retryInterval)
 	case resp.Code == codes.OK:
-		j.pending, j.accepted = false, true
+		j.pending, j.accepted, j.acceptedAt = false, true, c.world.Now
 		if c.world.OnAccepted != nil {
 			c.world.OnAccepted()
 		}
--- a/internal/proof/fleet/cancel.go
+++ b/internal/proof/fleet/cancel.go
@@ -46,7 +46,7 @@
 // submission if the caller cancels it anyway. In that case, a copy of the submission arrives later.
 func (c *Callers) submitCancelled(n int, d time.Duration) {
 	w := c.world
-	q := model.Queue{Name: "assign", Service: "registry", Priority: n % 3, MaxAttempts: 4, Stretch: 2, TargetLatency: time.Second}
+	q := model.Queue{Name: callersQueue, Service: "registry", Priority: n % 3, MaxAttempts: 4, Stretch: 2, TargetLatency: time.Second}
 	step := model.Step{Tasks: 4, Size: place.Resources{CPU: 2000, Memory: 6000}, Estimate: cmp.Or(w.TaskTime, defaultTaskTime), Checkpoints: n%2 == 0}
 	j := &submission{cancelAfter: d, lasting: n%3 != 0, cancelsAnyway: n%5 == 4, spec: model.Job{Queue: q, Payload: "work", Steps: []model.Step{step}}}
 	if j.lasting {
