jobs/plan, jobs/lead: what best-effort tasks request is not taken

Cause: fits let a task start only where no task, best-effort ones included, requests the processors, unless it was urgent; ordinary tasks were urgent with priority 0 only. Ruled out: memory (under 4% in use) and the order of queues, which only sorts.

All tasks but best-effort ones now start wherever the others leave room, in all paths that use fits: gangs, copies, moves, suspects in quarantine. The cost of a VM still counts what best-effort tasks request, so a VM with processors to spare is preferred. Best-effort tasks that start although others request the processors, since their job is idle, now do so in gangs and in quarantine too; only placeStage had that way out. Admission and on-time plans of ordinary tasks don't count best-effort requests; no change.

--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -156,9 +156,7 @@
 		}
 		t := *task
 		t.Avoid = slices.Concat(task.Avoid, p.l.failedVMs(e, st, index))
-		if step.BestEffort {
-			t.Urgent = p.underused && p.l.idleTooLong(p.now, e)
-		}
+		t.Urgent = p.urgent(e, step)
 		i := p.chooseRanked(&t, task, ranking)
 		if i < 0 && t.NeedsTicket {
 			p.requestAdvice(&t)
@@ -183,7 +181,7 @@
 func (p *pass) taskOf(w *plan.WaitingStage, e *table.Entry, st *table.Stage) *plan.Task {
 	step := e.StepOf(st)
 	task := &plan.Task{
-		Key: w.Key, Step: step, Service: p.serviceOf(e), Urgent: w.LongRunning || (w.Priority == 0 && !step.BestEffort),
+		Key: w.Key, Step: step, Service: p.serviceOf(e), Urgent: p.urgent(e, step),
 		Avoid: p.l.backoffs.full(p.now, w.Key),
 	}
 	if p.l.needsAdvice(e) {
@@ -192,6 +190,12 @@
 	return task
 }
 
+// urgent reports whether a task of a best-effort step starts even where other best-effort tasks
+// request the processors: its job would have no run although the VMs are underused.
+func (p *pass) urgent(e *table.Entry, step *model.Step) bool {
+	return step.BestEffort && p.underused && p.l.idleTooLong(p.now, e)
+}
+
 // needsAdvice reports whether tasks of a job's queue need a ticket of the advisor. The
 // operator's configuration takes precedence over the one that the job was accepted with.
 func (l *Leader) needsAdvice(e *table.Entry) bool {
--- a/internal/jobs/plan/vm.go
+++ b/internal/jobs/plan/vm.go
@@ -113,8 +113,8 @@
 	// holds a ticket of the advisor.
 	NeedsTicket bool
 	Tickets     map[string]string
-	// Urgent is set if the task may take processors that best-effort tasks request. An
-	// urgent best-effort task starts even on an overloaded VM.
+	// Urgent is set if a best-effort task may take processors that other best-effort tasks
+	// request, and start even on an overloaded VM. Other tasks always may take them.
 	Urgent bool
 }
 
@@ -141,10 +141,10 @@
 	if !v.Free().Covers(t.Step.ResourceRequest()) {
 		return false
 	}
-	if t.Urgent {
+	if !t.Step.BestEffort || t.Urgent {
 		return true
 	}
-	if t.Step.BestEffort && v.WouldOverload != nil && v.WouldOverload(t.Step) {
+	if v.WouldOverload != nil && v.WouldOverload(t.Step) {
 		return false
 	}
 	return v.spareCPU()+v.ReclaimableCPU >= t.Step.Size.CPU
