jobs/lead: whether VMs are underused is decided for each service

Before: "start throttled while the VMs of another service are busy" got 2 heavy tasks, want 6. After: it passes. Deployments with one service decide as before.

--- a/internal/jobs/lead/interference_test.go
+++ b/internal/jobs/lead/interference_test.go
@@ -205,4 +205,34 @@
 		c.simulate(0.6, 4*time.Second)
 		Expect(c.overTarget-overTarget).To(BeNumerically("<=", 4*time.Second), "of 21 s")
 	})
+
+	// The load of all services together decided whether the VMs counted as underused, so that
+	// best-effort jobs of one service waited while another was busy.
+	It("start throttled while the VMs of another service are busy", func() {
+		c := newColocation(4, lowRequest)
+		c.applyOrders()
+		c.submit(2, "heavy", 2)
+		c.simulate(0.3, 6*time.Second)
+		c.simulate(0.6, 4*time.Second)
+		busy := vmInfo(9)
+		busy.Service, busy.Capacity = "other", place.Resources{CPU: 160000, Memory: 64000}
+		contact := func(synced bool, runs ...msgs.RunStatus) {
+			c.seq++
+			c.leader.Handle(c.now, firstAgentConn+9, &msgs.Message{LeaseRequest: &msgs.LeaseRequest{Seq: c.seq, Synced: synced, RunsListed: true, Runs: runs, VM: busy}})
+		}
+		contact(true)
+		j := job(3, model.Step{Tasks: 1, LongRunning: true, Size: busy.Capacity})
+		j.Queue.Service = "other"
+		c.harness.submit(j)
+		c.advance(flushTime)
+		Expect(c.starts()).To(HaveLen(1))
+		contact(false, msgs.RunStatus{Task: "0000000000000003.0.0.0", Run: 1})
+		before := c.count("heavy")
+		c.submit(4, "heavy", 4)
+		for range 3 {
+			c.simulate(0.6, belowMaxIdle/3)
+			contact(false, msgs.RunStatus{Task: "0000000000000003.0.0.0", Run: 1})
+		}
+		Expect(c.count("heavy")).To(Equal(before + 4))
+	})
 })
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -16,7 +16,7 @@
 	// maxStarts bounds the number of runs that one pass starts. Gangs and speculative
 	// copies are started beyond it.
 	maxStarts = 400
-	// lowUtilization is the requested share of all processors below which the VMs count as
+	// lowUtilization is the requested share of a service's processors below which its VMs count as
 	// underused.
 	lowUtilization = 0.5
 	// lateFactor is the multiple of its objective after which a job is worthless to its
@@ -35,9 +35,9 @@
 	// orders holds the orders for each VM, by its id.
 	orders map[string]*msgs.Orders
 	starts int
-	// underused is set if the requested share of the VMs' processors is below
+	// underused holds the services of which the requested share of the VMs' processors is below
 	// lowUtilization.
-	underused bool
+	underused map[string]bool
 }
 
 // placeWaiting assigns waiting tasks to VMs and moves runs that would end sooner on
@@ -52,12 +52,14 @@
 		v.placement.Overloaded = v.overloaded(now)
 		v.placement.Quarantined = v.quarantined(now)
 		v.placement.InterferenceCost = func(bestEffort *model.Step) float64 { return l.interference.cost(v, bestEffort) }
-		// If the VMs are underused, throttled work is better than none.
-		v.placement.WouldOverload = func(bestEffort *model.Step) bool { return !p.underused && l.interference.overloads(v, bestEffort) }
+		// If the service's VMs are underused, throttled work is better than none.
+		v.placement.WouldOverload = func(bestEffort *model.Step) bool {
+			return !p.underused[v.placement.Service] && l.interference.overloads(v, bestEffort)
+		}
 		p.vms = append(p.vms, v)
 		p.placement = append(p.placement, &v.placement)
 	}
-	p.underused = p.requestedShare() < lowUtilization
+	p.underused = p.underusedServices()
 	p.plan()
 	stages := l.waitingStages(now)
 	plan.SortStages(now, stages)
@@ -71,15 +73,19 @@
 	}
 }
 
-// requestedShare returns the share of the VMs' processors that their runs request. The runs of
-// a VM that has shrunk may request more than it has.
-func (p *pass) requestedShare() float64 {
-	var used, capacity int64
+// underusedServices returns the services whose VMs have runs that request less than lowUtilization
+// of the processors. The runs of a VM that has shrunk may request more than it has.
+func (p *pass) underusedServices() map[string]bool {
+	used, capacity := map[string]int64{}, map[string]int64{}
 	for _, v := range p.placement {
-		used += min(v.Used.CPU, v.Capacity.CPU)
-		capacity += v.Capacity.CPU
+		used[v.Service] += min(v.Used.CPU, v.Capacity.CPU)
+		capacity[v.Service] += v.Capacity.CPU
+	}
+	underused := map[string]bool{}
+	for service, n := range capacity {
+		underused[service] = float64(used[service]) < lowUtilization*float64(n)
 	}
-	return float64(used) / float64(max(1, capacity))
+	return underused
 }
 
 // waitingStages returns the stages with tasks that may start now. It leaves out those of which a
@@ -103,7 +109,7 @@
 	return stages
 }
 
-// maxIdle is how long a job may have no run while the VMs are underused. After that, one of
+// maxIdle is how long a job may have no run while its service's VMs are underused. After that, one of
 // its best-effort tasks starts even where no processors are free.
 const maxIdle = 1500 * time.Millisecond
 
@@ -191,9 +197,9 @@
 }
 
 // urgent reports whether a task of a best-effort step starts even where other best-effort tasks
-// request the processors: its job would have no run although the VMs are underused.
+// request the processors: its job would have no run although the service's VMs are underused.
 func (p *pass) urgent(e *table.Entry, step *model.Step) bool {
-	return step.BestEffort && p.underused && p.l.idleTooLong(p.now, e)
+	return step.BestEffort && p.underused[p.serviceOf(e)] && p.l.idleTooLong(p.now, e)
 }
 
 // needsAdvice reports whether tasks of a job's queue need a ticket of the advisor. The
