jobs/lead: requests for advice go to the stage that has waited longest

Cause: one request is under way at a time, and the next one went to the first stage in the order of placement that might ask again, 250 ms after its last request had begun. That is over when an answer arrives, so the first stages took turns without end. Besides, each request named up to twelve VMs, which makes it take 340 ms for two tasks instead of 140 ms. Ruled out: the advisor's own limit of waiting calls, which one call at a time never reaches.

Stages that lack tickets are now served in the order in which they began to wait; one that was just answered goes to the end. The first request of an urgent stage, or of a job that can be on time, counts as up to 3 s older, so urgency weighs and cannot starve. A request names the VMs that the waiting tasks would use, and twice as many after each answer without a ticket. Once all VMs were asked for in vain, the next round waits from 250 ms up to 8 s (1 s for a stage that has had a ticket); a VM whose worker has restarted is asked for at once. Tickets have their own expiry: an answer used to extend that of earlier ones. A refused start takes the ticket for that VM only, and all if the ticket was the reason.

Before: 10 of the 17 specs of advice_test.go failed. After: all pass, with up to 12 of 60 jobs that can never run, first or last in the order, and with 40 VMs.

--- a/internal/jobs/lead/advice.go
+++ b/internal/jobs/lead/advice.go
@@ -6,18 +6,27 @@
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/plan"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/table"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 )
 
 const (
-	// adviceVMs is the maximum number of VMs in one request. The advisor's response takes
+	// maxAdviceVMs is the maximum number of VMs in one request. The advisor's response takes
 	// longer with each.
-	adviceVMs = 12
+	maxAdviceVMs = 12
 	// adviceMargin is the time before its expiry from which a ticket is no longer used.
 	adviceMargin = 300 * time.Millisecond
-	// adviceRetry is the minimum time between requests for the same stage. A further
-	// request follows if the advisor allowed none of the VMs.
-	adviceRetry = 250 * time.Millisecond
+	// adviceRetry is how long a stage waits after the second answer that brought no ticket before it
+	// asks for further VMs. It about doubles with each, up to maxAdviceRetry.
+	adviceRetry, maxAdviceRetry = 50 * time.Millisecond, 500 * time.Millisecond
+	// roundRetry is how long a stage waits after the first round of requests that brought no ticket
+	// before it asks for the same VMs again. It doubles with each, up to maxRoundRetry, or
+	// maxKnownRetry if the stage has had a ticket. What the advisor allows changes with a worker's
+	// next incarnation only, and a VM with one is asked for sooner.
+	roundRetry, maxRoundRetry, maxKnownRetry = 250 * time.Millisecond, 8 * time.Second, time.Second
+	// urgentAdvantage and onTimeAdvantage are how much longer the first request of a stage with
+	// the highest priority, or of a job that can be on time, counts as waiting than others.
+	urgentAdvantage, onTimeAdvantage = 2 * time.Second, time.Second
 )
 
 // AdviceRequest asks the advisor which of the listed VMs may run a step.
@@ -27,53 +36,126 @@
 	// by dots.
 	Step string
 	VMs  []string
+	// waited is how long the stage has waited for the request.
+	waited time.Duration
+}
+
+// ticket is the advisor's permission to run a stage's tasks on a VM.
+type ticket struct {
+	text       string
+	validUntil time.Time
 }
 
 // stageAdvice holds the advisor's tickets for a stage whose queue needs them.
 type stageAdvice struct {
-	// tickets holds the tickets by VM id. They are valid before until.
-	tickets    map[string]string
-	validUntil time.Time
+	// tickets holds the tickets by VM id, expired ones included.
+	tickets map[string]ticket
+	// since is when the stage began to wait for its next request, zero if it does not wait.
+	since time.Time
 	// nextRequestAt is when the next request may be made.
 	nextRequestAt time.Time
-	// asked holds the VMs of earlier requests, so that the next one lists others. It is
-	// emptied once no other VM is left.
-	asked map[string]bool
+	// requested is set once a request was made for the stage, known once it has had a ticket.
+	requested, known bool
+	// asked holds the incarnations of VMs that were asked for without getting a ticket. Requests
+	// leave them out until nextRound.
+	asked map[string]int64
+	// rounds counts the consecutive rounds of requests, each for all VMs with capacity, that
+	// brought no ticket. nextRound is when the next one begins, zero during a round.
+	rounds    int
+	nextRound time.Time
+	// misses counts the requests of the round that brought no ticket.
+	misses int
 }
 
-// requestAdvice prepares a request for a task without a usable ticket, unless another
-// request is due or in flight.
-func (p *pass) requestAdvice(t *plan.Task) {
-	l := p.l
-	a := l.advice[t.Key]
+// adviceWanted is a stage with tasks that wait for a ticket.
+type adviceWanted struct {
+	task *plan.Task
+	// tasks is the number of tasks that wait.
+	tasks int
+	// advantage is added to the time that the stage has waited.
+	advantage time.Duration
+}
+
+// wantAdvice notes that no VM for which a stage has a ticket has capacity for its tasks.
+func (p *pass) wantAdvice(t *plan.Task, e *table.Entry, st *table.Stage) {
+	a := p.l.advice[t.Key]
 	if a == nil {
-		a = &stageAdvice{asked: map[string]bool{}}
-		l.advice[t.Key] = a
+		a = &stageAdvice{}
+		p.l.advice[t.Key] = a
+	}
+	if a.since.IsZero() {
+		a.since = p.now
+	}
+	w := adviceWanted{task: t, tasks: len(st.Waiting)}
+	if !a.requested {
+		w.advantage = p.adviceAdvantage(e, st)
 	}
-	if l.adviceRequest != nil || p.now.Before(a.nextRequestAt) {
+	p.adviceWanted = append(p.adviceWanted, w)
+}
+
+// adviceAdvantage returns the advantage of a stage's first request.
+func (p *pass) adviceAdvantage(e *table.Entry, st *table.Stage) time.Duration {
+	w := p.l.describeStage(e, st)
+	advantage := time.Duration(0)
+	if w.Priority == 0 || w.LongRunning {
+		advantage += urgentAdvantage
+	}
+	if w.OnTime(p.now) {
+		advantage += onTimeAdvantage
+	}
+	return advantage
+}
+
+// requestAdvice prepares the next request, unless one is due or in flight. The stage that has waited
+// longest comes first, whatever its place in the order of placement.
+func (p *pass) requestAdvice() {
+	l := p.l
+	if l.adviceRequest != nil {
 		return
 	}
-	// The request lists VMs that could run the task if they had a ticket.
-	unticketed := *t
-	unticketed.Tickets = nil
-	unticketed.NeedsTicket = false
-	var vms []string
-	for _, v := range p.placement {
-		if len(vms) < adviceVMs && !a.asked[v.ID] && plan.Choose(&unticketed, []*plan.VM{v}) == 0 {
-			vms = append(vms, v.ID)
+	begin := func(w adviceWanted) time.Time { return l.advice[w.task.Key].since.Add(-w.advantage) }
+	slices.SortStableFunc(p.adviceWanted, func(a, b adviceWanted) int { return begin(a).Compare(begin(b)) })
+	for i := range p.adviceWanted {
+		w := &p.adviceWanted[i]
+		a := l.advice[w.task.Key]
+		if p.now.Before(a.nextRequestAt) {
+			continue
 		}
-	}
-	if len(vms) == 0 {
-		a.asked = map[string]bool{}
+		vms := p.adviceVMs(w, a)
+		if len(vms) == 0 {
+			a.endRound(p.now)
+			continue
+		}
+		for _, id := range vms {
+			a.noteAsked(id, l.vms[id].info.Incarnation)
+		}
+		key := w.task.Key
+		l.adviceRequest = &AdviceRequest{Key: key, VMs: vms, Step: fmt.Sprintf("%s.%d.%d", key.Job, key.Occurrence, key.Step), waited: p.now.Sub(a.since)}
+		a.requested, a.since = true, time.Time{}
 		return
 	}
-	for _, id := range vms {
-		a.asked[id] = true
+}
+
+// endRound is called when there is no VM to ask for. It ends the round or, once the time for that
+// has come, begins the next one.
+func (a *stageAdvice) endRound(now time.Time) {
+	switch {
+	case len(a.asked) == 0: // no VM has capacity
+	case a.nextRound.IsZero():
+		limit := maxRoundRetry
+		if a.known {
+			limit = maxKnownRetry
+		}
+		a.nextRound = now.Add(min(roundRetry<<min(a.rounds, maxDoublings), limit))
+		a.rounds++
+	case !now.Before(a.nextRound):
+		a.asked, a.misses, a.nextRound, a.since = nil, 0, time.Time{}, now
 	}
-	a.nextRequestAt = p.now.Add(adviceRetry)
-	l.adviceRequest = &AdviceRequest{Key: t.Key, VMs: vms, Step: fmt.Sprintf("%s.%d.%d", t.Key.Job, t.Key.Occurrence, t.Key.Step)}
 }
 
+// maxDoublings bounds the number of times that a time or a number of VMs is doubled.
+const maxDoublings = 10
+
 // AdviceRequest returns the request to send to the advisor, or nil. Only one request is
 // outstanding at a time; Advised takes its response.
 func (l *Leader) AdviceRequest() *AdviceRequest {
@@ -89,27 +171,76 @@
 	l.adviceRequest, l.adviceInFlight = nil, false
 	l.placementDue = true
 	a := l.advice[req.Key]
+	if err != nil && a != nil {
+		a.forget(req.VMs)
+	}
 	if err != nil || a == nil {
 		l.log.Warn("no advice: the request failed or its stage is no longer tracked", "req", req.Key.Job, "step", req.Step, "vms", len(req.VMs), "err", err)
 		return
 	}
-	l.log.Info("advice", "req", req.Key.Job, "step", req.Step, "vms", len(req.VMs), "good", len(advice.Tickets), "validFor", advice.ValidFor)
-	if now.After(a.validUntil) {
-		a.tickets = map[string]string{}
+	a.advised(now, req, advice)
+	l.log.Info("advice", "req", req.Key.Job, "step", req.Step, "vms", len(req.VMs), "good", len(advice.Tickets), "validFor", advice.ValidFor,
+		"waited", req.waited, "misses", a.misses, "rounds", a.rounds)
+}
+
+// forget removes VMs from those that were asked for without getting a ticket.
+func (a *stageAdvice) forget(ids []string) {
+	for _, id := range ids {
+		delete(a.asked, id)
+	}
+}
+
+// advised records the advisor's response.
+func (a *stageAdvice) advised(now time.Time, req *AdviceRequest, advice port.Advice) {
+	if a.tickets == nil {
+		a.tickets = map[string]ticket{}
 	}
-	for id, ticket := range advice.Tickets {
-		if slices.Contains(req.VMs, id) {
-			a.tickets[id] = ticket
+	granted := 0
+	for _, id := range req.VMs {
+		if text, ok := advice.Tickets[id]; ok {
+			granted++
+			a.forget([]string{id})
+			a.tickets[id] = ticket{text, now.Add(advice.ValidFor - adviceMargin)}
 		}
 	}
-	a.validUntil = now.Add(advice.ValidFor - adviceMargin)
+	if granted > 0 {
+		a.known, a.misses, a.rounds = true, 0, 0
+		return
+	}
+	a.nextRequestAt = now.Add(min(adviceRetry*(1<<min(a.misses, maxDoublings)-1), maxAdviceRetry))
+	a.misses++
+}
+
+// noteAsked adds a VM to those that were asked for without getting a ticket.
+func (a *stageAdvice) noteAsked(id string, incarnation int64) {
+	if a.asked == nil {
+		a.asked = map[string]int64{}
+	}
+	a.asked[id] = incarnation
+}
+
+// refused records that a worker refused a start for which the stage had a ticket. Another VM is
+// tried first then, unless it was only the ticket that had expired.
+func (a *stageAdvice) refused(vm string, incarnation int64, expired bool) {
+	if expired {
+		a.tickets = nil
+		return
+	}
+	delete(a.tickets, vm)
+	a.noteAsked(vm, incarnation)
 }
 
 // tickets returns the valid tickets of a stage by VM id.
 func (l *Leader) tickets(now time.Time, key plan.StageKey) map[string]string {
 	a := l.advice[key]
-	if a == nil || !now.Before(a.validUntil) {
+	if a == nil {
 		return nil
 	}
-	return a.tickets
+	valid := map[string]string{}
+	for id, t := range a.tickets {
+		if now.Before(t.validUntil) {
+			valid[id] = t.text
+		}
+	}
+	return valid
 }
--- a/internal/jobs/lead/gang.go
+++ b/internal/jobs/lead/gang.go
@@ -21,7 +21,7 @@
 		chosen = p.chooseGangRacks(task, len(st.Waiting), func(*vm) bool { return true })
 	}
 	if chosen == nil && task.NeedsTicket {
-		p.requestAdvice(task)
+		p.wantAdvice(task, e, st)
 	}
 	// All members of a gang get the same run number, which none of them has had before.
 	number := uint32(0)
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -35,6 +35,8 @@
 	// orders holds the orders for each VM, by its id.
 	orders map[string]*msgs.Orders
 	starts int
+	// adviceWanted holds the stages with tasks that wait for a ticket.
+	adviceWanted []adviceWanted
 	// underused holds the services of which the requested share of the VMs' processors is below
 	// lowUtilization.
 	underused map[string]bool
@@ -67,6 +69,7 @@
 	for i := range stages {
 		p.placeStage(&stages[i])
 	}
+	p.requestAdvice()
 	p.moveRuns()
 	for _, id := range slices.Sorted(maps.Keys(p.orders)) {
 		l.sendWhenStored(l.vms[id].conn, &msgs.Message{Orders: p.orders[id]})
@@ -165,7 +168,7 @@
 		t.Urgent = p.urgent(e, step)
 		i := p.chooseRanked(&t, task, ranking)
 		if i < 0 && t.NeedsTicket {
-			p.requestAdvice(&t)
+			p.wantAdvice(&t, e, st)
 			return
 		}
 		if i < 0 {
--- a/internal/jobs/lead/quarantine.go
+++ b/internal/jobs/lead/quarantine.go
@@ -141,7 +141,7 @@
 		return
 	}
 	if s.task.NeedsTicket && len(s.task.Tickets) == 0 {
-		p.requestAdvice(s.task)
+		p.wantAdvice(s.task, s.e, s.st)
 	}
 	if spare[service] <= 0 {
 		return
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -195,8 +195,8 @@
 }
 
 // noteRefusal starts or extends the backoff of a step if a worker refused its run, and ends
-// the backoff otherwise. A refusal also invalidates the step's tickets. If the worker refused
-// because it is unhealthy, that counts as a failure in the health of its VM.
+// the backoff otherwise. A refusal also invalidates the step's ticket, all of them if that was the
+// reason. If the worker refused because it is unhealthy, that counts as a failure in the health of its VM.
 func (l *Leader) noteRefusal(now time.Time, v *vm, e msgs.RunEnd) {
 	r := v.runs[runKey{e.Task, e.Run}]
 	switch {
@@ -207,7 +207,9 @@
 		if e.Reason == port.ErrRunCapacity.Error() {
 			l.backoffs.noteFull(stageKey(r.ref), v.info.ID)
 		}
-		delete(l.advice, stageKey(r.ref))
+		if a := l.advice[stageKey(r.ref)]; a != nil {
+			a.refused(v.info.ID, v.info.Incarnation, e.Reason == port.ErrRunTicket.Error())
+		}
 		if e.Reason == port.ErrWorkerUnhealthy.Error() {
 			v.health.runEnded(now, r, msgs.Failed, 0)
 		}
--- a/internal/jobs/plan/order.go
+++ b/internal/jobs/plan/order.go
@@ -50,6 +50,10 @@
 	return expired
 }
 
+// OnTime reports whether the stage's job can meet its objective if it starts now, and is not planned
+// to be late.
+func (w *WaitingStage) OnTime(now time.Time) bool { return w.lateness(now) == onTime }
+
 // SortStages sorts stages into the order in which they are placed. Long-running ones
 // come first. The others are ordered by priority and, within a priority, by what their
 // jobs can achieve: first those that can be on time, by objective, then those that can
