jobs/lead: a copy of a task that needs advice waits for a ticket

Copies were assigned whether or not the stage had a ticket for the VM. The worker refused the start, which dropped all tickets of the stage, and the next search ordered the copy again. Before: "is copied once there is a ticket for another VM" saw a start without a ticket. After: the stage asks for one in its turn, and the copy starts with it.

--- a/internal/jobs/lead/advice.go
+++ b/internal/jobs/lead/advice.go
@@ -70,7 +70,7 @@
 // adviceWanted is a stage with tasks that wait for a ticket.
 type adviceWanted struct {
 	task *plan.Task
-	// tasks is the number of tasks that wait.
+	// tasks is the number of tasks that wait, or 1 for a copy.
 	tasks int
 	// advantage is added to the time that the stage has waited.
 	advantage time.Duration
@@ -86,7 +86,7 @@
 	if a.since.IsZero() {
 		a.since = p.now
 	}
-	w := adviceWanted{task: t, tasks: len(st.Waiting)}
+	w := adviceWanted{task: t, tasks: max(1, len(st.Waiting))}
 	if !a.requested {
 		w.advantage = p.adviceAdvantage(e, st)
 	}
--- a/internal/jobs/lead/move.go
+++ b/internal/jobs/lead/move.go
@@ -176,7 +176,14 @@
 // not be throttled much.
 func (p *pass) destination(c moveCandidate) *vm {
 	t := &plan.Task{Key: stageKey(c.r.ref), Step: c.r.step, Service: p.serviceOf(c.r.entry), Avoid: []string{c.v.info.ID}}
+	copies := c.r.step.Speculative && p.l.needsAdvice(c.r.entry)
+	if copies { // a copy starts at once, any other run once its task has a ticket again
+		t.NeedsTicket, t.Tickets = true, p.l.tickets(p.now, t.Key)
+	}
 	i := p.chooseVM(t)
+	if copies && (i < 0 || p.vms[i] == c.v) {
+		p.wantAdvice(t, c.r.entry, c.r.entry.Stage(c.r.ref))
+	}
 	if i < 0 || p.vms[i] == c.v {
 		return nil
 	}
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -69,8 +69,8 @@
 	for i := range stages {
 		p.placeStage(&stages[i])
 	}
-	p.requestAdvice()
 	p.moveRuns()
+	p.requestAdvice()
 	for _, id := range slices.Sorted(maps.Keys(p.orders)) {
 		l.sendWhenStored(l.vms[id].conn, &msgs.Message{Orders: p.orders[id]})
 	}
--- a/internal/jobs/lead/speculative_test.go
+++ b/internal/jobs/lead/speculative_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 )
 
@@ -67,3 +68,36 @@
 		Entry("the first run", 0, uint32(1), uint32(2)),
 	)
 })
+
+// A copy of a task that needs the advisor's ticket was ordered without one, and refused.
+var _ = Describe("A task with speculative execution that needs advice", func() {
+	It("is copied once there is a ticket for another VM", func() {
+		h := newHarness()
+		h.join(0)
+		j := job(1, model.Step{Tasks: 1, Speculative: true, Estimate: 500 * time.Millisecond, Size: place.Resources{CPU: 1000, Memory: 1000}})
+		j.Queue.Advised = true
+		h.submit(j)
+		var starts []msgs.Start
+		for end := h.now.Add(8 * time.Second); h.now.Before(end); {
+			if req := h.leader.AdviceRequest(); req != nil {
+				Expect(req.VMs).To(HaveLen(1))
+				h.leader.Advised(h.now, req, port.Advice{Tickets: map[string]string{req.VMs[0]: "for " + req.VMs[0]}, ValidFor: 2 * time.Second}, nil)
+			}
+			h.advance(200 * time.Millisecond)
+			for _, o := range h.orders() {
+				for _, s := range o.Starts {
+					Expect(s.Ticket).To(Equal("for " + o.VM))
+					starts = append(starts, s)
+				}
+			}
+			if len(starts) > 0 {
+				h.requestLease(0, false, msgs.RunStatus{Task: "0000000000000001.0.0.0", Run: 1, Percent: 10})
+				h.requestLease(1, false)
+			}
+			if len(starts) == 1 {
+				h.join(1)
+			}
+		}
+		Expect(starts).To(HaveLen(2), "the first run and a copy")
+	})
+})
