jobs/lead: runs that can go nowhere else don't use up the moves of others

Before: a stalled run with a free VM beside it was not moved in ten searches, as twelve others that only one VM may run gained more. After: only moves count against the limit, and runs of one stage on one VM are tried once.

--- a/internal/jobs/lead/move.go
+++ b/internal/jobs/lead/move.go
@@ -118,11 +118,27 @@
 		}
 		return cmp.Compare(a.key.task, b.key.task)
 	})
-	for _, c := range list[:min(len(list), max(minMoves, len(p.vms)/vmsPerMove))] {
+	limit := max(minMoves, len(p.vms)/vmsPerMove)
+	// Runs without a destination must not use up the moves of the others.
+	type place struct {
+		stage plan.StageKey
+		vm    string
+	}
+	stuck := map[place]bool{}
+	for _, c := range list {
+		at := place{stageKey(c.r.ref), c.v.info.ID}
+		if limit == 0 {
+			break
+		}
+		if stuck[at] {
+			continue
+		}
 		to := p.destination(c)
 		if to == nil {
+			stuck[at] = true
 			continue
 		}
+		limit--
 		c.v.health.noteSlow(p.now, c.r)
 		if c.r.step.Speculative {
 			p.startSpeculativeCopy(c, to)
--- a/internal/jobs/lead/move_test.go
+++ b/internal/jobs/lead/move_test.go
@@ -95,4 +95,43 @@
 		Expect(len(stops)).To(BeNumerically(">", searches*vms/10))
 		Expect(stops).To(HaveEach(HaveField("Task", HavePrefix("0000000000000002"))))
 	})
+
+	// The runs that gain most were tried in each search, also if they could go nowhere else.
+	It("are moved although others, which gain more, can run on no other VM", func() {
+		h := newHarness()
+		for n := range 3 {
+			h.join(n)
+		}
+		labelled := vmInfo(0)
+		labelled.Labels = []string{"only"}
+		contact := func(n int, synced bool, runs ...msgs.RunStatus) {
+			if n != 0 {
+				h.requestLease(n, synced, runs...)
+				return
+			}
+			h.seq++
+			h.leader.Handle(h.now, firstAgentConn, &msgs.Message{LeaseRequest: &msgs.LeaseRequest{
+				Seq: h.seq, Synced: synced, RunsListed: true, Runs: runs, VM: labelled,
+			}})
+		}
+		contact(0, true)
+		bound := model.Step{Tasks: 12, Size: place.Resources{CPU: 100, Memory: 100}, Estimate: time.Second, Requires: "only"}
+		free := model.Step{Tasks: 1, Size: place.Resources{CPU: 100, Memory: 100}, Estimate: 9 * time.Second}
+		for n, step := range []model.Step{bound, free} {
+			j := job(n+1, step)
+			j.Queue.Stretch = 100 // neither is late
+			h.submit(j)
+		}
+		h.advance(100 * time.Millisecond)
+		runs := startedRuns(h)
+		var stops []msgs.Stop
+		for round := 0; round < 10 && len(stops) == 0; round++ {
+			for n := range 3 {
+				contact(n, false, runs[n]...)
+			}
+			h.advance(400 * time.Millisecond)
+			stops = h.stops()
+		}
+		Expect(stops).To(ConsistOf(HaveField("Task", "0000000000000002.0.0.0")))
+	})
 })
