state/writer, node/entry: a record that the log does not accept holds back no others

A record that the log refuses for what it holds was appended again and again; a caller's one was withdrawn after 5 s and answered with logDown and a time to come back, any other held back all records of the process for good. The log's limits are not declared, so this is by construction, with a stand-in that has one. After: bodyTooLarge within a few appends, which hold half as many records each time until the one is found.

--- a/internal/fake/plog/log.go
+++ b/internal/fake/plog/log.go
@@ -22,6 +22,8 @@
 	LoseReplies int
 	// Delay is the time that each append takes.
 	Delay time.Duration
+	// MaxEntry is the size of the largest entry that the log accepts, in bytes; 0 is unlimited.
+	MaxEntry int
 	// Retain is the number of entries that the log keeps; 0 keeps all.
 	Retain int
 }
@@ -76,6 +78,9 @@
 	if l.faults.Down {
 		return 0, ErrDown
 	}
+	if l.faults.MaxEntry > 0 && len(data) > l.faults.MaxEntry {
+		return 0, port.ErrLogRejected
+	}
 	offset := l.append(data)
 	if l.faults.LoseReplies > 0 {
 		l.faults.LoseReplies--
--- a/internal/fake/plog/server.go
+++ b/internal/fake/plog/server.go
@@ -25,6 +25,9 @@
 // Append implements schema.PlatformLog.
 func (s *server) Append(ctx context.Context, req *schema.AppendRequest) (*schema.AppendReply, error) {
 	offset, err := s.log.Append(ctx, req.GetData())
+	if errors.Is(err, port.ErrLogRejected) {
+		return nil, twirp.NewError(twirp.InvalidArgument, err.Error())
+	}
 	if err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
@@ -71,6 +74,9 @@
 // Append implements port.Log.
 func (c *Client) Append(ctx context.Context, data []byte) (uint64, error) {
 	reply, err := c.log.Append(ctx, &schema.AppendRequest{Data: data})
+	if twerr := twirp.Error(nil); errors.As(err, &twerr) && twerr.Code() == twirp.InvalidArgument {
+		err = errors.Join(port.ErrLogRejected, err)
+	}
 	return reply.GetOffset(), err
 }
 
--- a/internal/node/core/commit.go
+++ b/internal/node/core/commit.go
@@ -95,6 +95,8 @@
 	switch {
 	case r.Unknown:
 		return codes.New(codes.FateUnknown, "the record was not read back; ask again with the same key")
+	case r.Rejected:
+		return codes.New(codes.BodyTooLarge, "the platform's log does not accept the record")
 	case !r.Committed:
 		return logDownError()
 	case r.Code != codes.OK:
--- a/internal/node/entry/journal.go
+++ b/internal/node/entry/journal.go
@@ -187,7 +187,10 @@
 	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	offset, err := e.platformLog.Append(callCtx, data)
-	if err != nil {
+	switch {
+	case errors.Is(err, port.ErrLogRejected):
+		e.log.Error("the log does not accept a batch for what it holds", "bytes", len(data), "err", err)
+	case err != nil:
 		e.log.Debug("cannot append to the log", "err", err)
 	}
 	e.mu.Lock()
--- a/internal/plat/port/log.go
+++ b/internal/plat/port/log.go
@@ -14,6 +14,10 @@
 // ErrDeleted is returned by Log.Read when the offset is no longer retained.
 var ErrDeleted = errors.New("offset is no longer retained")
 
+// ErrLogRejected is returned by Log.Append when the log does not accept the data, for example
+// because it is too large. Repeating the append cannot help.
+var ErrLogRejected = errors.New("the log does not accept the entry")
+
 // Entry is one entry of the log.
 type Entry struct {
 	Offset uint64
@@ -22,8 +26,8 @@
 
 // Log is the platform's append-only log.
 type Log interface {
-	// Append appends data and returns its offset. After an error it is unknown whether
-	// the data has been appended, and it may still be appended later.
+	// Append appends data and returns its offset. After an error other than ErrLogRejected it
+	// is unknown whether the data has been appended, and it may still be appended later.
 	Append(ctx context.Context, data []byte) (uint64, error)
 	// Read returns up to limit entries, starting at offset from, and the offset to read
 	// next. It waits up to wait for the first entry. With ErrDeleted it returns the
--- a/internal/state/writer/writer.go
+++ b/internal/state/writer/writer.go
@@ -10,10 +10,12 @@
 package writer
 
 import (
+	"errors"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 	"github.com/ebonyarch/ebonyarch/internal/state/fold"
 	"github.com/ebonyarch/ebonyarch/internal/state/frame"
 	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
@@ -41,6 +43,8 @@
 	// Committed is set if the record was read back from the log. Otherwise the record
 	// was withdrawn and never takes effect, unless Unknown is set.
 	Committed bool
+	// Rejected is set if the log does not accept the record.
+	Rejected bool
 	// Unknown is set if the log deleted the batch before it was read back, so that
 	// the outcome cannot be determined.
 	Unknown bool
@@ -58,6 +62,11 @@
 	pending []*pendingRecord
 	// sent is set once a batch with the number seq was sent.
 	sent bool
+	// batch holds the records of the latest append.
+	batch []*pendingRecord
+	// maxRecords limits the records in a batch after the log has rejected one, until a batch is
+	// read back; 0 means unlimited.
+	maxRecords int
 	// inFlight is set while an append awaits its response.
 	inFlight bool
 	// appendStartedAt is the start of the latest append.
@@ -80,6 +89,8 @@
 type Stats struct {
 	Appends  uint64 `json:"appends"`
 	Failures uint64 `json:"failures"`
+	// Rejected counts the appends that the log did not accept for what they held.
+	Rejected uint64 `json:"rejected"`
 	// Records and Bytes count the contents of all appends.
 	Records uint64 `json:"records"`
 	Bytes   uint64 `json:"bytes"`
@@ -95,8 +106,9 @@
 	// sent is set once an append with the sequence number in progress contained the
 	// record.
 	sent bool
-	// withdrawn is set if further appends leave the record out.
-	withdrawn bool
+	// withdrawn is set if further appends leave the record out, rejected if that is because the
+	// log does not accept it.
+	withdrawn, rejected bool
 }
 
 // New returns a writer. Its id must differ from that of every other incarnation,
@@ -174,14 +186,19 @@
 	}
 	batch := &schema.Batch{Writer: w.id, Seq: w.seq, AtMs: now.UnixMilli()}
 	size := 0
+	w.batch = nil
 	for _, p := range w.pending {
 		if p.withdrawn {
 			continue
 		}
+		if w.maxRecords > 0 && len(w.batch) == w.maxRecords {
+			break
+		}
 		if size += p.size; size > MaxBatchSize && len(batch.Records) > 0 {
 			break
 		}
 		batch.Records = append(batch.Records, p.record)
+		w.batch = append(w.batch, p)
 		p.sent = true
 	}
 	w.sent, w.inFlight, w.appendStartedAt = true, true, now
@@ -193,9 +210,19 @@
 }
 
 // Appended records the result of an append. If err is nil, offset is the offset of
-// the log entry.
+// the log entry. If the log does not accept a batch, the next ones have fewer records, until
+// the one that it does not accept is known; that is withdrawn.
 func (w *Writer) Appended(now time.Time, offset uint64, err error) {
 	w.inFlight = false
+	if errors.Is(err, port.ErrLogRejected) && len(w.batch) > 0 {
+		w.stats.Rejected++
+		w.retryAt = now
+		if len(w.batch) == 1 {
+			w.batch[0].withdrawn, w.batch[0].rejected = true, true
+		}
+		w.maxRecords = max(1, len(w.batch)/2)
+		return
+	}
 	if err != nil {
 		w.stats.Failures++
 		w.failing = true
@@ -237,7 +264,7 @@
 		case ok:
 			results = append(results, Result{Applied: a, Committed: true})
 		case p.withdrawn:
-			results = append(results, Result{Applied: fold.Applied{ID: p.id}})
+			results = append(results, Result{Applied: fold.Applied{ID: p.id}, Rejected: p.rejected})
 		default:
 			p.sent = false
 			remaining = append(remaining, p)
@@ -245,6 +272,7 @@
 	}
 	w.pending = remaining
 	w.seq++
+	w.maxRecords = 0
 	w.sent, w.acked, w.failing, w.backoff = false, false, false, 0
 	return results
 }
--- a/internal/state/writer/writer_test.go
+++ b/internal/state/writer/writer_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 	"github.com/ebonyarch/ebonyarch/internal/state/fold"
 	"github.com/ebonyarch/ebonyarch/internal/state/frame"
 	"github.com/ebonyarch/ebonyarch/internal/state/writer"
@@ -124,4 +125,33 @@
 		Expect(results[0].Unknown).To(BeTrue())
 		Expect(w.Pending()).To(BeZero())
 	})
+
+	// A record that the log could never take held back all others of the process without end.
+	It("withdraws a record that the log does not accept, and appends the others", func() {
+		const limit = 10_000
+		sizes := []int{10, 200, 20_000, 30, 9_000, 40_000, 50}
+		ids := map[uint64]int{}
+		for _, n := range sizes {
+			ids[w.Add(now, &schema.Record{Body: &schema.Record_Part{Part: &schema.SnapshotPart{Data: make([]byte, n)}}})] = n
+		}
+		appends := 0
+		for w.Pending() > 0 {
+			appends++
+			Expect(appends).To(BeNumerically("<", 30))
+			data := next()
+			if len(data) > limit {
+				w.Appended(now, 0, port.ErrLogRejected)
+				Expect(w.LogUnavailable(now)).To(BeFalse(), "it is no outage")
+				continue
+			}
+			w.Appended(now, offset+1, nil)
+			for _, r := range readBack(data) {
+				Expect(r.Rejected).To(Equal(ids[r.ID] > limit))
+				Expect(r.Committed).To(Equal(ids[r.ID] <= limit))
+				delete(ids, r.ID)
+			}
+		}
+		Expect(ids).To(BeEmpty())
+		Expect(w.Stats().Rejected).To(BeNumerically(">", 1))
+	})
 })
