jobs/table, jobs/lead: parts of unknown jobs are kept, and few tasks with large records don't panic

A job of up to 64 tasks whose progress came near the limit was to be divided, which it cannot be, and the leader would have panicked; it stays whole now up to the limit. Parts were deleted as left behind if the progress that lists them could not be decoded, as during an update from a later version; they are kept. The record of estimates is left out of a batch that would exceed the limit of an append with it, as the job in it would have been taken for the cause. Two of the three new specs of parts_test.go fail without these changes, one with a panic.

--- a/internal/jobs/lead/flush.go
+++ b/internal/jobs/lead/flush.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
@@ -55,7 +56,9 @@
 		if err != nil {
 			l.log.Error("failed to record the learned estimates", "err", err)
 		}
-		records = append(records, extra...)
+		if all := slices.Concat(records, extra); l.table.Limits.Covers(all) {
+			records = all
+		}
 	}
 	l.inFlight = &Batch{Records: records, changes: changes, sentAt: now, messages: messages, requests: l.heldRequests}
 	l.heldRequests = nil
--- a/internal/jobs/table/parts.go
+++ b/internal/jobs/table/parts.go
@@ -259,13 +259,20 @@
 	return e.restoreParts(h, list)
 }
 
-// unused returns the keys of the parts that were not taken and that no progress lists. An earlier
-// version of the program leaves them behind if it ends or purges their job.
-func (t partTable) unused(progress map[string]storedProgress) []string {
+// unused returns the keys of the parts that were not taken, and whose job has no progress or one
+// without parts. An earlier version of the program leaves them behind if it ends or purges their job.
+// Progress that cannot be decoded may list parts.
+func (t partTable) unused(records []port.Record, progress map[string]storedProgress) []string {
+	stored := map[string]bool{}
+	for _, r := range records {
+		if id, ok := strings.CutPrefix(r.Key, progressPrefix); ok {
+			stored[id] = len(r.Value) > 0
+		}
+	}
 	var keys []string
 	for key := range t {
 		id, _, _ := strings.Cut(strings.TrimPrefix(key, partPrefix), "/")
-		if p := progress[id]; p.head == nil {
+		if p, decoded := progress[id]; !stored[id] || (decoded && p.head == nil) {
 			keys = append(keys, key)
 		}
 	}
--- a/internal/jobs/table/parts_test.go
+++ b/internal/jobs/table/parts_test.go
@@ -229,6 +229,33 @@
 		Expect(codec.Unmarshal(stored["progress/"+id].Value, &earlier)).NotTo(Succeed())
 	})
 
+	// A later version may have written the progress, and leads again soon.
+	It("keeps its parts if its progress cannot be decoded", func() {
+		stored := storedRecords{}
+		tbl := &table.Table{}
+		tbl.Add(job(wideJob...)).Divide()
+		stored.store(tbl)
+		before := len(stored)
+		stored["progress/"+id] = port.Record{Key: "progress/" + id, Value: []byte{0x81, 1}}
+		loaded, faults := stored.load()
+		Expect(faults).NotTo(BeEmpty())
+		Expect(loaded.Get(id).Unreadable).To(BeTrue())
+		stored.store(loaded)
+		Expect(stored).To(HaveLen(before))
+	})
+
+	It("leaves nothing behind if an earlier version purged it", func() {
+		stored := storedRecords{}
+		tbl := &table.Table{}
+		tbl.Add(job(wideJob...)).Divide()
+		stored.store(tbl)
+		delete(stored, "job/"+id)
+		delete(stored, "progress/"+id)
+		loaded, _ := stored.load()
+		stored.store(loaded)
+		Expect(stored).To(BeEmpty())
+	})
+
 	It("leaves nothing behind if an earlier version ends it", func() {
 		stored := storedRecords{}
 		tbl := &table.Table{}
@@ -246,6 +273,30 @@
 	})
 })
 
+// Too few tasks to divide them, but names and checkpoints of unusual length.
+var _ = Describe("A job of few tasks with large records", func() {
+	It("is stored whole up to the limit, and is unstorable beyond it", func() {
+		tbl := &table.Table{Limits: port.Limits{Record: 8000}}
+		e := tbl.Add(job(model.Step{Tasks: 64}))
+		for i := range 64 {
+			tbl.Assign(e, ref(0, i), table.Run{VM: strings.Repeat("v", 80)})
+		}
+		batch, err := tbl.NextBatch(512 << 10)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(batch.Records).To(HaveLen(2))
+		tbl.Assign(e, ref(0, 0), table.Run{VM: strings.Repeat("v", 3000)})
+		batch, err = tbl.NextBatch(512 << 10)
+		Expect(err).To(HaveOccurred())
+		Expect(batch.Unstorable).To(ConsistOf(e))
+		Expect(tbl.Withhold(now, e)).To(BeTrue())
+		batch, err = tbl.NextBatch(512 << 10)
+		Expect(err).NotTo(HaveOccurred())
+		loaded, faults := table.Load(batch.Records)
+		Expect(faults).To(BeEmpty())
+		Expect(loaded.Get(id).State).To(Equal(table.Failed))
+	})
+})
+
 var _ = Describe("A job of usual size", func() {
 	It("is stored as earlier versions read it", func() {
 		tbl := &table.Table{}
--- a/internal/jobs/table/record.go
+++ b/internal/jobs/table/record.go
@@ -98,10 +98,10 @@
 			list = append(list, port.Record{Key: key})
 		}
 		whole := limits.Record - limits.Record/reservedDivisor
-		if c.over || !slices.ContainsFunc(list, func(r port.Record) bool { return r.Size() > whole }) {
+		tooLarge := slices.ContainsFunc(list, func(r port.Record) bool { return r.Size() > whole })
+		if c.over || !tooLarge || !e.Divide() {
 			return list, nil
 		}
-		e.Divide()
 	}
 	list, written, err := e.partRecords()
 	c.parts = written
@@ -200,7 +200,7 @@
 		e.Stored, e.InStore = e.State, true
 		tbl.insert(e)
 	}
-	tbl.purged = parts.unused(progress)
+	tbl.purged = parts.unused(records, progress)
 	return tbl, append(errs, tbl.loadEarly(records)...)
 }
 
