jobs/lead: a stage waits for advice from when it wanted it, not from when it last did

A stage that got a ticket, or was placed otherwise, kept the time from which it had waited; when it wanted advice again much later, it went before all others.

--- a/internal/jobs/lead/advice.go
+++ b/internal/jobs/lead/advice.go
@@ -50,8 +50,9 @@
 type stageAdvice struct {
 	// tickets holds the tickets by VM id, expired ones included.
 	tickets map[string]ticket
-	// since is when the stage began to wait for its next request, zero if it does not wait.
-	since time.Time
+	// since is when the stage began to wait for its next request, zero if it does not wait. It last
+	// wanted one at wantedAt.
+	since, wantedAt time.Time
 	// nextRequestAt is when the next request may be made.
 	nextRequestAt time.Time
 	// requested is set once a request was made for the stage, known once it has had a ticket.
@@ -83,9 +84,10 @@
 		a = &stageAdvice{}
 		p.l.advice[t.Key] = a
 	}
-	if a.since.IsZero() {
+	if a.since.IsZero() || p.now.Sub(a.wantedAt) > adviceForgotten {
 		a.since = p.now
 	}
+	a.wantedAt = p.now
 	w := adviceWanted{task: t, tasks: max(1, len(st.Waiting))}
 	if !a.requested {
 		w.advantage = p.adviceAdvantage(e, st)
@@ -93,6 +95,10 @@
 	p.adviceWanted = append(p.adviceWanted, w)
 }
 
+// adviceForgotten is how long after it last wanted a ticket a stage no longer waits for one. A copy is
+// wanted with each search for runs to move.
+const adviceForgotten = 4 * moveInterval
+
 // adviceAdvantage returns the advantage of a stage's first request.
 func (p *pass) adviceAdvantage(e *table.Entry, st *table.Stage) time.Duration {
 	w := p.l.describeStage(e, st)
@@ -195,6 +201,7 @@
 	if a.tickets == nil {
 		a.tickets = map[string]ticket{}
 	}
+	a.since = time.Time{} // if it wants more, it begins to wait now
 	granted := 0
 	for _, id := range req.VMs {
 		if text, ok := advice.Tickets[id]; ok {
