jobs/lead: tickets with a short validity can be used, and rounds in vain stay rare

Tickets that are valid for up to 300 ms were never used, as the margin before their expiry is that long; it is now at most half of the validity. A stage that had had a ticket asked each second again for VMs that it may not use while its own were full; the time to its next round grows like that of others, and starts anew after an answer with a ticket or a refused start, as that worker may accept one soon.

--- a/internal/jobs/lead/advice.go
+++ b/internal/jobs/lead/advice.go
@@ -14,16 +14,17 @@
 	// maxAdviceVMs is the maximum number of VMs in one request. The advisor's response takes
 	// longer with each.
 	maxAdviceVMs = 12
-	// adviceMargin is the time before its expiry from which a ticket is no longer used.
+	// adviceMargin is the time before its expiry from which a ticket is no longer used, at most half
+	// of the time for which it is valid.
 	adviceMargin = 300 * time.Millisecond
 	// adviceRetry is how long a stage waits after the second answer that brought no ticket before it
 	// asks for further VMs. It about doubles with each, up to maxAdviceRetry.
 	adviceRetry, maxAdviceRetry = 50 * time.Millisecond, 500 * time.Millisecond
 	// roundRetry is how long a stage waits after the first round of requests that brought no ticket
-	// before it asks for the same VMs again. It doubles with each, up to maxRoundRetry, or
-	// maxKnownRetry if the stage has had a ticket. What the advisor allows changes with a worker's
-	// next incarnation only, and a VM with one is asked for sooner.
-	roundRetry, maxRoundRetry, maxKnownRetry = 250 * time.Millisecond, 8 * time.Second, time.Second
+	// before it asks for the same VMs again. It doubles with each, up to maxRoundRetry. What the
+	// advisor allows changes with a worker's next incarnation only, and a VM with one is asked for
+	// sooner.
+	roundRetry, maxRoundRetry = 250 * time.Millisecond, 8 * time.Second
 	// urgentAdvantage and onTimeAdvantage are how much longer the first request of a stage with
 	// the highest priority, or of a job that can be on time, counts as waiting than others.
 	urgentAdvantage, onTimeAdvantage = 2 * time.Second, time.Second
@@ -55,8 +56,8 @@
 	since, wantedAt time.Time
 	// nextRequestAt is when the next request may be made.
 	nextRequestAt time.Time
-	// requested is set once a request was made for the stage, known once it has had a ticket.
-	requested, known bool
+	// requested is set once a request was made for the stage.
+	requested bool
 	// asked holds the incarnations of VMs that were asked for without getting a ticket. Requests
 	// leave them out until nextRound.
 	asked map[string]int64
@@ -148,11 +149,7 @@
 	switch {
 	case len(a.asked) == 0: // no VM has capacity
 	case a.nextRound.IsZero():
-		limit := maxRoundRetry
-		if a.known {
-			limit = maxKnownRetry
-		}
-		a.nextRound = now.Add(min(roundRetry<<min(a.rounds, maxDoublings), limit))
+		a.nextRound = now.Add(min(roundRetry<<min(a.rounds, maxDoublings), maxRoundRetry))
 		a.rounds++
 	case !now.Before(a.nextRound):
 		a.asked, a.misses, a.nextRound, a.since = nil, 0, time.Time{}, now
@@ -202,16 +199,17 @@
 		a.tickets = map[string]ticket{}
 	}
 	a.since = time.Time{} // if it wants more, it begins to wait now
+	validUntil := now.Add(advice.ValidFor - min(adviceMargin, advice.ValidFor/2))
 	granted := 0
 	for _, id := range req.VMs {
 		if text, ok := advice.Tickets[id]; ok {
 			granted++
 			a.forget([]string{id})
-			a.tickets[id] = ticket{text, now.Add(advice.ValidFor - adviceMargin)}
+			a.tickets[id] = ticket{text, validUntil}
 		}
 	}
 	if granted > 0 {
-		a.known, a.misses, a.rounds = true, 0, 0
+		a.misses, a.rounds, a.nextRound = 0, 0, time.Time{}
 		return
 	}
 	a.nextRequestAt = now.Add(min(adviceRetry*(1<<min(a.misses, maxDoublings)-1), maxAdviceRetry))
@@ -235,6 +233,7 @@
 	}
 	delete(a.tickets, vm)
 	a.noteAsked(vm, incarnation)
+	a.rounds = 0 // the worker may accept a start soon
 }
 
 // tickets returns the valid tickets of a stage by VM id.
--- a/internal/jobs/lead/advice_test.go
+++ b/internal/jobs/lead/advice_test.go
@@ -229,9 +229,9 @@
 		Fail(fmt.Sprintf("nothing started within %s", a.now.Sub(at)))
 	})
 
-	It("use each ticket for as long as it is valid, and not longer", func() {
+	DescribeTable("use tickets that are valid for", func(validFor time.Duration) {
 		a := newAdvised(1, func(model.ID, string) bool { return true })
-		a.validFor = time.Second
+		a.validFor = validFor
 		chain := []model.Step{advisedStep}
 		chain[0].Tasks = 1
 		for range 20 {
@@ -239,7 +239,11 @@
 			a.simulate(300 * time.Millisecond)
 		}
 		Expect(a.startedAt).To(HaveLen(20))
-	})
+	},
+		Entry("ten seconds", 10*time.Second),
+		Entry("a second", time.Second),
+		Entry("a moment", 250*time.Millisecond),
+	)
 
 	// All tickets of a step were dropped when any worker refused one of its starts, so that the next
 	// request could name the same worker.
