--- a/internal/jobs/lead/advicevms.go
+++ b/internal/jobs/lead/advicevms.go
@@ -40,24 +40,6 @@
 // maxAdviceTasks bounds the tasks of a stage that one request considers.
 const maxAdviceTasks = 64
 
-// wouldUse returns the VMs on which up to n tasks would be placed, one for each task.
-func (p *pass) wouldUse(t *plan.Task, vms []*vm, n int) []*vm {
-	placement := placementOf(vms)
-	var chosen []*vm
-	for range n {
-		i := plan.Choose(t, placement)
-		if i < 0 {
-			break
-		}
-		placement[i].Add(t.Key, t.Step)
-		chosen = append(chosen, vms[i])
-	}
-	for _, v := range chosen {
-		v.placement.Remove(t.Key, t.Step)
-	}
-	return chosen
-}
-
 // widen adds the best of the other VMs with capacity to the ids, up to n of them.
 func (p *pass) widen(t *plan.Task, vms []*vm, ids []string, n int) []string {
 	rest := slices.DeleteFunc(slices.Clone(vms), func(v *vm) bool { return slices.Contains(ids, v.info.ID) })
@@ -71,12 +53,3 @@
 	}
 	return ids
 }
-
-// placementOf returns the placement state of VMs.
-func placementOf(vms []*vm) []*plan.VM {
-	list := make([]*plan.VM, len(vms))
-	for i, v := range vms {
-		list[i] = &v.placement
-	}
-	return list
-}
--- a/internal/jobs/lead/choose.go
+++ b/internal/jobs/lead/choose.go
@@ -44,3 +44,31 @@
 func (v *vm) reservedForOther(now time.Time, key plan.StageKey) bool {
 	return now.Before(v.reservedUntil) && v.reservedStage != key
 }
+
+// wouldUse returns the VMs among the given ones on which up to n tasks would be placed, one for each
+// task. It places none.
+func (p *pass) wouldUse(t *plan.Task, vms []*vm, n int) []*vm {
+	placement := placementOf(vms)
+	var chosen []*vm
+	for range n {
+		i := plan.Choose(t, placement)
+		if i < 0 {
+			break
+		}
+		placement[i].Add(t.Key, t.Step)
+		chosen = append(chosen, vms[i])
+	}
+	for _, v := range chosen {
+		v.placement.Remove(t.Key, t.Step)
+	}
+	return chosen
+}
+
+// placementOf returns the placement state of VMs.
+func placementOf(vms []*vm) []*plan.VM {
+	list := make([]*plan.VM, len(vms))
+	for i, v := range vms {
+		list[i] = &v.placement
+	}
+	return list
+}
--- a/internal/jobs/lead/gang.go
+++ b/internal/jobs/lead/gang.go
@@ -63,25 +63,13 @@
 // all of them. Only VMs of the given rack are used, unless it is empty, and only those for
 // which allowed returns true.
 func (p *pass) chooseGangVMs(task *plan.Task, n int, rack string, allowed func(*vm) bool) []*vm {
-	var placement []*plan.VM
 	var vms []*vm
 	for _, v := range p.vms {
 		if (rack == "" || slices.Contains(v.info.Labels, rack)) && !v.reservedForOther(p.now, task.Key) && allowed(v) {
-			placement, vms = append(placement, &v.placement), append(vms, v)
+			vms = append(vms, v)
 		}
 	}
-	var chosen []*vm
-	for range n {
-		i := plan.Choose(task, placement)
-		if i < 0 {
-			break
-		}
-		placement[i].Add(task.Key, task.Step)
-		chosen = append(chosen, vms[i])
-	}
-	for _, v := range chosen {
-		v.placement.Remove(task.Key, task.Step)
-	}
+	chosen := p.wouldUse(task, vms, n)
 	if len(chosen) < n {
 		return nil
 	}
