--- a/internal/jobs/lead/begun_test.go
+++ b/internal/jobs/lead/begun_test.go
@@ -119,15 +119,15 @@
 	It("is idle until one of them starts", func() {
 		h := newHarness()
 		h.join(0)
-		filler := smallStep
-		filler.BestEffort, filler.Size.CPU = true, 16000
-		h.submit(job(1, filler))
+		bestEffort := smallStep
+		bestEffort.BestEffort, bestEffort.Size.CPU = true, 16000
+		h.submit(job(1, bestEffort))
 		h.advance(100 * time.Millisecond)
 		first := h.starts()
 		Expect(first).To(HaveLen(1))
 		h.requestLease(0, false, msgs.RunStatus{Task: first[0].Task, Run: 1, Percent: 1})
 		h.join(1)
-		h.submit(job(2, filler))
+		h.submit(job(2, bestEffort))
 		lost := 0
 		for end := h.now.Add(1500 * time.Millisecond); h.now.Before(end); {
 			h.advance(40 * time.Millisecond)
--- a/internal/jobs/lead/besteffort_test.go
+++ b/internal/jobs/lead/besteffort_test.go
@@ -37,8 +37,8 @@
 		for n := range vms {
 			h.join(n)
 		}
-		filler := model.Step{Tasks: vms, Size: place.Resources{CPU: 16000, Memory: 1000}, Estimate: time.Minute, BestEffort: true}
-		j := job(1, filler)
+		bestEffort := model.Step{Tasks: vms, Size: place.Resources{CPU: 16000, Memory: 1000}, Estimate: time.Minute, BestEffort: true}
+		j := job(1, bestEffort)
 		j.Queue.Priority = 2
 		h.submit(j)
 		h.advance(flushTime)
--- a/internal/jobs/lead/storable_test.go
+++ b/internal/jobs/lead/storable_test.go
@@ -97,3 +97,38 @@
 		Expect(largest).To(And(BeNumerically(">", 1000), BeNumerically("<", 64<<10)))
 	})
 })
+
+// The job in a batch that only the estimates make too large would have been taken for the cause.
+var _ = Describe("A batch that the record of estimates would make too large", func() {
+	It("goes without it", func() {
+		c := newColocation(4, highRequest)
+		c.applyOrders()
+		c.submit(2, "heavy", 2)
+		c.simulate(0.1, 8*time.Second)
+		// store submits a job and returns the batch with it, and its size without the estimates.
+		store := func(n int) (records []port.Record, size int, estimates bool) {
+			j := job(n, smallStep)
+			j.Payload = strings.Repeat("x", 3000)
+			c.harness.submit(j)
+			c.now = c.now.Add(20 * time.Millisecond)
+			records = c.leader.NextBatch(c.now).Records
+			c.confirmBatch()
+			for _, r := range records {
+				if r.Key == "learned" {
+					estimates = true
+				} else {
+					size += r.Size()
+				}
+			}
+			return records, size, estimates
+		}
+		_, size, estimates := store(10)
+		Expect(estimates).To(BeTrue())
+		limits := port.Limits{Call: size + 40}
+		c.leader.SetLimits(limits)
+		c.simulate(0.1, 4*time.Second)
+		records, _, estimates := store(11)
+		Expect(limits.Covers(records)).To(BeTrue())
+		Expect(estimates).To(BeFalse())
+	})
+})
