front/intake: connections of clients are limited, and stalled ones make room for new ones

Callers saw: with 4,300 connections that had sent one byte of a body, none of the ordinary requests on new connections was answered for as long as those stayed, on either interface; health checks, metrics and heartbeats of other addresses went the same way. Cause: nothing bounded the connections of clients, so that they used up the descriptors of the process (4,100 on the machines), which the store, agents and health checks need as well. Ruled out: the limit for headers, which closes silent connections after seconds; it does not apply once the headers are there. A limit that refuses the newcomer would leave the place to those who stall. Fix: package intake accounts for the connections of each server. At the limit, a new one takes the place of the one that has made no progress for longest among the sixteen oldest that wait; one on which a complete request is carried out is never closed. No work is done per byte but a clock reading. Agents of the own interface keep refusing entries beyond `connections`, but only in favor of connections that have carried a call. Between processes on the users' platform, a connection counts as in use from its Hello on. Defaults: 1,536 callers, 1,024 other processes, 128 for each address for monitoring: with the process's own they fit in 3,900 descriptors. Settings limits.connections, limits.peerConnections, limits.adminConnections; metrics ebonyarch_intake_dropped_total{cause} and ebonyarch_intake_connections.

--- a/internal/conf/proc/agent.go
+++ b/internal/conf/proc/agent.go
@@ -34,6 +34,7 @@
 	Connections int `json:"connections"`
 	// DrainTimeout limits how long a shutdown waits for requests in flight.
 	DrainTimeout jsonc.Duration `json:"drainTimeout"`
+	Limits       Limits         `json:"limits"`
 }
 
 const (
@@ -74,6 +75,7 @@
 	if cfg.Connections < 0 || cfg.Connections > maxConnections {
 		c.Add("connections", "want between 1 and %d", maxConnections)
 	}
+	c.limits(&cfg.Limits)
 	c.duration("drainTimeout", cfg.DrainTimeout.Duration, maxDrainTimeout)
 	cfg.SetDefaults()
 	return cfg, c.Faults()
--- a/internal/conf/proc/entry.go
+++ b/internal/conf/proc/entry.go
@@ -33,6 +33,7 @@
 	ZoneDelay jsonc.Duration `json:"zoneDistance"`
 	// DrainTimeout limits how long a shutdown waits for requests in flight.
 	DrainTimeout jsonc.Duration `json:"drainTimeout"`
+	Limits       Limits         `json:"limits"`
 }
 
 // Defaults and limits of settings.
@@ -60,6 +61,7 @@
 		c.addr("entries", addr, false)
 	}
 	c.duration("drainTimeout", cfg.DrainTimeout.Duration, maxDrainTimeout)
+	c.limits(&cfg.Limits)
 	c.duration("zoneDistance", cfg.ZoneDelay.Duration, time.Second)
 	cfg.SetDefaults()
 	return cfg, c.Faults()
--- /dev/null
+++ b/internal/conf/proc/limits.go
@@ -0,0 +1,60 @@
+package proc
+
+import (
+	"cmp"
+
+	"github.com/ebonyarch/ebonyarch/internal/front/intake"
+)
+
+// Limits holds the settings that bound what clients hold of a process. A field that is 0 stands
+// for its default.
+type Limits struct {
+	// Connections bounds those of callers, or of the worker at an agent on the users' platform.
+	Connections int `json:"connections"`
+	// PeerConnections bounds the connections of other processes, AdminConnections those to each
+	// address for monitoring.
+	PeerConnections  int `json:"peerConnections"`
+	AdminConnections int `json:"adminConnections"`
+}
+
+// Defaults and limits of Limits.
+const (
+	defaultPeerConnections  = 1024
+	defaultAdminConnections = 128
+	maxIntakeConnections    = 1 << 20
+)
+
+// limits checks settings of the type Limits.
+func (c checker) limits(l *Limits) {
+	for _, f := range []struct {
+		name string
+		n    int
+	}{
+		{"limits.connections", l.Connections},
+		{"limits.peerConnections", l.PeerConnections},
+		{"limits.adminConnections", l.AdminConnections},
+	} {
+		if f.n < 0 || f.n > maxIntakeConnections {
+			c.Add(f.name, "want between 1 and %d", maxIntakeConnections)
+		}
+	}
+}
+
+// Callers returns the limits of the address for callers, or for the worker.
+func (l *Limits) Callers() intake.Limits {
+	return intake.Limits{Connections: cmp.Or(l.Connections, intake.DefaultConnections)}
+}
+
+// Peers returns the limits of the address for other processes.
+func (l *Limits) Peers() intake.Limits {
+	peers := l.Callers()
+	peers.Connections = cmp.Or(l.PeerConnections, defaultPeerConnections)
+	return peers
+}
+
+// Admin returns the limits of an address for monitoring.
+func (l *Limits) Admin() intake.Limits {
+	admin := l.Callers()
+	admin.Connections = cmp.Or(l.AdminConnections, defaultAdminConnections)
+	return admin
+}
--- a/internal/conf/proc/placed.go
+++ b/internal/conf/proc/placed.go
@@ -41,8 +41,9 @@
 	Advisor netip.AddrPort `json:"advisor"`
 	// RecordBytes and CallBytes are the sizes up to which the store accepts a record and
 	// all records of one append; 0 means the store's usual ones.
-	RecordBytes int `json:"recordBytes"`
-	CallBytes   int `json:"callBytes"`
+	RecordBytes int    `json:"recordBytes"`
+	CallBytes   int    `json:"callBytes"`
+	Limits      Limits `json:"limits"`
 }
 
 // StoreLimits returns the sizes up to which the store accepts appends.
@@ -66,6 +67,7 @@
 	}
 	c.bytes("recordBytes", cfg.RecordBytes)
 	c.bytes("callBytes", cfg.CallBytes)
+	c.limits(&cfg.Limits)
 	return cfg, c.Faults()
 }
 
@@ -84,7 +86,8 @@
 	Seeds    Seeds  `json:"seeds"`
 	// Store is the address of the platform's store, from which the agent reads the
 	// addresses of all entries if none that it knows responds.
-	Store netip.AddrPort `json:"store"`
+	Store  netip.AddrPort `json:"store"`
+	Limits Limits         `json:"limits"`
 }
 
 // ParseJobAgent reads and checks the settings of an agent on the users' platform.
@@ -100,5 +103,6 @@
 	if cfg.PeerPort == 0 {
 		c.Add("peerPort", "is missing; want the port on which entries listen")
 	}
+	c.limits(&cfg.Limits)
 	return cfg, c.Faults()
 }
--- /dev/null
+++ b/internal/front/intake/intake_test.go
@@ -0,0 +1,140 @@
+package intake_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/ebonyarch/ebonyarch/internal/front/intake"
+)
+
+// patience is how long specs wait for what has to happen.
+const patience = 30 * time.Second
+
+// server is a server with an Intake, whose handler reads the body of each request.
+type server struct {
+	*intake.Intake
+	server *http.Server
+	addr   string
+	// arrived gets a value when the handler has read a body, which then waits for one from
+	// release if hold is set.
+	arrived, release chan struct{}
+	hold             bool
+}
+
+func startServer(limits intake.Limits) *server {
+	s := &server{Intake: &intake.Intake{Limits: limits}, arrived: make(chan struct{}, 100), release: make(chan struct{})}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s.addr = ln.Addr().String()
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	s.server = &http.Server{Handler: s.Handler(s), ConnContext: s.ConnContext, Protocols: protocols}
+	go func() { _ = s.server.Serve(s.Listen(ln)) }() // it ends with the spec
+	DeferCleanup(s.server.Close)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.arrived <- struct{}{}
+	if s.hold {
+		<-s.release
+	}
+	fmt.Fprint(w, len(data))
+}
+
+// dial opens a connection and sends text.
+func (s *server) dial(text string) net.Conn {
+	conn, err := net.Dial("tcp", s.addr)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(conn.Close)
+	_, err = io.WriteString(conn, text)
+	Expect(err).NotTo(HaveOccurred())
+	return conn
+}
+
+// request returns a request with a body that is announced with a size.
+func request(size int, body string, headers ...string) string {
+	return fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n%s\r\n%s", size, strings.Join(headers, ""), body)
+}
+
+// post sends an ordinary request on a new connection and returns the status of the response, 0 if
+// there is none.
+func (s *server) post(body string) int {
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
+	resp, err := client.Post("http://"+s.addr, "text/plain", strings.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+// dropped returns how many clients were turned away for a cause.
+func (s *server) dropped(cause string) int {
+	registry := prometheus.NewRegistry()
+	s.Register(registry, "callers")
+	metrics, err := registry.Gather()
+	Expect(err).NotTo(HaveOccurred())
+	for _, family := range metrics {
+		for _, m := range family.GetMetric() {
+			for _, label := range m.GetLabel() {
+				if label.GetValue() == cause {
+					return int(m.GetCounter().GetValue())
+				}
+			}
+		}
+	}
+	Fail("no cause " + cause)
+	return 0
+}
+
+// expectClosed checks that the server closes a connection, possibly after a response.
+func expectClosed(conn net.Conn) string {
+	GinkgoHelper()
+	Expect(conn.SetReadDeadline(time.Now().Add(patience))).To(Succeed())
+	data, err := io.ReadAll(conn)
+	if netErr, ok := err.(net.Error); ok {
+		Expect(netErr.Timeout()).To(BeFalse(), "the connection is still open")
+	}
+	return string(data)
+}
+
+var _ = Describe("An intake", func() {
+	It("closes the connection without progress for longest for a new one beyond the limit", func() {
+		s := startServer(intake.Limits{Connections: 2})
+		first := s.dial("")
+		Eventually(s.Connections).Should(Equal(1))
+		s.dial("")
+		Eventually(s.Connections).Should(Equal(2))
+		Expect(s.post("x")).To(Equal(http.StatusOK))
+		expectClosed(first)
+		Expect(s.dropped("connectionDropped")).To(Equal(1))
+		Expect(s.PeakConnections()).To(Equal(2))
+	})
+
+	It("refuses a new connection if requests are carried out on all", func() {
+		s := startServer(intake.Limits{Connections: 1})
+		s.hold = true
+		conn := s.dial(request(1, "x"))
+		Eventually(s.arrived).Should(Receive())
+		expectClosed(s.dial(""))
+		Expect(s.dropped("connectionRefused")).To(Equal(1))
+		close(s.release)
+		Expect(conn.SetReadDeadline(time.Now().Add(patience))).To(Succeed())
+		Expect(io.ReadAll(io.LimitReader(conn, 15))).To(BeEquivalentTo("HTTP/1.1 200 OK"))
+	})
+})
--- /dev/null
+++ b/internal/front/intake/limits.go
@@ -0,0 +1,24 @@
+package intake
+
+// Limits bounds what the clients of a server hold of its process. A field that is 0 stands for its
+// default.
+type Limits struct {
+	// Connections is the number of open connections.
+	Connections int
+	// KeepUsed is set if a connection on which a request was carried out is not closed for a new
+	// one.
+	KeepUsed bool
+}
+
+// Defaults of Limits.
+const (
+	DefaultConnections = 1536
+)
+
+// orDefaults returns the limits with defaults in place of zeros.
+func (l Limits) orDefaults() Limits {
+	if l.Connections == 0 {
+		l.Connections = DefaultConnections
+	}
+	return l
+}
--- /dev/null
+++ b/internal/front/intake/metrics.go
@@ -0,0 +1,48 @@
+package intake
+
+import (
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// cause is why a client was turned away.
+type cause int
+
+const (
+	// connectionRefused counts new connections that found only connections with requests that are
+	// carried out, connectionDropped those that were closed for new ones.
+	connectionRefused cause = iota
+	connectionDropped
+	causeCount
+)
+
+// causeNames holds the values of the metric's label.
+var causeNames = [causeCount]string{
+	"connectionRefused", "connectionDropped",
+}
+
+// counts holds how many clients were turned away, by cause.
+type counts [causeCount]atomic.Uint64
+
+func (c *counts) add(why cause) { c[why].Add(1) }
+
+// Register adds the metrics of an Intake to a registry. server is the value of their label.
+func (in *Intake) Register(r prometheus.Registerer, server string) {
+	for why, name := range causeNames {
+		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "ebonyarch_intake_dropped_total", Help: "Clients' connections and requests that were turned away, by cause.",
+			ConstLabels: prometheus.Labels{"server": server, "cause": name},
+		}, func() float64 { return float64(in.counts[why].Load()) }))
+	}
+	gauge := func(name, help string, value func() float64) {
+		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: name, Help: help, ConstLabels: prometheus.Labels{"server": server},
+		}, func() float64 {
+			in.mu.Lock()
+			defer in.mu.Unlock()
+			return value()
+		}))
+	}
+	gauge("ebonyarch_intake_connections", "Open connections of clients.", func() float64 { return float64(in.open) })
+}
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/conf/proc"
+	"github.com/ebonyarch/ebonyarch/internal/front/intake"
 	"github.com/ebonyarch/ebonyarch/internal/node/admin"
 	"github.com/ebonyarch/ebonyarch/internal/node/host"
 	"github.com/ebonyarch/ebonyarch/internal/node/link"
@@ -48,10 +49,15 @@
 	registry := admin.NewRegistry()
 	a.metrics = newMetrics(registry, a)
 	var err error
-	if a.peers, err = link.Listen(cfg.Peers, schema.NewAgentServer(a), cfg.Connections); err != nil {
+	limits := cfg.Limits.Peers()
+	limits.Connections, limits.KeepUsed = cfg.Connections, true
+	peers, adminIntake := &intake.Intake{Limits: limits}, &intake.Intake{Limits: cfg.Limits.Admin()}
+	peers.Register(registry, "peers")
+	adminIntake.Register(registry, "admin")
+	if a.peers, err = link.Listen(cfg.Peers, schema.NewAgentServer(a), peers); err != nil {
 		return nil, err
 	}
-	if a.admin, err = link.Listen(cfg.Admin, admin.Handler(a, registry), 0); err != nil {
+	if a.admin, err = link.Listen(cfg.Admin, admin.Handler(a, registry), adminIntake); err != nil {
 		a.peers.Close()
 		return nil, err
 	}
--- a/internal/node/entry/api.go
+++ b/internal/node/entry/api.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
+	"github.com/ebonyarch/ebonyarch/internal/front/intake"
 	"github.com/ebonyarch/ebonyarch/internal/node/admin"
 	"github.com/ebonyarch/ebonyarch/internal/node/link"
 	"github.com/ebonyarch/ebonyarch/internal/node/view"
@@ -20,14 +21,19 @@
 // administration. If one fails, it closes the others.
 func (e *Entry) listen(registry *prometheus.Registry) error {
 	var err error
-	if e.callers, err = link.Listen(e.cfg.Callers, e.router(), 0); err != nil {
+	callers := &intake.Intake{Limits: e.cfg.Limits.Callers()}
+	peers, adminIntake := &intake.Intake{Limits: e.cfg.Limits.Peers()}, &intake.Intake{Limits: e.cfg.Limits.Admin()}
+	callers.Register(registry, "callers")
+	peers.Register(registry, "peers")
+	adminIntake.Register(registry, "admin")
+	if e.callers, err = link.Listen(e.cfg.Callers, e.router(), callers); err != nil {
 		return err
 	}
-	if e.peers, err = link.Listen(e.cfg.Peers, schema.NewEntryServer(e), 0); err != nil {
+	if e.peers, err = link.Listen(e.cfg.Peers, schema.NewEntryServer(e), peers); err != nil {
 		e.callers.Close()
 		return err
 	}
-	if e.admin, err = link.Listen(e.cfg.Admin, admin.Handler(e, registry), 0); err != nil {
+	if e.admin, err = link.Listen(e.cfg.Admin, admin.Handler(e, registry), adminIntake); err != nil {
 		e.callers.Close()
 		e.peers.Close()
 	}
--- a/internal/node/link/link_test.go
+++ b/internal/node/link/link_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/ebonyarch/ebonyarch/internal/fake/relay"
+	"github.com/ebonyarch/ebonyarch/internal/front/intake"
 	"github.com/ebonyarch/ebonyarch/internal/node/link"
 	"github.com/ebonyarch/ebonyarch/internal/wire/schema"
 )
@@ -26,7 +27,7 @@
 }
 
 func serve(limit int) *link.Server {
-	s, err := link.Listen(loopback, schema.NewAgentServer(pinger{}), limit)
+	s, err := link.Listen(loopback, schema.NewAgentServer(pinger{}), &intake.Intake{Limits: intake.Limits{Connections: limit, KeepUsed: true}})
 	Expect(err).NotTo(HaveOccurred())
 	go func() { _ = s.Serve() }()
 	DeferCleanup(s.Close)
--- a/internal/node/link/server.go
+++ b/internal/node/link/server.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"sync/atomic"
 	"time"
+
+	"github.com/ebonyarch/ebonyarch/internal/front/intake"
 )
 
 // headerTimeout is the time within which the headers of a request must arrive.
@@ -16,10 +18,7 @@
 type Server struct {
 	server   *http.Server
 	listener net.Listener
-	open     atomic.Int64 // open connections
-	peakOpen atomic.Int64 // most connections open at the same time
-	refused  atomic.Int64 // connections closed because of limit
-	limit    int64        // most open connections, 0 for no limit
+	intake   *intake.Intake
 	bytes    atomic.Int64 // received and sent on all connections
 }
 
@@ -58,9 +57,8 @@
 	return countedConn{c, l.bytes}, nil
 }
 
-// Listen opens addr and returns a server for handler. limit is the largest number of
-// open connections, 0 means no limit.
-func Listen(addr netip.AddrPort, handler http.Handler, limit int) (*Server, error) {
+// Listen opens addr and returns a server for handler, whose clients in accounts for.
+func Listen(addr netip.AddrPort, handler http.Handler, in *intake.Intake) (*Server, error) {
 	listener, err := net.Listen("tcp", addr.String())
 	if err != nil {
 		return nil, err
@@ -68,52 +66,36 @@
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	s := &Server{listener: listener, limit: int64(limit)}
+	s := &Server{listener: listener, intake: in}
 	s.server = &http.Server{
-		Handler: handler, Protocols: protocols, ReadHeaderTimeout: headerTimeout, ConnState: s.trackConnection,
-		HTTP2: &http.HTTP2Config{SendPingTimeout: pingIdleTime, PingTimeout: pingTimeout, MaxConcurrentStreams: 1000},
+		Handler: in.Handler(handler), ConnContext: in.ConnContext, Protocols: protocols,
+		ReadHeaderTimeout: headerTimeout,
+		HTTP2:             &http.HTTP2Config{SendPingTimeout: pingIdleTime, PingTimeout: pingTimeout, MaxConcurrentStreams: 1000},
 	}
 	return s, nil
 }
 
-// trackConnection counts the open connections and closes new ones beyond the limit.
-// The HTTP server calls it at each change of a connection's state.
-func (s *Server) trackConnection(c net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		n := s.open.Add(1)
-		if s.limit > 0 && n > s.limit {
-			s.refused.Add(1)
-			c.Close()
-			return
-		}
-		s.peakOpen.Store(max(s.peakOpen.Load(), n))
-	case http.StateClosed, http.StateHijacked:
-		s.open.Add(-1)
-	}
-}
-
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() netip.AddrPort {
 	return s.listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
 // OpenConnections returns the number of open connections.
-func (s *Server) OpenConnections() int64 { return s.open.Load() }
+func (s *Server) OpenConnections() int64 { return int64(s.intake.Connections()) }
 
 // PeakConnections returns the largest number of connections that were open at the
 // same time.
-func (s *Server) PeakConnections() int64 { return s.peakOpen.Load() }
+func (s *Server) PeakConnections() int64 { return int64(s.intake.PeakConnections()) }
 
 // RefusedConnections returns the number of connections closed because of the limit.
-func (s *Server) RefusedConnections() int64 { return s.refused.Load() }
+func (s *Server) RefusedConnections() int64 { return int64(s.intake.RefusedConnections()) }
 
 // Bytes returns the number of bytes received and sent on all connections so far.
 func (s *Server) Bytes() int64 { return s.bytes.Load() }
 
 // Serve serves requests until Shutdown or Close is called.
 func (s *Server) Serve() error {
-	err := s.server.Serve(countingListener{s.listener, &s.bytes})
+	err := s.server.Serve(s.intake.Listen(countingListener{s.listener, &s.bytes}))
 	if err == http.ErrServerClosed {
 		return nil
 	}
--- a/internal/run/entry/serve.go
+++ b/internal/run/entry/serve.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/ebonyarch/ebonyarch/internal/front/intake"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/elect"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 	"github.com/ebonyarch/ebonyarch/internal/run/peer"
@@ -26,18 +27,19 @@
 		if err != nil {
 			return err
 		}
-		e.wg.Go(func() { e.serve(peer.New(conn)) })
+		e.wg.Go(func() { e.serve(conn, peer.New(conn)) })
 	}
 }
 
 // serve handles one connection: it tells the peer where the leader is, and forwards the
 // peer's messages to the leader if that is this entry.
-func (e *Entry) serve(conn *peer.Conn) {
+func (e *Entry) serve(raw net.Conn, conn *peer.Conn) {
 	defer conn.Close()
 	m, err := conn.Receive(helloTimeout)
 	if err != nil || m.Hello == nil {
 		return
 	}
+	intake.Keep(raw)
 	leading := false
 	e.postAndWait(func() { leading = e.welcome(conn, m.Hello) })
 	timeout := entryTimeout
--- a/internal/tool/cmds/placed.go
+++ b/internal/tool/cmds/placed.go
@@ -19,6 +19,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/base/logs"
 	"github.com/ebonyarch/ebonyarch/internal/conf/jsonc"
 	"github.com/ebonyarch/ebonyarch/internal/conf/proc"
+	"github.com/ebonyarch/ebonyarch/internal/front/intake"
 	"github.com/ebonyarch/ebonyarch/internal/node/admin"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 	"github.com/ebonyarch/ebonyarch/internal/run/agent"
@@ -88,23 +89,25 @@
 	}
 	defer flush()
 	log = log.With("node", cfg.Name)
+	warnOfDescriptors(&cfg.Limits, log)
 	e := entry.New(cfg, platform.NewStore(cfg.Store, log), advisorAt(cfg.Advisor), log)
 	peers, err := listen(cfg.Peers)
 	if err != nil {
 		return err
 	}
-	callers, err := serveHTTP(cfg.Callers, platform.NewIngress(e, e.Config, log), log)
+	in := newIntakes(&cfg.Limits)
+	callers, err := serveHTTP(cfg.Callers, platform.NewIngress(e, e.Config, log), in.callers, log)
 	if err != nil {
 		return err
 	}
-	if _, err := serveHTTP(cfg.Health, platform.NewReadinessHandler(e), log); err != nil {
+	if _, err := serveHTTP(cfg.Health, platform.NewReadinessHandler(e), in.health, log); err != nil {
 		return err
 	}
-	if err := serveAdmin(cfg.Admin, e.AdminView(), e.Register, log); err != nil {
+	if err := serveAdmin(cfg.Admin, e.AdminView(), in, e.Register, log); err != nil {
 		return err
 	}
 	go func() {
-		if err := e.Serve(peers); err != nil {
+		if err := e.Serve(in.peers.Listen(peers)); err != nil {
 			log.Error("stopped listening for other processes", "err", err)
 		}
 	}()
@@ -147,10 +150,11 @@
 	defer flush()
 	log = log.With("node", cfg.Name)
 	a := agent.New(cfg, platform.NewWorker(cfg.Worker), platform.NewStore(cfg.Store, log), log)
-	if _, err := serveHTTP(cfg.Registry, platform.NewRegistry(a, log), log); err != nil {
+	in := newIntakes(&cfg.Limits)
+	if _, err := serveHTTP(cfg.Registry, platform.NewRegistry(a, log), in.callers, log); err != nil {
 		return err
 	}
-	if err := serveAdmin(cfg.Admin, a, a.Register, log); err != nil {
+	if err := serveAdmin(cfg.Admin, a, in, a.Register, log); err != nil {
 		return err
 	}
 	log.Info("agent starts", "version", Version, "worker", cfg.Worker.String(), "registry", cfg.Registry.String())
@@ -178,18 +182,19 @@
 	return ln, codes.Wrap(err, codes.SettingsInvalid, "cannot listen")
 }
 
-// serveHTTP starts a server for a handler and returns once it listens.
-func serveHTTP(addr netip.AddrPort, h http.Handler, log *slog.Logger) (*http.Server, error) {
+// serveHTTP starts a server for a handler, whose clients in accounts for, and returns once it
+// listens.
+func serveHTTP(addr netip.AddrPort, h http.Handler, in *intake.Intake, log *slog.Logger) (*http.Server, error) {
 	ln, err := listen(addr)
 	if err != nil {
 		return nil, err
 	}
 	s := &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: in.Handler(h), ConnContext: in.ConnContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	go func() {
-		if err := s.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(in.Listen(ln)); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			log.Error("HTTP server failed", "addr", addr.String(), "err", err)
 		}
 	}()
@@ -208,10 +213,11 @@
 }
 
 // serveAdmin starts the server for the administrative interface of a process.
-func serveAdmin(addr netip.AddrPort, p admin.Process, register func(*prometheus.Registry), log *slog.Logger) error {
+func serveAdmin(addr netip.AddrPort, p admin.Process, in *intakes, register func(*prometheus.Registry), log *slog.Logger) error {
 	registry := admin.NewRegistry()
 	register(registry)
-	_, err := serveHTTP(addr, admin.Handler(p, registry), log)
+	in.register(registry)
+	_, err := serveHTTP(addr, admin.Handler(p, registry), in.admin, log)
 	return err
 }
 
--- a/internal/tool/cmds/serve.go
+++ b/internal/tool/cmds/serve.go
@@ -17,6 +17,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/conf/teams"
 	"github.com/ebonyarch/ebonyarch/internal/fake/plog"
 	"github.com/ebonyarch/ebonyarch/internal/fake/worker"
+	"github.com/ebonyarch/ebonyarch/internal/front/intake"
 	"github.com/ebonyarch/ebonyarch/internal/node/agent"
 	"github.com/ebonyarch/ebonyarch/internal/node/entry"
 	"github.com/ebonyarch/ebonyarch/internal/node/link"
@@ -157,7 +158,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: --listen: %v", errUsage, err)
 	}
-	s, err := link.Listen(addr, handler, 0)
+	s, err := link.Listen(addr, handler, &intake.Intake{})
 	if err != nil {
 		return err
 	}
--- a/internal/tool/trial/fleet.go
+++ b/internal/tool/trial/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/fake/plog"
 	"github.com/ebonyarch/ebonyarch/internal/fake/relay"
 	"github.com/ebonyarch/ebonyarch/internal/fake/worker"
+	"github.com/ebonyarch/ebonyarch/internal/front/intake"
 	"github.com/ebonyarch/ebonyarch/internal/node/agent"
 	"github.com/ebonyarch/ebonyarch/internal/node/entry"
 	"github.com/ebonyarch/ebonyarch/internal/node/link"
@@ -92,7 +93,7 @@
 
 // serve starts a server for a handler on a free port.
 func (f *Fleet) serve(h http.Handler) (*link.Server, error) {
-	s, err := link.Listen(loopback, h, 0)
+	s, err := link.Listen(loopback, h, &intake.Intake{})
 	if err != nil {
 		return nil, err
 	}
