front/intake: clients that stall don't hold up a shutdown

Callers saw: amid stalled bodies an entry drained to the end of its time and logged that requests in flight were interrupted; the own interface, whose drain waits up to 30 s, ended only then. Cause: a request whose body does not arrive counted like one that is carried out, and a connection that has sent nothing yet like an active one. Ruled out: closing all connections at once, which would cut off slow callers that still send. Fix: while a server shuts down, what has made no progress for 250 ms is given up, and at the end of its time all that is incomplete. Requests that are carried out are waited for as before. Before: "a shutdown amid bodies that stop short of their end" red on both interfaces, with 15.3 s without an end on the own one. After: green; a request whose last byte follows SIGTERM gets its response. Conclusion: the cause is gone.

--- a/internal/front/intake/intake_test.go
+++ b/internal/front/intake/intake_test.go
@@ -1,6 +1,7 @@
 package intake_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -164,4 +165,24 @@
 		Expect(conn.SetReadDeadline(time.Now().Add(patience))).To(Succeed())
 		Expect(io.ReadAll(io.LimitReader(conn, 15))).To(BeEquivalentTo("HTTP/1.1 200 OK"))
 	})
+
+	It("gives up what stalls during a shutdown, and waits for requests that are carried out", func() {
+		s := startServer(intake.Limits{})
+		s.hold = true
+		served := s.dial(request(1, "x"))
+		Eventually(s.arrived).Should(Receive())
+		stalled, silent := s.dial(request(100, "x")), s.dial("")
+		Eventually(s.Connections).Should(Equal(3))
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		ended := make(chan error)
+		go func() { ended <- s.server.Shutdown(ctx) }()
+		go s.Drain(ctx)
+		expectClosed(stalled)
+		expectClosed(silent)
+		Consistently(ended, "100ms").ShouldNot(Receive())
+		close(s.release)
+		Eventually(ended, patience).Should(Receive(BeNil()))
+		Expect(expectClosed(served)).To(HavePrefix("HTTP/1.1 200 "))
+	})
 })
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -139,6 +139,9 @@
 // the list of entries and stops. ctx limits the wait for requests.
 func (e *Entry) Shutdown(ctx context.Context) error {
 	e.leaving.Store(true)
+	drainCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go e.callers.Drain(drainCtx)
 	for e.inFlight.Load() > 0 && ctx.Err() == nil {
 		time.Sleep(drainPollInterval)
 	}
--- a/internal/node/link/server.go
+++ b/internal/node/link/server.go
@@ -102,9 +102,15 @@
 	return err
 }
 
+// Drain gives up clients that make no progress until ctx ends.
+func (s *Server) Drain(ctx context.Context) { s.intake.Drain(ctx) }
+
 // Shutdown accepts no more connections and waits for requests in flight, or until
-// ctx ends.
-func (s *Server) Shutdown(ctx context.Context) error { return s.server.Shutdown(ctx) }
+// ctx ends. It does not wait for clients that make no progress.
+func (s *Server) Shutdown(ctx context.Context) error {
+	go s.Drain(ctx)
+	return s.server.Shutdown(ctx)
+}
 
 // Close closes the listener and all connections at once.
 func (s *Server) Close() error { return s.server.Close() }
--- a/internal/tool/cmds/placed.go
+++ b/internal/tool/cmds/placed.go
@@ -128,6 +128,7 @@
 		time.Sleep(drainDelay)
 		shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
+		go in.callers.Drain(shutdownCtx)
 		if err := callers.Shutdown(shutdownCtx); err != nil {
 			log.Warn("requests in flight were interrupted by the shutdown", "err", err)
 		}
