front/intake: what bodies hold of a process together is limited

Cause: each body is bounded, their sum was not. Over HTTP/2 neither was the number of requests, 1,000 for each connection, nor what is buffered before a handler reads it. Ruled out: a budget that is taken when a body is announced, as silent clients would use it up; turning the newcomer away, as stalled clients would keep the place; the memory limit of the runtime, which frees nothing that is in use. Fix: memory counts as bytes arrive, twice each, until the response. One request takes at most half, whatever limit the operator sets for bodies. Requests in progress are limited as well, HTTP/2 frames and windows are small, headers at most 16 KiB. Defaults: 16 MiB of bodies (64 MiB on the own interface), 2,048 requests: limits.bodyMemory, limits.requests. Causes in ebonyarch_intake_dropped_total, gauges of requests and memory. Conclusion: no process holds more bodies than its limit.

--- a/internal/conf/proc/agent.go
+++ b/internal/conf/proc/agent.go
@@ -90,6 +90,7 @@
 		a.Connections = defaultConnections
 	}
 	a.DrainTimeout.Duration = a.DrainTimeout.Or(defaultDrainTimeout)
+	a.Limits.setBodyMemory()
 }
 
 // Capacity returns the VM's capacity for tasks.
--- a/internal/conf/proc/entry.go
+++ b/internal/conf/proc/entry.go
@@ -74,4 +74,5 @@
 	}
 	e.ZoneDelay.Duration = e.ZoneDelay.Or(defaultZoneDelay)
 	e.DrainTimeout.Duration = e.DrainTimeout.Or(defaultDrainTimeout)
+	e.Limits.setBodyMemory()
 }
--- a/internal/conf/proc/limits.go
+++ b/internal/conf/proc/limits.go
@@ -10,12 +10,16 @@
 // Limits holds the settings that bound what clients hold of a process. A field that is 0 stands
 // for its default.
 type Limits struct {
-	// Connections bounds those of callers, or of the worker at an agent on the users' platform.
+	// Connections and Requests bound those of callers, or of the worker at an agent on the users'
+	// platform.
 	Connections int `json:"connections"`
+	Requests    int `json:"requests"`
 	// PeerConnections bounds the connections of other processes, AdminConnections those to each
 	// address for monitoring.
 	PeerConnections  int `json:"peerConnections"`
 	AdminConnections int `json:"adminConnections"`
+	// BodyMemory is what the bodies of one address's requests together may take.
+	BodyMemory jsonc.Memory `json:"bodyMemory"`
 	// BodyTimeout is how long a body may take to arrive.
 	BodyTimeout jsonc.Duration `json:"bodyTimeout"`
 }
@@ -25,6 +29,10 @@
 	defaultPeerConnections  = 1024
 	defaultAdminConnections = 128
 	maxIntakeConnections    = 1 << 20
+	maxBodyMemory           = 1 << 20 // megabytes
+	// defaultCallMemory is the default of BodyMemory where bodies are those of calls to services,
+	// in megabytes.
+	defaultCallMemory = 64
 )
 
 // limits checks settings of the type Limits.
@@ -34,6 +42,7 @@
 		n    int
 	}{
 		{"limits.connections", l.Connections},
+		{"limits.requests", l.Requests},
 		{"limits.peerConnections", l.PeerConnections},
 		{"limits.adminConnections", l.AdminConnections},
 	} {
@@ -41,12 +50,24 @@
 			c.Add(f.name, "want between 1 and %d", maxIntakeConnections)
 		}
 	}
+	if l.BodyMemory > maxBodyMemory {
+		c.Add("limits.bodyMemory", "want at most %dMB", maxBodyMemory)
+	}
 	c.duration("limits.bodyTimeout", l.BodyTimeout.Duration, maxDrainTimeout)
 }
 
+// setBodyMemory sets the default of BodyMemory for the product's own interface.
+func (l *Limits) setBodyMemory() {
+	if l.BodyMemory == 0 {
+		l.BodyMemory = defaultCallMemory
+	}
+}
+
 // Callers returns the limits of the address for callers, or for the worker.
 func (l *Limits) Callers() intake.Limits {
-	return intake.Limits{Connections: cmp.Or(l.Connections, intake.DefaultConnections), BodyTimeout: l.BodyTimeout.Duration}
+	return intake.Limits{
+		Connections: cmp.Or(l.Connections, intake.DefaultConnections), Requests: l.Requests, Memory: int64(l.BodyMemory) << 20, BodyTimeout: l.BodyTimeout.Duration,
+	}
 }
 
 // Peers returns the limits of the address for other processes.
--- a/internal/front/intake/intake.go
+++ b/internal/front/intake/intake.go
@@ -1,9 +1,10 @@
-// Package intake bounds what the clients of an HTTP server hold of its process: connections, and
-// the time of request bodies.
+// Package intake bounds what the clients of an HTTP server hold of its process: connections,
+// unfinished requests, and the memory and time of request bodies.
 //
 // At a limit, the client that has made no progress for longest goes first, so that stalled clients
 // cannot keep others out. Only connections and requests that are incomplete are given up, never a
-// request that the process carries out.
+// request that the process carries out. Memory counts from when bytes arrive, not from when they
+// are announced.
 package intake
 
 import (
@@ -20,6 +21,9 @@
 type Intake struct {
 	// Limits must not change once the Intake is in use.
 	Limits Limits
+	// Refuse responds to requests beyond Limits.Requests. If it is nil, they get status 504, which
+	// does not say whether an earlier attempt was carried out.
+	Refuse http.Handler
 
 	counts counts
 
@@ -32,8 +36,16 @@
 	// waiting holds the open connections on which no complete request is carried out, ordered by
 	// when they opened, began a request or completed a response.
 	waiting list.List
-	// arriving holds the requests of which the body is incomplete, the oldest first.
+	// requests is the number of requests without a complete response.
+	requests int
+	// arriving holds those of which the body is incomplete or that wait for memory, the oldest
+	// first.
 	arriving list.List
+	// used is the memory that requests hold, in bytes; abandoned is the part of it that is held by
+	// requests that were given up and have not ended yet.
+	used, abandoned int64
+	// freed is closed when memory is released, nil if nothing waits for that.
+	freed chan struct{}
 }
 
 // candidates is the number of the oldest connections or requests among which the one that has made
@@ -62,6 +74,10 @@
 func (in *Intake) Handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		req := in.begin(w, r)
+		if req == nil {
+			in.refuse(w, r)
+			return
+		}
 		defer in.end(req)
 		defer req.limitFlush(in.Limits.orDefaults().BodyTimeout)
 		if req.hasBody {
@@ -72,17 +88,40 @@
 	})
 }
 
-// begin adds a request of which the headers have arrived.
+// refuse responds to a request beyond the limit.
+func (in *Intake) refuse(w http.ResponseWriter, r *http.Request) {
+	endConnection(w, r)
+	if in.Refuse != nil {
+		in.Refuse.ServeHTTP(w, r)
+		return
+	}
+	w.WriteHeader(http.StatusGatewayTimeout)
+}
+
+// begin adds a request of which the headers have arrived. It gives up the stalest incomplete
+// request at the limit, and returns nil if there is none.
 func (in *Intake) begin(w http.ResponseWriter, r *http.Request) *request {
-	now := time.Now()
+	now, limits := time.Now(), in.Limits.orDefaults()
 	req := &request{
 		in: in, conn: connOf(r.Context()), control: http.NewResponseController(w), multiplexed: r.ProtoMajor > 1,
-		hasBody:  r.Body != nil && r.Body != http.NoBody && r.ContentLength != 0,
-		deadline: now.Add(in.Limits.orDefaults().BodyTimeout), progress: now,
+		hasBody: r.Body != nil && r.Body != http.NoBody && r.ContentLength != 0, deadline: now.Add(limits.BodyTimeout), progress: now,
 	}
 	in.mu.Lock()
+	var victim *request
+	if in.requests >= limits.Requests {
+		if victim = in.stalestRequest(nil); victim == nil {
+			in.mu.Unlock()
+			in.counts.add(requestRefused)
+			return nil
+		}
+		in.abandon(victim, requestDropped)
+	}
+	in.requests++
 	in.startRequest(req)
 	in.mu.Unlock()
+	if victim != nil {
+		victim.abort()
+	}
 	if !req.multiplexed {
 		req.setWriteDeadline(time.Time{}) // that of the connection's latest response may have passed
 	}
@@ -108,11 +147,18 @@
 func (in *Intake) end(req *request) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	in.requests--
 	if req.element != nil {
 		in.arriving.Remove(req.element)
 		req.element = nil
 	}
+	in.used -= req.held
+	if req.stop.closed {
+		in.abandoned -= req.held
+	}
+	req.held = 0
 	if req.serving && req.conn != nil {
 		in.unserve(req.conn)
 	}
+	in.wake()
 }
--- a/internal/front/intake/intake_test.go
+++ b/internal/front/intake/intake_test.go
@@ -29,6 +29,8 @@
 	// release if hold is set.
 	arrived, release chan struct{}
 	hold             bool
+	// reserve is what each request counts besides its body, in bytes.
+	reserve int64
 }
 
 func startServer(limits intake.Limits) *server {
@@ -56,6 +58,7 @@
 		if s.hold {
 			<-s.release
 		}
+		err = intake.Reserve(r.Context(), s.reserve)
 	}
 	if err != nil {
 		w.WriteHeader(codes.Of(err).Info().Status)
@@ -146,6 +149,38 @@
 		Expect(io.ReadAll(io.LimitReader(conn, 15))).To(BeEquivalentTo("HTTP/1.1 200 OK"))
 	})
 
+	It("counts the memory of bodies as they arrive, and gives up the stalest for others", func() {
+		s := startServer(intake.Limits{Memory: 8000})
+		first := s.dial(request(3000, strings.Repeat("x", 1900)))
+		Eventually(func() float64 { return s.gauge("ebonyarch_intake_memory_bytes") }).Should(BeEquivalentTo(3800))
+		second := s.dial(request(3000, strings.Repeat("x", 1900)))
+		Eventually(func() float64 { return s.gauge("ebonyarch_intake_memory_bytes") }).Should(BeEquivalentTo(7600))
+		Expect(s.post(strings.Repeat("x", 1000))).To(Equal(http.StatusOK))
+		expectClosed(first)
+		Expect(s.dropped("bodyDropped")).To(Equal(1))
+		_, err := io.WriteString(second, strings.Repeat("x", 100))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() float64 { return s.gauge("ebonyarch_intake_memory_bytes") }).Should(BeEquivalentTo(4000))
+	})
+
+	It("counts nothing for bodies that are only announced", func() {
+		s := startServer(intake.Limits{Memory: 8000})
+		for range 20 {
+			s.dial(request(3000, ""))
+		}
+		Eventually(func() float64 { return s.gauge("ebonyarch_intake_requests") }).Should(BeEquivalentTo(20))
+		Expect(s.gauge("ebonyarch_intake_memory_bytes")).To(BeZero())
+		Expect(s.post(strings.Repeat("x", 1500))).To(Equal(http.StatusOK))
+		Expect(s.dropped("bodyDropped")).To(BeZero())
+	})
+
+	It("refuses a body that takes more memory than one may, or more than the handler allows", func() {
+		s := startServer(intake.Limits{Memory: 8000})
+		Expect(s.post(strings.Repeat("x", 3000))).To(Equal(http.StatusRequestEntityTooLarge))
+		Expect(s.dropped("bodyTooLarge")).To(Equal(1))
+		Expect(expectClosed(s.dial(request(2<<20, "x")))).To(HavePrefix("HTTP/1.1 413 "))
+	})
+
 	It("lets a body arrive until its deadline", func() {
 		s := startServer(intake.Limits{})
 		Expect(expectClosed(s.dial(request(100, "x", "Timeout: 10ms\r\n")))).To(HavePrefix("HTTP/1.1 408 "))
@@ -153,6 +188,22 @@
 		Expect(expectClosed(startServer(intake.Limits{BodyTimeout: 10 * time.Millisecond}).dial(request(100, "x")))).To(HavePrefix("HTTP/1.1 408 "))
 	})
 
+	It("gives up requests that wait for memory for others", func() {
+		s := startServer(intake.Limits{Memory: 8000})
+		s.reserve = 1500
+		s.hold = true
+		for range 4 { // they hold all memory, and each wants more
+			s.dial(request(1000, strings.Repeat("x", 1000)))
+		}
+		for range 4 {
+			Eventually(s.arrived).Should(Receive())
+		}
+		close(s.release)
+		Eventually(func() int { return s.dropped("bodyDropped") }).Should(BeNumerically(">=", 1))
+		Expect(s.post("x")).To(Equal(http.StatusOK))
+		Eventually(func() float64 { return s.gauge("ebonyarch_intake_memory_bytes") }).Should(BeZero())
+	})
+
 	It("does not limit the time of a request once its body has arrived", func() {
 		s := startServer(intake.Limits{BodyTimeout: 20 * time.Millisecond})
 		s.hold = true
@@ -166,6 +217,35 @@
 		Expect(io.ReadAll(io.LimitReader(conn, 15))).To(BeEquivalentTo("HTTP/1.1 200 OK"))
 	})
 
+	It("gives up the oldest incomplete request for a new one beyond the limit, also over HTTP/2", func() {
+		s := startServer(intake.Limits{Requests: 2})
+		protocols := &http.Protocols{}
+		protocols.SetUnencryptedHTTP2(true)
+		client := &http.Client{Transport: &http.Transport{Protocols: protocols}}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		for i := range 2 {
+			r, w := io.Pipe()
+			go func() {
+				req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.addr, r)
+				if err != nil {
+					return
+				}
+				if resp, err := client.Do(req); err == nil {
+					resp.Body.Close()
+				}
+			}()
+			_, err := w.Write([]byte("x"))
+			Expect(err).NotTo(HaveOccurred())
+			Eventually(func() float64 { return s.gauge("ebonyarch_intake_requests") }).Should(BeEquivalentTo(i + 1))
+		}
+		resp, err := client.Post("http://"+s.addr, "text/plain", strings.NewReader("x"))
+		Expect(err).NotTo(HaveOccurred())
+		resp.Body.Close()
+		Expect(resp.StatusCode).To(Equal(http.StatusOK))
+		Expect(s.dropped("requestDropped")).To(Equal(1))
+	})
+
 	It("gives up what stalls during a shutdown, and waits for requests that are carried out", func() {
 		s := startServer(intake.Limits{})
 		s.hold = true
@@ -186,3 +266,18 @@
 		Expect(expectClosed(served)).To(HavePrefix("HTTP/1.1 200 "))
 	})
 })
+
+// gauge returns the value of a metric without a cause.
+func (s *server) gauge(name string) float64 {
+	registry := prometheus.NewRegistry()
+	s.Register(registry, "callers")
+	metrics, err := registry.Gather()
+	Expect(err).NotTo(HaveOccurred())
+	for _, family := range metrics {
+		if family.GetName() == name {
+			return family.GetMetric()[0].GetGauge().GetValue()
+		}
+	}
+	Fail("no metric " + name)
+	return 0
+}
--- a/internal/front/intake/metrics.go
+++ b/internal/front/intake/metrics.go
@@ -14,8 +14,17 @@
 	// carried out, connectionDropped those that were closed for new ones.
 	connectionRefused cause = iota
 	connectionDropped
+	// requestRefused and requestDropped are the same for requests.
+	requestRefused
+	requestDropped
+	// bodyDropped counts incomplete requests that were given up for the memory of others.
+	bodyDropped
 	// bodyTimedOut counts bodies that did not arrive in time.
 	bodyTimedOut
+	// bodyTooLarge counts requests that took more memory than one may.
+	bodyTooLarge
+	// memoryTimedOut counts requests that waited for memory until their deadline.
+	memoryTimedOut
 	// drained counts connections and requests that stalled during a shutdown.
 	drained
 	causeCount
@@ -23,7 +32,8 @@
 
 // causeNames holds the values of the metric's label.
 var causeNames = [causeCount]string{
-	"connectionRefused", "connectionDropped", "bodyTimedOut", "drained",
+	"connectionRefused", "connectionDropped", "requestRefused", "requestDropped", "bodyDropped", "bodyTimedOut", "bodyTooLarge",
+	"memoryTimedOut", "drained",
 }
 
 // counts holds how many clients were turned away, by cause.
@@ -49,4 +59,6 @@
 		}))
 	}
 	gauge("ebonyarch_intake_connections", "Open connections of clients.", func() float64 { return float64(in.open) })
+	gauge("ebonyarch_intake_requests", "Requests without a complete response.", func() float64 { return float64(in.requests) })
+	gauge("ebonyarch_intake_memory_bytes", "Memory that counts for the bodies of requests.", func() float64 { return float64(in.used) })
 }
--- a/internal/front/intake/request.go
+++ b/internal/front/intake/request.go
@@ -26,14 +26,40 @@
 
 	// element is the request's place in Intake.arriving, nil if it is not there.
 	element *list.Element
+	// waits is set while the complete request waits for memory.
+	waits bool
 	// serving is set once the body is complete.
 	serving bool
 	// deadline is when the body must have arrived.
 	deadline time.Time
 	// progress is when a part of the body last arrived.
 	progress time.Time
-	// abandoned is set once the request was given up.
-	abandoned bool
+	// held is the memory that counts for the request, in bytes.
+	held int64
+	// stop is closed when the request is given up.
+	stop stopSignal
+}
+
+// stopSignal is a channel that is made when it is waited for.
+type stopSignal struct {
+	closed bool
+	ch     chan struct{}
+}
+
+// close closes the channel.
+func (s *stopSignal) close() {
+	s.closed = true
+	if s.ch != nil {
+		close(s.ch)
+	}
+}
+
+// wait returns the channel, which must not have been closed.
+func (s *stopSignal) wait() <-chan struct{} {
+	if s.ch == nil {
+		s.ch = make(chan struct{})
+	}
+	return s.ch
 }
 
 type requestKey struct{}
@@ -50,8 +76,10 @@
 
 // Errors of bodies.
 var (
-	errDropped = codes.New(codes.BodyDropped, "given up in favor of other requests")
-	errTimeout = codes.New(codes.BodyDropped, "the body did not arrive in time")
+	errDropped  = codes.New(codes.BodyDropped, "given up in favor of other requests")
+	errNoMemory = codes.New(codes.BodyDropped, "no memory was free in time")
+	errTimeout  = codes.New(codes.BodyDropped, "the body did not arrive in time")
+	errTooLarge = codes.New(codes.BodyTooLarge, "the request takes more memory than the process allows one")
 )
 
 // SetDeadline shortens the time within which the body of a request must arrive. ctx is that of the
@@ -62,6 +90,22 @@
 	}
 }
 
+// Reserve counts n bytes for a request until its handler returns, besides those of its body. It
+// may wait until other requests have released theirs. ctx is that of the request.
+func Reserve(ctx context.Context, n int64) error {
+	if req := requestOf(ctx); req != nil {
+		return req.in.reserve(req, n)
+	}
+	return nil
+}
+
+// Shrink lowers what counts for a request to n bytes, if it is more. ctx is that of the request.
+func Shrink(ctx context.Context, n int64) {
+	if req := requestOf(ctx); req != nil {
+		req.in.shrink(req, n)
+	}
+}
+
 // ReadAll reads the body of a request, of at most limit bytes. Its errors carry result codes.
 func ReadAll(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength > limit {
@@ -75,7 +119,7 @@
 		return data, nil
 	case errors.As(err, &tooLarge):
 		return nil, codes.New(codes.BodyTooLarge, "the body exceeds %d bytes", limit)
-	case code == codes.BodyDropped:
+	case code == codes.BodyDropped || code == codes.BodyTooLarge:
 		endConnection(w, r)
 		return nil, err
 	}
@@ -113,7 +157,7 @@
 func (req *request) dropped() bool {
 	req.in.mu.Lock()
 	defer req.in.mu.Unlock()
-	return req.abandoned
+	return req.stop.closed
 }
 
 // abort ends the reading of a request that was given up.
@@ -125,17 +169,23 @@
 	req.setReadDeadline(time.Unix(1, 0))
 }
 
-// body is the body of a request.
+// body is the body of a request, whose bytes count as memory of the request.
 type body struct {
 	io.ReadCloser
 	req *request
 }
 
+// bodyFactor is the memory that counts for each byte of a body: the byte, and the spare capacity or
+// the copy that reading and decoding take.
+const bodyFactor = 2
+
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if n > 0 {
-		b.req.in.advance(b.req)
+		if reserveErr := b.req.in.reserve(b.req, int64(n)*bodyFactor); reserveErr != nil {
+			return 0, reserveErr
+		}
 	}
 	switch {
 	case err == io.EOF:
@@ -146,13 +196,6 @@
 	return n, err
 }
 
-// advance notes that a part of the body of a request has arrived.
-func (in *Intake) advance(req *request) {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	req.progress = time.Now()
-}
-
 // complete notes that the body of a request has arrived.
 func (in *Intake) complete(req *request) {
 	in.mu.Lock()
@@ -187,12 +230,3 @@
 	}
 	return err
 }
-
-// abandon gives up an incomplete request. The caller holds mu, and calls abort once it has
-// released it.
-func (in *Intake) abandon(req *request, why cause) {
-	in.arriving.Remove(req.element)
-	req.element = nil
-	req.abandoned = true
-	in.counts.add(why)
-}
--- a/internal/node/entry/api.go
+++ b/internal/node/entry/api.go
@@ -22,7 +22,7 @@
 // administration. If one fails, it closes the others.
 func (e *Entry) listen(registry *prometheus.Registry) error {
 	var err error
-	callers := &intake.Intake{Limits: e.cfg.Limits.Callers()}
+	callers := &intake.Intake{Limits: e.cfg.Limits.Callers(), Refuse: http.HandlerFunc(e.refuse)}
 	peers, adminIntake := &intake.Intake{Limits: e.cfg.Limits.Peers()}, &intake.Intake{Limits: e.cfg.Limits.Admin()}
 	callers.Register(registry, "callers")
 	peers.Register(registry, "peers")
@@ -62,6 +62,11 @@
 	return r
 }
 
+// refuse responds to requests beyond the limit of those in progress.
+func (e *Entry) refuse(w http.ResponseWriter, _ *http.Request) {
+	e.reject(w, codes.WithRetryAfter(codes.New(codes.Overloaded, "the entry has as many requests in progress as it may"), time.Second))
+}
+
 func writeError(w http.ResponseWriter, err error) { writeFaults(w, err, nil) }
 
 // writeFaults writes a response with the code that err carries. faults lists the
--- a/internal/node/entry/request.go
+++ b/internal/node/entry/request.go
@@ -86,6 +86,10 @@
 	if err != nil {
 		return nil, err
 	}
+	// The copy of the body that is forwarded.
+	if err := intake.Reserve(r.Context(), int64(len(body))); err != nil {
+		return nil, err
+	}
 	path := strings.TrimPrefix(r.URL.RequestURI(), "/v1/teams/"+vars["team"]+"/services/"+vars["service"])
 	req := &request{service: s, msg: &schema.ForwardRequest{
 		Team: s.team, Service: s.name, Method: r.Method, Path: path, Body: body, Kind: s.cfg.KindOf(path),
--- a/internal/node/link/server.go
+++ b/internal/node/link/server.go
@@ -14,6 +14,19 @@
 // headerTimeout is the time within which the headers of a request must arrive.
 const headerTimeout = 5 * time.Second
 
+const (
+	// frameSize is the size of the largest HTTP/2 frame that is read, in bytes.
+	frameSize = 16 << 10
+	// receiveBuffer is how much a peer may send on an HTTP/2 connection before it is read, in
+	// bytes.
+	receiveBuffer = 64 << 10
+	// writeTimeout is the time after which an HTTP/2 connection is closed to which nothing can be
+	// written.
+	writeTimeout = 10 * time.Second
+	// maxHeaderBytes limits the size of a request's headers.
+	maxHeaderBytes = 16 << 10
+)
+
 // Server serves unencrypted HTTP/1 and HTTP/2 on one address. Create it with Listen.
 type Server struct {
 	server   *http.Server
@@ -69,8 +82,11 @@
 	s := &Server{listener: listener, intake: in}
 	s.server = &http.Server{
 		Handler: in.Handler(handler), ConnContext: in.ConnContext, Protocols: protocols,
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		HTTP2: &http.HTTP2Config{SendPingTimeout: pingIdleTime, PingTimeout: pingTimeout, MaxConcurrentStreams: 1000},
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: pingIdleTime, PingTimeout: pingTimeout, WriteByteTimeout: writeTimeout, MaxConcurrentStreams: 1000,
+			MaxReadFrameSize: frameSize, MaxReceiveBufferPerConnection: receiveBuffer, MaxReceiveBufferPerStream: receiveBuffer,
+		},
 	}
 	return s, nil
 }
