--- a/internal/jobs/model/job.go
+++ b/internal/jobs/model/job.go
@@ -29,7 +29,8 @@
 const (
 	// maxPayload is in bytes.
 	maxPayload = 4000
-	maxSteps   = 256
+	// MaxSteps is the number of steps.
+	MaxSteps = 256
 	// maxTasks counts the tasks of all steps and occurrences.
 	maxTasks = 8000
 	// maxResource limits each resource of a task, in its unit.
@@ -49,8 +50,8 @@
 		return fmt.Errorf("id %q is not 16 hexadecimal digits", j.ID)
 	case len(j.Payload) > maxPayload:
 		return fmt.Errorf("payload has %d bytes, at most %d are allowed", len(j.Payload), maxPayload)
-	case len(j.Steps) == 0 || len(j.Steps) > maxSteps:
-		return fmt.Errorf("job has %d steps, want 1 to %d", len(j.Steps), maxSteps)
+	case len(j.Steps) == 0 || len(j.Steps) > MaxSteps:
+		return fmt.Errorf("job has %d steps, want 1 to %d", len(j.Steps), MaxSteps)
 	}
 	if j.Repeat < 0 || j.Repeat > maxTasks || j.Interval < 0 || j.Interval > maxDuration/time.Duration(max(1, j.Repeat)) {
 		return fmt.Errorf("schedule of %d occurrences every %s is out of range, want at most %d occurrences", j.Repeat, j.Interval, maxTasks)
@@ -81,6 +82,17 @@
 	return nil
 }
 
+// MinEncodedSize returns a lower bound of the size of the job's record, in bytes: that of its texts
+// and lists.
+func (j *Job) MinEncodedSize() int {
+	n := len(j.Payload)
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		n += len(s.Requires) + len(s.Rack) + len(s.Image) + len(s.After)
+	}
+	return n
+}
+
 // Occurrences returns how many times the steps run.
 func (j *Job) Occurrences() int { return max(1, j.Repeat) }
 
