conf/jsonc: values, levels and faults of a document are limited

Callers saw: one configuration of 256 KiB took an entry of the own interface some 160 MB, 64 of them 10.8 GB; with the memory of bodies limited it was the same. Cause: the parser keeps a tree of some 200 bytes for each value and 100 for each level, each fault is an entry with a path as long as it is deep, and documents are parsed three times. Ruled out: a smaller limit for configurations, which are legal up to 256 KiB. Fix: a scan without memory of its own counts values and levels first. More than 32,768 values or 64 levels are one fault. Of the faults, 200 are reported one by one and the others as a number. What parsing takes counts for the request. Conclusion: a document takes at most 16 MiB while it is decoded, and that is part of the memory of bodies.

--- a/internal/conf/jsonc/jsonc_test.go
+++ b/internal/conf/jsonc/jsonc_test.go
@@ -1,6 +1,7 @@
 package jsonc_test
 
 import (
+	"strings"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -58,6 +59,38 @@
 	)
 })
 
+// Parsing and the list of faults took a thousand times the memory of some documents.
+var _ = Describe("A document", func() {
+	decode := func(text string) jsonc.Faults {
+		var v struct {
+			Names map[string]int `json:"names"`
+		}
+		return jsonc.Decode("f", []byte(text), &v).Faults()
+	}
+
+	DescribeTable("is not parsed if it has", func(text string) {
+		Expect(decode(text)).To(ConsistOf(HaveField("Reason", HavePrefix("want at most "))))
+	},
+		Entry("too many values", `{"names":[`+strings.Repeat(`{},`, 40_000)+`{}]}`),
+		Entry("too many levels", `{"names":`+strings.Repeat(`[`, 100)),
+		Entry("too many values after a comment", "// \"\n/* [ */"+`{"names":[`+strings.Repeat(`0,`, 40_000)+`0]}`),
+	)
+
+	It("reports a limited number of faults", func() {
+		faults := decode(`{"a":1` + strings.Repeat(`,"a":1`, 5000) + `}`)
+		Expect(faults).To(HaveLen(201))
+		Expect(faults[200].Reason).To(Equal("4801 further faults"))
+	})
+
+	It("may have much text, also with signs that separate values", func() {
+		Expect(decode(`{ // ` + strings.Repeat(",[", 40_000) + "\n" + `"names": {"` + strings.Repeat(`,\"{`, 40_000) + `": 1}, /* ` + strings.Repeat("[", 100) + ` */}`)).To(BeEmpty())
+	})
+
+	It("takes more the more values it has", func() {
+		Expect(jsonc.DecodedSize([]byte(`{"a": [1, 2]}`))).To(BeNumerically(">", jsonc.DecodedSize([]byte(`{"a": "1, 2, 3"}`))))
+	})
+})
+
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(`{"name": "a", /* c */ "items": {"x": {"n": 1}}, "wait": "1s",}`))
 	f.Add([]byte(`{"list": [1, {"a": null}], "size": "9TB"}`))
--- a/internal/conf/jsonc/source.go
+++ b/internal/conf/jsonc/source.go
@@ -22,6 +22,8 @@
 	// lines maps each field path that the document holds to its line.
 	lines  map[string]int
 	faults Faults
+	// unreported is the number of faults beyond maxFaults.
+	unreported int
 }
 
 // Decode decodes data into v, a pointer to a struct. Unknown and repeated fields and
@@ -29,6 +31,10 @@
 // After a syntax error, no field is set.
 func Decode(file string, data []byte, v any) *Document {
 	d := &Document{file: file, data: data, lines: map[string]int{}}
+	if s := measure(data); s.values > maxValues || s.depth > maxDepth {
+		d.faults = append(d.faults, Fault{file, 1, "", fmt.Sprintf("want at most %d values, nested at most %d deep", maxValues, maxDepth)})
+		return d
+	}
 	value, err := hujson.Parse(data)
 	if err != nil {
 		d.faults = append(d.faults, Fault{file, d.errorLine(err), "", err.Error()})
@@ -40,6 +46,10 @@
 
 // Add records a fault in a field. format and args make up the reason.
 func (d *Document) Add(field, format string, args ...any) {
+	if len(d.faults) >= maxFaults {
+		d.unreported++
+		return
+	}
 	d.faults = append(d.faults, Fault{d.file, d.lineOf(field), field, fmt.Sprintf(format, args...)})
 }
 
@@ -54,9 +64,13 @@
 	return slices.ContainsFunc(d.faults, func(f Fault) bool { return f.Field == field })
 }
 
-// Faults returns the faults found so far, sorted by line.
+// Faults returns the faults found so far, sorted by line. If there are very many, the last one says
+// how many it leaves out.
 func (d *Document) Faults() Faults {
 	slices.SortStableFunc(d.faults, func(a, b Fault) int { return a.Line - b.Line })
+	if d.unreported > 0 {
+		return append(d.faults[:len(d.faults):len(d.faults)], Fault{d.file, 0, "", fmt.Sprintf("%d further faults", d.unreported)})
+	}
 	return d.faults
 }
 
--- a/internal/node/entry/config.go
+++ b/internal/node/entry/config.go
@@ -100,6 +100,10 @@
 		e.reject(w, err)
 		return
 	}
+	if err := intake.Reserve(r.Context(), jsonc.DecodedSize(body)); err != nil {
+		e.reject(w, err)
+		return
+	}
 	base, err := baseRevision(r)
 	if err != nil {
 		e.reject(w, err)
