jobs/table, jobs/lead: the memory of the jobs that are kept is limited

Callers saw: nothing wrong yet; found by reading and shown with crowds. A body of 80 bytes describes 8,000 tasks, and 40 to 400 such jobs, all legal, ended a leader for want of memory (333 MB). Cause: nothing bounded the job table, in which a job stays for 150 s after its end. Fix: the table adds up what its jobs take, by texts, steps, earlier steps, occurrences and tasks. A leader that has no room for a further one refuses it with the new code 409, jobsFull (429), and a time to come back. As another entry may have accepted it, the refusal waits until the store has confirmed the leadership; a job that was accepted is confirmed as before. Cancellings of jobs that do not exist are entries too and are refused alike. Counts refusedFull and jobMemory of ebonyarch_leadership_count. Conclusion: the table is bounded; the runs of its tasks are not yet.

--- a/internal/base/codes/code.go
+++ b/internal/base/codes/code.go
@@ -47,6 +47,7 @@
 	FateUnknown   Code = 406
 	NoLeader      Code = 407
 	Backlogged    Code = 408
+	JobsFull      Code = 409
 
 	ConfigInvalid Code = 500
 	ConfigStale   Code = 501
@@ -114,6 +115,7 @@
 	FateUnknown:     {"fateUnknown", http.StatusGatewayTimeout, RanUnknown, true, "The log did not answer; the same key asks again safely."},
 	NoLeader:        {"noLeader", http.StatusServiceUnavailable, RanNo, true, "No entry leads at the moment; nothing was accepted."},
 	Backlogged:      {"backlogged", http.StatusTooManyRequests, RanNo, true, "The work that waits rules out the job's objective; nothing was accepted."},
+	JobsFull:        {"jobsFull", http.StatusTooManyRequests, RanNo, true, "The jobs that are kept take as much memory as they may; nothing was accepted."},
 	ConfigInvalid:   {"configInvalid", http.StatusUnprocessableEntity, RanNo, false, "The configuration has faults."},
 	ConfigStale:     {"configStale", http.StatusPreconditionFailed, RanNo, false, "Another revision was published first."},
 	ConfigMissing:   {"configMissing", http.StatusNotFound, RanNo, false, "The team has no such revision."},
--- a/internal/conf/proc/placed.go
+++ b/internal/conf/proc/placed.go
@@ -41,11 +41,16 @@
 	Advisor netip.AddrPort `json:"advisor"`
 	// RecordBytes and CallBytes are the sizes up to which the store accepts a record and
 	// all records of one append; 0 means the store's usual ones.
-	RecordBytes int    `json:"recordBytes"`
-	CallBytes   int    `json:"callBytes"`
-	Limits      Limits `json:"limits"`
+	RecordBytes int `json:"recordBytes"`
+	CallBytes   int `json:"callBytes"`
+	// JobMemory is what the jobs that are kept may take.
+	JobMemory jsonc.Memory `json:"jobMemory"`
+	Limits    Limits       `json:"limits"`
 }
 
+// defaultJobMemory is the default of JobEntry.JobMemory, in megabytes.
+const defaultJobMemory = 48
+
 // StoreLimits returns the sizes up to which the store accepts appends.
 func (e *JobEntry) StoreLimits() port.Limits {
 	return port.Limits{Record: e.RecordBytes, Call: e.CallBytes}
@@ -68,9 +73,17 @@
 	c.bytes("recordBytes", cfg.RecordBytes)
 	c.bytes("callBytes", cfg.CallBytes)
 	c.limits(&cfg.Limits)
+	cfg.SetDefaults()
 	return cfg, c.Faults()
 }
 
+// SetDefaults sets the defaults of settings that are not set.
+func (e *JobEntry) SetDefaults() {
+	if e.JobMemory == 0 {
+		e.JobMemory = defaultJobMemory
+	}
+}
+
 // JobAgent holds the settings of an agent on the users' platform.
 type JobAgent struct {
 	Name string `json:"name"`
--- a/internal/jobs/lead/callers.go
+++ b/internal/jobs/lead/callers.go
@@ -64,6 +64,10 @@
 			l.refuse(now, conn, req, codes.LogDown)
 			return
 		}
+		if l.full(table.MemoryOf(req.Spec)) {
+			l.refuseFull(now, conn, req)
+			return
+		}
 		l.accept(now, e, *req.Spec)
 	}
 	l.pendingReplies[req.Job] = append(l.pendingReplies[req.Job], pendingReply{conn, req.Seq})
@@ -83,6 +87,24 @@
 	l.placementDue = true
 }
 
+// full reports whether there is no memory for a further job, given in bytes.
+func (l *Leader) full(memory int64) bool {
+	return l.jobMemory > 0 && l.table.Memory()+memory > l.jobMemory
+}
+
+// refuseFull refuses a request for which there is no memory. A submission is refused once it is
+// certain that no other entry has accepted the job.
+func (l *Leader) refuseFull(now time.Time, conn uint64, req *msgs.JobRequest) {
+	l.stats.RefusedFull++
+	l.log.Info("no memory for a further job", "req", req.Job, "verb", req.Verb.String(), "queue", req.Queue,
+		"jobs", l.table.Len(), "jobMemory", l.table.Memory(), "limit", l.jobMemory, "epoch", l.epoch)
+	if req.Verb == msgs.Submit {
+		l.holdForConfirmation(now, conn, &msgs.JobRequest{Seq: req.Seq, Verb: req.Verb, Queue: req.Queue, Job: req.Job})
+		return
+	}
+	l.reply(conn, msgs.JobResponse{Seq: req.Seq, Code: codes.JobsFull, RetryAfter: admit.RetryAfter(0, req.Job)})
+}
+
 // refuse refuses a job and tells the caller when to retry.
 func (l *Leader) refuse(now time.Time, conn uint64, req *msgs.JobRequest, code codes.Code) {
 	after := admit.RetryAfter(l.StoreWait(now), req.Job)
@@ -136,6 +158,10 @@
 		l.refuseUnconfirmed(now, heldRequest{conn, req})
 		return
 	}
+	if e == nil && l.full(0) {
+		l.refuseFull(now, conn, req)
+		return
+	}
 	if e == nil {
 		l.logNotFound(now, req)
 		e = l.table.CancelEarly(now, req.Job)
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -80,6 +80,8 @@
 	inFlight *Batch
 	// maxBatchJobs limits the jobs in a batch after the store has rejected one; 0 means unlimited.
 	maxBatchJobs int
+	// jobMemory limits what the jobs in the table may take, in bytes; 0 means unlimited.
+	jobMemory int64
 	// pendingReplies holds the requests that get a response once their job is stored.
 	pendingReplies map[model.ID][]pendingReply
 	// storeConfirmedAt is when the latest append that the store confirmed was sent.
@@ -140,6 +142,10 @@
 	return d + time.Duration(float64(d)*clockDriftMargin) + leaseSlack
 }
 
+// SetJobMemory sets what the jobs that are kept may take, in bytes; 0 means unlimited. New ones
+// beyond it are refused.
+func (l *Leader) SetJobMemory(n int64) { l.jobMemory = n }
+
 // SetLimits sets the sizes up to which the store accepts records.
 func (l *Leader) SetLimits(limits port.Limits) { l.table.Limits = limits }
 
--- a/internal/jobs/lead/read.go
+++ b/internal/jobs/lead/read.go
@@ -44,7 +44,15 @@
 		return resp, false
 	}
 	e := l.table.Get(req.Job)
-	if e == nil || !e.InStore || e.Unsubmitted {
+	unknown := e == nil || !e.InStore || e.Unsubmitted
+	if req.Verb == msgs.Submit { // there was no memory for the job
+		resp.Pending = -1
+		if unknown {
+			resp.Code, resp.RetryAfter = codes.JobsFull, admit.RetryAfter(0, req.Job)
+		}
+		return resp, false
+	}
+	if unknown {
 		resp.Code = codes.JobNotFound
 		return resp, false
 	}
--- a/internal/jobs/lead/stats.go
+++ b/internal/jobs/lead/stats.go
@@ -25,10 +25,17 @@
 	// Crashes counts the runs that may be the cause of a worker's crash, GivenUp the jobs that
 	// failed because of such crashes.
 	Crashes, GivenUp uint64
+	// RefusedFull counts those of the Refused jobs for which there was no memory, JobMemory is what
+	// the jobs take, in bytes.
+	RefusedFull, JobMemory uint64
 }
 
 // Stats returns the counts so far.
-func (l *Leader) Stats() Stats { return l.stats }
+func (l *Leader) Stats() Stats {
+	s := l.stats
+	s.JobMemory = uint64(l.table.Memory())
+	return s
+}
 
 // State is the state of a leader as shown to operators.
 type State struct {
@@ -58,7 +65,7 @@
 
 // State returns the leader's state for operators.
 func (l *Leader) State(now time.Time) State {
-	s := State{StoreAge: l.StoreAge(now), Jobs: map[string]int{}, Counts: l.stats}
+	s := State{StoreAge: l.StoreAge(now), Jobs: map[string]int{}, Counts: l.Stats()}
 	for _, e := range l.table.All() {
 		s.Jobs[e.State.String()]++
 	}
--- a/internal/jobs/table/early.go
+++ b/internal/jobs/table/early.go
@@ -38,6 +38,7 @@
 	described.Ended = job.Accepted // copies of the submission may arrive for as long as those of others
 	e.Job, e.Progress, e.Stages = described.Job, described.Progress, described.Stages
 	e.Unsubmitted, e.InStore = false, false
+	tbl.insert(e)
 	e.unrecorded, e.early = true, true
 	tbl.markDirty(e)
 }
--- a/internal/jobs/table/entry.go
+++ b/internal/jobs/table/entry.go
@@ -43,6 +43,8 @@
 	early bool
 	// mark is the value of Table.marked when the entry became dirty.
 	mark uint64
+	// memory is what counts for the job, in bytes.
+	memory int64
 }
 
 // Stage is a step of one occurrence.
--- a/internal/jobs/table/table.go
+++ b/internal/jobs/table/table.go
@@ -30,6 +30,8 @@
 	purged []string
 	// marked counts the entries ever added to dirty.
 	marked uint64
+	// memory is the sum of Entry.memory.
+	memory int64
 }
 
 // Marked returns a count that covers all changes so far. These are in a batch once Batched
@@ -79,15 +81,26 @@
 	if tbl.entries == nil {
 		tbl.entries, tbl.active = map[model.ID]*Entry{}, map[model.ID]*Entry{}
 	}
+	tbl.remove(e.Job.ID) // it may describe an entry anew
 	tbl.entries[e.Job.ID] = e
+	e.memory = MemoryOf(&e.Job)
+	tbl.memory += e.memory
 	if !e.State.Ended() && !e.Unreadable {
 		tbl.active[e.Job.ID] = e
 	}
 }
 
+// remove removes the entry of a job, if there is one.
+func (tbl *Table) remove(id model.ID) {
+	if e := tbl.entries[id]; e != nil {
+		tbl.memory -= e.memory
+		delete(tbl.entries, id)
+	}
+}
+
 // Drop removes a job that is in no batch yet, so that it cannot be in the store.
 func (tbl *Table) Drop(id model.ID) {
-	delete(tbl.entries, id)
+	tbl.remove(id)
 	delete(tbl.active, id)
 	tbl.dirty = slices.DeleteFunc(tbl.dirty, func(e *Entry) bool { return e.Job.ID == id })
 }
@@ -155,7 +168,7 @@
 func (tbl *Table) Purge(before time.Time) {
 	for id, e := range tbl.entries {
 		if e.State.Ended() && e.Ended.Before(before) && !e.dirty && len(e.Surplus()) == 0 {
-			delete(tbl.entries, id)
+			tbl.remove(id)
 			tbl.purged = append(tbl.purged, e.keys()...)
 		}
 	}
--- a/internal/run/entry/leading.go
+++ b/internal/run/entry/leading.go
@@ -66,6 +66,7 @@
 	e.leader = lead.New(now, won.epoch, won.table, cfg, e.log)
 	e.leader.SetConfirmed(won.confirmedAt)
 	e.leader.SetLimits(e.cfg.StoreLimits())
+	e.leader.SetJobMemory(int64(e.cfg.JobMemory) << 20)
 	if err := e.leader.RestoreEstimates(now, won.records); err != nil {
 		e.log.Warn("cannot restore the estimates of the earlier leader", "err", err)
 	}
