jobs/plan: a VM has a limited number of runs

Callers saw: nothing wrong yet; found by a crowd. Tasks that ask for no processors and no memory fit without end: 22,087 runs of six jobs on one VM, and the leader took 573 MB, later 777 MB. Cause: placement knows the capacity of a VM only, and each run costs its agent and the leader memory and is listed in each lease request. Ruled out: counting such tasks as larger than they are, which would take room from others; a smaller job table, which jobs of usual tasks need. Fix: a VM that has as many runs as it may gets no further one until one ends. Default: 1,000 (maxRuns); the VMs in force have room for some 260 of the smallest tasks. Conclusion: runs are bounded for each VM. Jobs that fill all places of all VMs are legal and still keep others waiting, as with processors.

--- a/internal/conf/proc/placed.go
+++ b/internal/conf/proc/placed.go
@@ -45,12 +45,20 @@
 	CallBytes   int `json:"callBytes"`
 	// JobMemory is what the jobs that are kept may take.
 	JobMemory jsonc.Memory `json:"jobMemory"`
-	Limits    Limits       `json:"limits"`
+	// MaxRuns is the number of runs that a VM may have at the same time.
+	MaxRuns int    `json:"maxRuns"`
+	Limits  Limits `json:"limits"`
 }
 
 // defaultJobMemory is the default of JobEntry.JobMemory, in megabytes.
 const defaultJobMemory = 48
 
+// defaultMaxRuns is the default of JobEntry.MaxRuns, maxMaxRuns its largest value.
+const (
+	defaultMaxRuns = 1000
+	maxMaxRuns     = 1 << 20
+)
+
 // StoreLimits returns the sizes up to which the store accepts appends.
 func (e *JobEntry) StoreLimits() port.Limits {
 	return port.Limits{Record: e.RecordBytes, Call: e.CallBytes}
@@ -72,6 +80,9 @@
 	}
 	c.bytes("recordBytes", cfg.RecordBytes)
 	c.bytes("callBytes", cfg.CallBytes)
+	if cfg.MaxRuns < 0 || cfg.MaxRuns > maxMaxRuns {
+		c.Add("maxRuns", "want between 1 and %d", maxMaxRuns)
+	}
 	c.limits(&cfg.Limits)
 	cfg.SetDefaults()
 	return cfg, c.Faults()
@@ -82,6 +93,9 @@
 	if e.JobMemory == 0 {
 		e.JobMemory = defaultJobMemory
 	}
+	if e.MaxRuns == 0 {
+		e.MaxRuns = defaultMaxRuns
+	}
 }
 
 // JobAgent holds the settings of an agent on the users' platform.
--- a/internal/jobs/lead/full_test.go
+++ b/internal/jobs/lead/full_test.go
@@ -10,6 +10,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/table"
+	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 )
 
 // Bodies of a few bytes can describe thousands of tasks, and the jobs that are kept took all memory.
@@ -63,6 +64,17 @@
 		Expect(h.responses()).To(ConsistOf(HaveField("Code", codes.OK)))
 	})
 
+	It("places no more runs on a VM than it may have", func() {
+		h := newHarness()
+		h.leader.SetMaxRuns(3)
+		h.join(0)
+		s := smallStep
+		s.Tasks, s.Size = 10, place.Resources{}
+		h.submit(job(1, s))
+		h.advance(200 * time.Millisecond)
+		Expect(h.starts()).To(HaveLen(3))
+	})
+
 	It("counts the texts, the tasks and the occurrences of a job", func() {
 		small, large := job(1, smallStep), job(2, smallStep)
 		large.Payload = strings.Repeat("x", 1000)
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -82,6 +82,8 @@
 	maxBatchJobs int
 	// jobMemory limits what the jobs in the table may take, in bytes; 0 means unlimited.
 	jobMemory int64
+	// maxRuns limits the runs of each VM; 0 means unlimited.
+	maxRuns int
 	// pendingReplies holds the requests that get a response once their job is stored.
 	pendingReplies map[model.ID][]pendingReply
 	// storeConfirmedAt is when the latest append that the store confirmed was sent.
@@ -146,6 +148,14 @@
 // beyond it are refused.
 func (l *Leader) SetJobMemory(n int64) { l.jobMemory = n }
 
+// SetMaxRuns sets the number of runs that each VM may have; 0 means unlimited.
+func (l *Leader) SetMaxRuns(n int) {
+	l.maxRuns = n
+	for _, v := range l.vms {
+		v.placement.MaxRuns = n
+	}
+}
+
 // SetLimits sets the sizes up to which the store accepts records.
 func (l *Leader) SetLimits(limits port.Limits) { l.table.Limits = limits }
 
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -29,6 +29,7 @@
 		return
 	case v == nil:
 		v = newVM(req.VM)
+		v.placement.MaxRuns = l.maxRuns
 		l.vms[req.VM.ID] = v
 	case req.VM.Incarnation > v.info.Incarnation && !req.RunsListed:
 		// The next request lists the runs of the new incarnation. These may include runs
--- a/internal/jobs/plan/plan_test.go
+++ b/internal/jobs/plan/plan_test.go
@@ -35,6 +35,7 @@
 		Entry("too few free processors", func(v *plan.VM, _ *plan.Task) { v.Used.CPU = 63500 }),
 		Entry("a probing VM that has its one task", func(v *plan.VM, _ *plan.Task) { v.Probing, v.Runs = true, 1 }),
 		Entry("an overloaded VM, for a best-effort task", func(v *plan.VM, t *plan.Task) { v.Overloaded, t.Step.BestEffort = true, true }),
+		Entry("as many runs as a VM may have", func(v *plan.VM, _ *plan.Task) { v.Runs, v.MaxRuns = 3, 3 }),
 		Entry("as many tasks of the step as allowed", func(v *plan.VM, t *plan.Task) {
 			t.Step.MaxPerVM = 1
 			v.Add(t.Key, t.Step)
--- a/internal/jobs/plan/vm.go
+++ b/internal/jobs/plan/vm.go
@@ -46,8 +46,8 @@
 	Probing bool
 	// Quarantined is set while the VM gets no task because of one that may crash the worker.
 	Quarantined bool
-	// Runs is the number of runs that may be present.
-	Runs int
+	// Runs is the number of runs that may be present, MaxRuns its limit; 0 means unlimited.
+	Runs, MaxRuns int
 	// Overloaded is set if a long-running task on the VM has been over its latency
 	// target. The VM then gets no further best-effort tasks, except urgent ones.
 	Overloaded bool
@@ -138,7 +138,7 @@
 	if v.Quarantined || (v.Probing && v.Runs > 0) || (v.Overloaded && t.Step.BestEffort && !t.Urgent) {
 		return false
 	}
-	if !v.Free().Covers(t.Step.ResourceRequest()) {
+	if !v.Free().Covers(t.Step.ResourceRequest()) || v.MaxRuns > 0 && v.Runs >= v.MaxRuns {
 		return false
 	}
 	if !t.Step.BestEffort || t.Urgent {
--- a/internal/run/entry/leading.go
+++ b/internal/run/entry/leading.go
@@ -67,6 +67,7 @@
 	e.leader.SetConfirmed(won.confirmedAt)
 	e.leader.SetLimits(e.cfg.StoreLimits())
 	e.leader.SetJobMemory(int64(e.cfg.JobMemory) << 20)
+	e.leader.SetMaxRuns(e.cfg.MaxRuns)
 	if err := e.leader.RestoreEstimates(now, won.records); err != nil {
 		e.log.Warn("cannot restore the estimates of the earlier leader", "err", err)
 	}
