run/peer: messages of other processes are limited in size

Callers can't reach the address for other processes on the users' platform; a mistaken client could. Cause: the decoder reads a whole message before it decodes any of it, however long it claims to be. Fix: the first message of a connection may have 64 KiB, others 16 MiB; beyond that the connection fails. Between processes the largest messages are orders and lists of at most 1,000 runs of a VM. Ruled out: a limit in the decoder, which has one for elements but none for bytes. After: it fails after 64 KiB. Conclusion: a connection that is no process of ours costs little.

--- a/internal/run/peer/peer.go
+++ b/internal/run/peer/peer.go
@@ -9,6 +9,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/netip"
 	"os"
@@ -32,8 +33,14 @@
 	arrivedTimeout = 20 * time.Millisecond
 	// bufferSize is the size of a connection's buffers, in bytes.
 	bufferSize = 4 << 10
+	// maxHello limits the size of the first message of a connection, maxMessage that of the others,
+	// in bytes.
+	maxHello, maxMessage = 64 << 10, 16 << 20
 )
 
+// errTooLarge is returned for a message that no process of this system sends.
+var errTooLarge = errors.New("message is too large")
+
 // lastID is the id of the connection created last in this process.
 var lastID atomic.Uint64
 
@@ -42,6 +49,7 @@
 	ID    uint64
 	conn  net.Conn
 	dec   *codec.Decoder
+	in    *messageReader
 	queue chan *msgs.Message
 	done  chan struct{}
 	once  sync.Once
@@ -49,8 +57,9 @@
 
 // New returns a Conn over conn and starts the goroutine that writes its messages.
 func New(conn net.Conn) *Conn {
+	in := &messageReader{r: bufio.NewReaderSize(arrivedReader{conn}, bufferSize), limit: maxHello}
 	c := &Conn{
-		ID: lastID.Add(1), conn: conn, dec: codec.NewDecoder(bufio.NewReaderSize(arrivedReader{conn}, bufferSize)),
+		ID: lastID.Add(1), conn: conn, dec: codec.NewDecoder(in), in: in,
 		queue: make(chan *msgs.Message, queueLength), done: make(chan struct{}),
 	}
 	go c.write()
@@ -92,6 +101,27 @@
 	return r.conn.Read(p)
 }
 
+// messageReader limits how much is read for one message.
+type messageReader struct {
+	r     io.Reader
+	limit int
+	// read is what was read for the present message, in bytes.
+	read int
+}
+
+// Read implements io.Reader.
+func (r *messageReader) Read(p []byte) (int, error) {
+	if r.read > r.limit {
+		return 0, errTooLarge
+	}
+	n, err := r.r.Read(p)
+	r.read += n
+	return n, err
+}
+
+// next prepares for the next message.
+func (r *messageReader) next() { r.read, r.limit = 0, maxMessage }
+
 // Receive returns the next message. It fails if none arrives within timeout, or if the message
 // is out of range. A message that arrived in time is returned also if this process was paused
 // meanwhile.
@@ -103,6 +133,7 @@
 	if err := c.dec.Decode(m); err != nil {
 		return nil, err
 	}
+	c.in.next()
 	if err := m.Check(); err != nil {
 		return nil, err
 	}
--- a/internal/run/peer/peer_test.go
+++ b/internal/run/peer/peer_test.go
@@ -34,6 +34,24 @@
 	)
 })
 
+// The decoder reads a whole message before it decodes any of it.
+var _ = Describe("A message that no process sends", func() {
+	It("is not read to its end", func() {
+		a, b := net.Pipe()
+		receiver := peer.New(b)
+		DeferCleanup(receiver.Close)
+		sent := make(chan int)
+		go func() {
+			n, _ := a.Write(append([]byte{0x5a, 0x40, 0, 0, 0}, make([]byte, 1<<20)...)) // the receiver closes the pipe
+			sent <- n
+		}()
+		_, err := receiver.Receive(time.Second)
+		Expect(err).To(MatchError(ContainSubstring("message is too large")))
+		receiver.Close()
+		Expect(<-sent).To(BeNumerically("<", 256<<10))
+	})
+})
+
 // An agent that was paused took its leader for silent, and lost the order to stop the runs of a
 // cancelled job that had arrived meanwhile.
 var _ = Describe("A process that was paused for longer than its peer may be silent", func() {
