run/entry: jobs that wait for a slow leader are limited, also when their callers have gone

Callers saw: an entry took 194 MB while its leader stood still and callers of 240 KB jobs left at once. Cause: a request ends when its caller leaves, and with it what counts for it; its message stays in the queue for the leader, which has up to 512 of them. Ruled out: holding the caller's request until the message is written, as its caller is told late. Fix: an entry counts the texts and lists of the jobs that wait to be written. Jobs whose texts alone exceed what the store takes are refused by the entry that decodes them.

--- a/internal/run/entry/callers.go
+++ b/internal/run/entry/callers.go
@@ -16,6 +16,10 @@
 	// localConn is the connection id under which the leader sees the callers of its own
 	// entry.
 	localConn = 0
+	// maxQueuedJobBytes limits the size of the jobs that wait to be written to the leader.
+	// queueRetryDelay is the retry delay suggested to callers beyond it.
+	maxQueuedJobBytes = 8 << 20
+	queueRetryDelay   = time.Second
 )
 
 // Ready implements port.Jobs.
@@ -23,12 +27,20 @@
 
 // JobRequest implements port.Jobs.
 func (e *Entry) JobRequest(ctx context.Context, jobReq msgs.JobRequest) msgs.JobResponse {
+	if spec := jobReq.Spec; spec != nil && spec.MinEncodedSize() > e.cfg.StoreLimits().OrDefault().Record {
+		e.log.Warn("refused a job that is larger than what the store takes", "req", jobReq.Job, "steps", len(spec.Steps))
+		return msgs.JobResponse{Code: codes.JobInvalid}
+	}
 	response := make(chan msgs.JobResponse, 1)
 	r := &relay.Request{
 		Message: jobReq, ReceivedAt: time.Now(), Left: func() bool { return ctx.Err() != nil },
 		Respond: func(resp msgs.JobResponse) { response <- resp },
 	}
 	e.post(func() {
+		if e.queueFull(&jobReq) {
+			r.Respond(msgs.JobResponse{Code: codes.BodyDropped, RetryAfter: queueRetryDelay})
+			return
+		}
 		e.pending.Add(r)
 		if send := e.sender(); send != nil {
 			e.pending.Send(r, e.epoch, send)
@@ -49,6 +61,20 @@
 	}
 }
 
+// queueFull reports whether a job would have to wait behind too many others for a leader that reads
+// too slowly.
+func (e *Entry) queueFull(r *msgs.JobRequest) bool {
+	if r.Spec == nil || e.leader != nil || e.leaderConn == nil {
+		return false
+	}
+	n := e.leaderConn.QueuedJobBytes()
+	if n <= maxQueuedJobBytes {
+		return false
+	}
+	e.log.Info("job refused", "req", r.Job, "queue", r.Queue, "code", int(codes.BodyDropped), "reason", "the leader reads too slowly", "queued", n)
+	return true
+}
+
 // sender returns the function that sends a request to the leader, nil if there is none.
 func (e *Entry) sender() func(*msgs.JobRequest) {
 	switch {
--- a/internal/run/peer/peer.go
+++ b/internal/run/peer/peer.go
@@ -51,8 +51,10 @@
 	dec   *codec.Decoder
 	in    *messageReader
 	queue chan *msgs.Message
-	done  chan struct{}
-	once  sync.Once
+	// jobBytes is the size of the jobs in queue.
+	jobBytes atomic.Int64
+	done     chan struct{}
+	once     sync.Once
 }
 
 // New returns a Conn over conn and starts the goroutine that writes its messages.
@@ -78,6 +80,7 @@
 
 // Send queues a message without blocking. If the queue is full, it closes the connection.
 func (c *Conn) Send(m *msgs.Message) {
+	c.jobBytes.Add(jobSize(m))
 	select {
 	case c.queue <- m:
 	default:
@@ -85,6 +88,18 @@
 	}
 }
 
+// QueuedJobBytes returns the size of the jobs in messages that wait to be written. They stay in
+// memory when their callers have gone.
+func (c *Conn) QueuedJobBytes() int64 { return c.jobBytes.Load() }
+
+// jobSize returns the size of the job in a message, 0 if there is none.
+func jobSize(m *msgs.Message) int64 {
+	if m.JobRequest == nil || m.JobRequest.Spec == nil {
+		return 0
+	}
+	return int64(m.JobRequest.Spec.MinEncodedSize())
+}
+
 // arrivedReader reads from a connection. A deadline that passes while this process is paused does
 // not keep it from reading what has arrived meanwhile.
 type arrivedReader struct{ conn net.Conn }
@@ -167,6 +182,7 @@
 		if c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)) != nil || enc.Encode(m) != nil {
 			return
 		}
+		c.jobBytes.Add(-jobSize(m))
 		if len(c.queue) == 0 && w.Flush() != nil {
 			return
 		}
--- a/internal/run/peer/peer_test.go
+++ b/internal/run/peer/peer_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
 	"github.com/ebonyarch/ebonyarch/internal/run/peer"
 )
@@ -34,6 +35,24 @@
 	)
 })
 
+var _ = Describe("A connection to a peer that does not read", func() {
+	It("tells how large the jobs are that wait to be written", func() {
+		a, b := net.Pipe()
+		sender := peer.New(a)
+		DeferCleanup(sender.Close)
+		sender.Send(&msgs.Message{JobRequest: &msgs.JobRequest{Spec: &model.Job{Payload: "1234"}}})
+		sender.Send(&msgs.Message{JobRequest: &msgs.JobRequest{Spec: &model.Job{Payload: "123456"}}})
+		Expect(sender.QueuedJobBytes()).To(BeEquivalentTo(10))
+		receiver := peer.New(b)
+		DeferCleanup(receiver.Close)
+		for range 2 {
+			_, err := receiver.Receive(time.Second)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Eventually(sender.QueuedJobBytes).Should(BeZero())
+	})
+})
+
 // The decoder reads a whole message before it decodes any of it.
 var _ = Describe("A message that no process sends", func() {
 	It("is not read to its end", func() {
