tool/cmds: the collector keeps a process on the users' platform within its machine

Cause: what is not in use any more still counts for the machine until the collector runs, at the latest when the memory in use has doubled. Without the setting it is that of the smallest machine in force (175 MB for an entry, 122 MB for an agent). The limit comes beside the bounds, not in place of them. Conclusion: a help against garbage.

--- a/internal/conf/proc/placed.go
+++ b/internal/conf/proc/placed.go
@@ -43,6 +43,8 @@
 	// all records of one append; 0 means the store's usual ones.
 	RecordBytes int `json:"recordBytes"`
 	CallBytes   int `json:"callBytes"`
+	// Memory is that of the machine. The default is that of the smallest one.
+	Memory jsonc.Memory `json:"memory"`
 	// JobMemory is what the jobs that are kept may take.
 	JobMemory jsonc.Memory `json:"jobMemory"`
 	// MaxRuns is the number of runs that a VM may have at the same time.
@@ -50,8 +52,13 @@
 	Limits  Limits `json:"limits"`
 }
 
-// defaultJobMemory is the default of JobEntry.JobMemory, in megabytes.
-const defaultJobMemory = 48
+// Memory of the smallest machines for the two kinds of processes, and the default of
+// JobEntry.JobMemory, in megabytes.
+const (
+	defaultEntryMemory = 175
+	defaultAgentMemory = 122
+	defaultJobMemory   = 48
+)
 
 // defaultMaxRuns is the default of JobEntry.MaxRuns, maxMaxRuns its largest value.
 const (
@@ -90,6 +97,9 @@
 
 // SetDefaults sets the defaults of settings that are not set.
 func (e *JobEntry) SetDefaults() {
+	if e.Memory == 0 {
+		e.Memory = defaultEntryMemory
+	}
 	if e.JobMemory == 0 {
 		e.JobMemory = defaultJobMemory
 	}
@@ -113,8 +123,10 @@
 	Seeds    Seeds  `json:"seeds"`
 	// Store is the address of the platform's store, from which the agent reads the
 	// addresses of all entries if none that it knows responds.
-	Store  netip.AddrPort `json:"store"`
-	Limits Limits         `json:"limits"`
+	Store netip.AddrPort `json:"store"`
+	// Memory is that of the machine. The default is that of the smallest one.
+	Memory jsonc.Memory `json:"memory"`
+	Limits Limits       `json:"limits"`
 }
 
 // ParseJobAgent reads and checks the settings of an agent on the users' platform.
@@ -131,5 +143,8 @@
 		c.Add("peerPort", "is missing; want the port on which entries listen")
 	}
 	c.limits(&cfg.Limits)
+	if cfg.Memory == 0 {
+		cfg.Memory = defaultAgentMemory
+	}
 	return cfg, c.Faults()
 }
--- a/internal/conf/proc/proc_test.go
+++ b/internal/conf/proc/proc_test.go
@@ -3,11 +3,14 @@
 import (
 	"os"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/ebonyarch/ebonyarch/internal/conf/jsonc"
 	"github.com/ebonyarch/ebonyarch/internal/conf/proc"
+	"github.com/ebonyarch/ebonyarch/internal/front/intake"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 )
 
@@ -57,6 +60,39 @@
 		Expect(faults).To(HaveLen(2))
 	})
 
+	It("have limits that no usual client meets, unless they set others", func() {
+		base := `{"name": "e", "zone": "z", "callers": "127.0.0.1:0", "health": "127.0.0.1:0", "peers": "127.0.0.1:81", "admin": "127.0.0.1:0", "store": "127.0.0.1:9"`
+		cfg, faults := proc.ParseJobEntry("e", []byte(base+"}"))
+		Expect(faults).To(BeEmpty())
+		Expect([]any{cfg.Memory, cfg.JobMemory, cfg.MaxRuns}).To(Equal([]any{jsonc.Memory(175), jsonc.Memory(48), 1000}))
+		Expect(cfg.Limits.Callers().Connections).To(Equal(intake.DefaultConnections))
+		Expect(cfg.Limits.Peers().Connections).To(Equal(1024))
+		Expect(cfg.Limits.Admin().Connections).To(Equal(128))
+		cfg, faults = proc.ParseJobEntry("e", []byte(base+`, "memory": "500MB", "jobMemory": "100MB", "maxRuns": 7,
+			"limits": {"connections": 1, "requests": 2, "peerConnections": 3, "adminConnections": 4, "bodyMemory": "5MB", "bodyTimeout": "6s"}}`))
+		Expect(faults).To(BeEmpty())
+		Expect([]any{cfg.Memory, cfg.JobMemory, cfg.MaxRuns}).To(Equal([]any{jsonc.Memory(500), jsonc.Memory(100), 7}))
+		Expect(cfg.Limits.Callers()).To(Equal(intake.Limits{Connections: 1, Requests: 2, Memory: 5 << 20, BodyTimeout: 6 * time.Second}))
+		Expect([]int{cfg.Limits.Peers().Connections, cfg.Limits.Admin().Connections}).To(Equal([]int{3, 4}))
+	})
+
+	DescribeTable("report limits that are out of range", func(parse func(settings string) jsonc.Faults) {
+		var fields []string
+		for _, f := range parse(`"limits": {"connections": -1, "requests": -1, "peerConnections": -1, "adminConnections": 2000000, "bodyMemory": "2TB", "bodyTimeout": "-1s"}`) {
+			fields = append(fields, f.Field)
+		}
+		Expect(fields).To(ContainElements("limits.connections", "limits.requests", "limits.peerConnections", "limits.adminConnections", "limits.bodyMemory", "limits.bodyTimeout"))
+	},
+		Entry("of an entry", func(s string) jsonc.Faults { _, faults := proc.ParseEntry("f", []byte("{"+s+"}")); return faults }),
+		Entry("of an agent", func(s string) jsonc.Faults { _, faults := proc.ParseAgent("f", []byte("{"+s+"}")); return faults }),
+		Entry("of an entry on the users' platform", func(s string) jsonc.Faults {
+			_, faults := proc.ParseJobEntry("f", []byte(`{"maxRuns": -1, `+s+"}"))
+			Expect(faults).To(ContainElement(HaveField("Field", "maxRuns")))
+			return faults
+		}),
+		Entry("of an agent on the users' platform", func(s string) jsonc.Faults { _, faults := proc.ParseJobAgent("f", []byte("{"+s+"}")); return faults }),
+	)
+
 	It("report an address that is empty", func() {
 		_, faults := proc.ParseEntry("e", []byte(`{"name": "e", "zone": "z", "callers": "127.0.0.1:0", "peers": "127.0.0.1:81", "admin": "", "log": ""}`))
 		var fields []string
--- a/internal/tool/cmds/intakes.go
+++ b/internal/tool/cmds/intakes.go
@@ -2,10 +2,12 @@
 
 import (
 	"log/slog"
+	"runtime/debug"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sys/unix"
 
+	"github.com/ebonyarch/ebonyarch/internal/conf/jsonc"
 	"github.com/ebonyarch/ebonyarch/internal/conf/proc"
 	"github.com/ebonyarch/ebonyarch/internal/front/intake"
 )
@@ -44,3 +46,12 @@
 		log.Warn("the limits of connections exceed the descriptors of the process", "want", sum, "have", limit.Cur)
 	}
 }
+
+// softLimit is the fraction of the machine's memory from which on the collector runs more often.
+// The rest is for what the runtime does not count.
+const softLimit = 0.8
+
+// limitMemory makes the collector run more often as the process nears the memory of its machine.
+func limitMemory(machine jsonc.Memory) {
+	debug.SetMemoryLimit(int64(float64(machine) * (1 << 20) * softLimit))
+}
--- a/internal/tool/cmds/placed.go
+++ b/internal/tool/cmds/placed.go
@@ -89,6 +89,7 @@
 	}
 	defer flush()
 	log = log.With("node", cfg.Name)
+	limitMemory(cfg.Memory)
 	warnOfDescriptors(&cfg.Limits, log)
 	e := entry.New(cfg, platform.NewStore(cfg.Store, log), advisorAt(cfg.Advisor), log)
 	peers, err := listen(cfg.Peers)
@@ -150,6 +151,7 @@
 	}
 	defer flush()
 	log = log.With("node", cfg.Name)
+	limitMemory(cfg.Memory)
 	a := agent.New(cfg, platform.NewWorker(cfg.Worker), platform.NewStore(cfg.Store, log), log)
 	in := newIntakes(&cfg.Limits)
 	if _, err := serveHTTP(cfg.Registry, platform.NewRegistry(a, log), in.callers, log); err != nil {
