state/fold, node/entry: the memory of the own interface's batch jobs is limited

Cause: batch jobs are kept for 24 hours after their end, and only a quota, which a team need not have, bounds those that have not ended. Ruled out: a limit in the fold itself, which must be the same for all entries, whatever their settings and versions; a shorter retention, which callers rely on for their keys. Fix: the fold adds up what batch jobs take. An entry refuses a new job beyond its jobMemory with code 409 after the read barrier, with a time to come back; one that was accepted is confirmed as before. Default: 64 MB, some 50,000 jobs of one task. Gauge ebonyarch_entry_job_memory_bytes.

--- a/internal/conf/proc/entry.go
+++ b/internal/conf/proc/entry.go
@@ -33,7 +33,9 @@
 	ZoneDelay jsonc.Duration `json:"zoneDistance"`
 	// DrainTimeout limits how long a shutdown waits for requests in flight.
 	DrainTimeout jsonc.Duration `json:"drainTimeout"`
-	Limits       Limits         `json:"limits"`
+	// JobMemory is what the batch jobs that are kept may take.
+	JobMemory jsonc.Memory `json:"jobMemory"`
+	Limits    Limits       `json:"limits"`
 }
 
 // Defaults and limits of settings.
@@ -41,6 +43,8 @@
 	defaultZoneDelay    = 500 * time.Microsecond
 	defaultDrainTimeout = 30 * time.Second
 	maxDrainTimeout     = 10 * time.Minute
+	// defaultBatchMemory is the default of Entry.JobMemory, in megabytes.
+	defaultBatchMemory = 64
 )
 
 // ParseEntry reads and checks the settings of an entry.
@@ -75,4 +79,7 @@
 	e.ZoneDelay.Duration = e.ZoneDelay.Or(defaultZoneDelay)
 	e.DrainTimeout.Duration = e.DrainTimeout.Or(defaultDrainTimeout)
 	e.Limits.setBodyMemory()
+	if e.JobMemory == 0 {
+		e.JobMemory = defaultBatchMemory
+	}
 }
--- a/internal/node/entry/jobs.go
+++ b/internal/node/entry/jobs.go
@@ -138,6 +138,11 @@
 	if err := e.checkTaskFits(t.Config.CellName(), jobAccept.Size); err != nil {
 		return nil, err
 	}
+	want := fold.JobMemory(len(jobAccept.Input), int(jobAccept.Tasks))
+	if have := e.core.Fold().JobMemory(); have+want > int64(e.cfg.JobMemory)<<20 {
+		e.log.Info("no memory for a further job", "job", jobAccept.Job, "team", s.team, "jobMemory", have, "want", want)
+		return nil, codes.WithRetryAfter(codes.New(codes.JobsFull, "the jobs that are kept take as much memory as they may"), fullRetryAfter)
+	}
 	return &schema.Record{Cell: t.Config.CellName(), Body: &schema.Record_Job{Job: jobAccept}}, nil
 }
 
@@ -194,6 +199,9 @@
 // VMs.
 const vmsRetryAfter = time.Second
 
+// fullRetryAfter is the retry delay suggested to callers for whose jobs there is no memory.
+const fullRetryAfter = 5 * time.Second
+
 // vmsUnknownError returns the error for what fits on no known VM while others may exist.
 func vmsUnknownError() error {
 	err := codes.New(codes.NotReady, "it fits on no VM that the entry knows, but it may not know all of them")
--- a/internal/node/entry/metrics.go
+++ b/internal/node/entry/metrics.go
@@ -27,6 +27,13 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "ebonyarch_entry_requests_in_flight", Help: "Callers' requests that are not answered.",
 		}, func() float64 { return float64(e.inFlight.Load()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "ebonyarch_entry_job_memory_bytes", Help: "What the batch jobs that are kept take.",
+		}, func() float64 {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return float64(e.core.Fold().JobMemory())
+		}),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "ebonyarch_entry_extra_tries_total", Help: "Retries and hedges of all services.",
 		}, func() float64 { return float64(e.extraTries()) }),
--- a/internal/proof/crowd/ownbody_test.go
+++ b/internal/proof/crowd/ownbody_test.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -113,6 +114,22 @@
 		Entry("to an agent's administrative address", func(s *own) netip.AddrPort { return s.agentAdmin }, tooMany, stalled),
 	)
 
+	It("against many jobs with inputs that are as large as one may be", func() {
+		const jobs, callers = 5000, 16
+		s := startOwn()
+		body := `{"kind":"catalogue","tasks":1,"input":"` + strings.Repeat("x", 60_000) + `"}`
+		var wg sync.WaitGroup
+		for caller := range callers {
+			wg.Go(func() {
+				for i := caller; i < jobs && s.entry.lives(); i += callers {
+					call(http.MethodPost, s.callers, ownHost, teamPath+"/jobs", body, "Idempotency-Key", fmt.Sprintf("crowd-%d", i))
+				}
+			})
+		}
+		wg.Wait()
+		s.expectHolds() // the ordinary job was accepted at the start
+	})
+
 	It("a shutdown amid bodies that stop short of their end", func() {
 		s, c := startOwn(), newCrowd()
 		c.join(200, s.callers, func(w io.Writer, _ int) error {
--- a/internal/state/fold/fold.go
+++ b/internal/state/fold/fold.go
@@ -60,6 +60,8 @@
 	waiting map[string][]*Job
 	// order is the Order of the latest job.
 	order uint64
+	// jobMemory is the sum of Job.memory of the batch jobs.
+	jobMemory int64
 	// configVersion grows with each accepted configuration change.
 	configVersion  uint64
 	stats          Stats
@@ -263,11 +265,14 @@
 		if job.Ended.IsZero() {
 			continue
 		}
+		f.jobMemory -= job.memory() // of a batch job: services never end
 		if f.clock.Sub(job.endedClock) > TaskRetention {
 			job.Tasks = nil
 		}
 		if f.clock.Sub(job.endedClock) > JobRetention {
 			delete(f.jobs, id)
+			continue
 		}
+		f.jobMemory += job.memory()
 	}
 }
--- a/internal/state/fold/fold_test.go
+++ b/internal/state/fold/fold_test.go
@@ -239,6 +239,9 @@
 			if !proto.Equal(resumed.Encode(), log.fold.Encode()) {
 				t.Fatalf("differs after a snapshot at %d:\n%v\n%v", cut, resumed.Encode(), log.fold.Encode())
 			}
+			if resumed.JobMemory() != log.fold.JobMemory() {
+				t.Fatalf("counts %d bytes of jobs after a snapshot at %d, want %d", resumed.JobMemory(), cut, log.fold.JobMemory())
+			}
 		})
 	})
 
--- a/internal/state/fold/job.go
+++ b/internal/state/fold/job.go
@@ -145,6 +145,7 @@
 	}
 	t.unfinished += a.GetTasks()
 	f.jobs[job.ID] = job
+	f.jobMemory += job.memory()
 	f.addWaiting(job, len(tasks))
 	return Applied{}
 }
--- a/internal/state/fold/snap.go
+++ b/internal/state/fold/snap.go
@@ -114,6 +114,9 @@
 	for i, ts := range s.GetTasks() {
 		f.decodeTask(job, uint32(i), ts)
 	}
+	if !job.Service {
+		f.jobMemory += job.memory()
+	}
 }
 
 func (f *Fold) decodeTask(job *Job, index uint32, s *schema.TaskState) {
