--- a/internal/front/intake/intake.go
+++ b/internal/front/intake/intake.go
@@ -91,6 +91,9 @@
 // refuse responds to a request beyond the limit.
 func (in *Intake) refuse(w http.ResponseWriter, r *http.Request) {
 	endConnection(w, r)
+	if r.ProtoMajor == 1 { // the request is not accounted for, so its body has no deadline yet
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerTime)) // fails only in tests
+	}
 	if in.Refuse != nil {
 		in.Refuse.ServeHTTP(w, r)
 		return
--- a/internal/front/intake/intake_test.go
+++ b/internal/front/intake/intake_test.go
@@ -179,6 +179,10 @@
 		Expect(s.post(strings.Repeat("x", 3000))).To(Equal(http.StatusRequestEntityTooLarge))
 		Expect(s.dropped("bodyTooLarge")).To(Equal(1))
 		Expect(expectClosed(s.dial(request(2<<20, "x")))).To(HavePrefix("HTTP/1.1 413 "))
+		s = startServer(intake.Limits{})
+		size := 1<<20 + 1
+		conn := s.dial("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n", size) + strings.Repeat("x", size))
+		Expect(expectClosed(conn)).To(HavePrefix("HTTP/1.1 413 "))
 	})
 
 	It("lets a body arrive until its deadline", func() {
--- a/internal/front/intake/request.go
+++ b/internal/front/intake/request.go
@@ -118,6 +118,7 @@
 	case err == nil:
 		return data, nil
 	case errors.As(err, &tooLarge):
+		endConnection(w, r)
 		return nil, codes.New(codes.BodyTooLarge, "the body exceeds %d bytes", limit)
 	case code == codes.BodyDropped || code == codes.BodyTooLarge:
 		endConnection(w, r)
@@ -126,12 +127,18 @@
 	return nil, codes.Wrap(err, codes.BadRequest, "cannot read the body")
 }
 
-// endConnection ends the connection after the response, as the rest of the body is not read. Over
-// HTTP/2 it would end the other requests as well, and only the stream has to end.
+// lingerTime is how long the server goes on reading a body that was refused. A client that sends all
+// of its body first could not read the response if the connection was reset before.
+const lingerTime = 500 * time.Millisecond
+
+// endConnection ends the connection soon after the response, as the rest of the body is not wanted.
+// Over HTTP/2 it would end the other requests as well, and only the stream has to end.
 func endConnection(w http.ResponseWriter, r *http.Request) {
-	if r.ProtoMajor == 1 {
-		w.Header().Set("Connection", "close")
+	if r.ProtoMajor > 1 {
+		return
 	}
+	w.Header().Set("Connection", "close")
+	SetDeadline(r.Context(), time.Now().Add(lingerTime))
 }
 
 // limitTime sets the time until which the body may arrive, unless it is earlier already. Only the
--- a/internal/node/link/server.go
+++ b/internal/node/link/server.go
@@ -15,6 +15,9 @@
 const headerTimeout = 5 * time.Second
 
 const (
+	// serverIdleTimeout is the time without requests after which a server closes a connection. It
+	// is longer than that of clients, so that no call meets a connection that is being closed.
+	serverIdleTimeout = 2 * idleTimeout
 	// frameSize is the size of the largest HTTP/2 frame that is read, in bytes.
 	frameSize = 16 << 10
 	// receiveBuffer is how much a peer may send on an HTTP/2 connection before it is read, in
@@ -82,7 +85,7 @@
 	s := &Server{listener: listener, intake: in}
 	s.server = &http.Server{
 		Handler: in.Handler(handler), ConnContext: in.ConnContext, Protocols: protocols,
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: serverIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout: pingIdleTime, PingTimeout: pingTimeout, WriteByteTimeout: writeTimeout, MaxConcurrentStreams: 1000,
 			MaxReadFrameSize: frameSize, MaxReceiveBufferPerConnection: receiveBuffer, MaxReceiveBufferPerStream: receiveBuffer,
