front/intake: the read deadline needs no reset once a body has arrived

The HTTP/1 server removes the deadline itself when a body has ended, and over HTTP/2 it concerns reads of the body only. Ruled out: a spec that does not look; it does now, and the reset was without effect. Before: a line without effect. After: it is gone, and the spec that a request is not limited by the time of its body stays.

--- a/internal/front/intake/intake_test.go
+++ b/internal/front/intake/intake_test.go
@@ -55,9 +55,11 @@
 	data, err := intake.ReadAll(w, r, 1<<20)
 	if err == nil {
 		s.arrived <- struct{}{}
-		if s.hold {
-			<-s.release
+		if s.hold && !s.awaitRelease(r.Context()) {
+			err = codes.New(codes.TimedOut, "the request was cancelled")
 		}
+	}
+	if err == nil {
 		err = intake.Reserve(r.Context(), s.reserve)
 	}
 	if err != nil {
@@ -67,6 +69,16 @@
 	fmt.Fprint(w, len(data))
 }
 
+// awaitRelease waits for release, and reports false if the request is cancelled before.
+func (s *server) awaitRelease(ctx context.Context) bool {
+	select {
+	case <-s.release:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // dial opens a connection and sends text.
 func (s *server) dial(text string) net.Conn {
 	conn, err := net.Dial("tcp", s.addr)
--- a/internal/front/intake/request.go
+++ b/internal/front/intake/request.go
@@ -203,19 +203,16 @@
 	return n, err
 }
 
-// complete notes that the body of a request has arrived.
+// complete notes that the body of a request has arrived. From then on the server itself ignores the
+// read deadline, so that it limits no request that is carried out.
 func (in *Intake) complete(req *request) {
 	in.mu.Lock()
-	arrived := req.element != nil
-	if arrived {
+	defer in.mu.Unlock()
+	if req.element != nil {
 		in.arriving.Remove(req.element)
 		req.element = nil
 		in.serve(req)
 	}
-	in.mu.Unlock()
-	if arrived {
-		req.setReadDeadline(time.Time{})
-	}
 }
 
 // serve notes that a request is carried out from now on. The caller holds mu.
