run/entry: an entry that lacks descriptors for a moment goes on listening for other processes

Cause: every error counted as the end of the listener. Fix: only its closing ends it; other errors are logged and tried again after 50 ms. Ruled out: reserving descriptors, which the limits of connections do already by default.

--- a/internal/run/entry/serve.go
+++ b/internal/run/entry/serve.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"net"
 	"net/netip"
 	"time"
@@ -14,18 +15,26 @@
 const (
 	// helloTimeout bounds the wait for a peer's first message.
 	helloTimeout = time.Second
+	// acceptRetryDelay is the delay after a connection could not be accepted.
+	acceptRetryDelay = 50 * time.Millisecond
 	// agentTimeout is how long an agent may be silent before its connection is closed,
 	// entryTimeout the same for an entry.
 	agentTimeout = 1500 * time.Millisecond
 	entryTimeout = 3 * time.Second
 )
 
-// Serve accepts connections of agents and other entries until the listener is closed.
+// Serve accepts connections of agents and other entries until the listener is closed. Other errors
+// pass, such as a lack of descriptors.
 func (e *Entry) Serve(ln net.Listener) error {
 	for {
 		conn, err := ln.Accept()
-		if err != nil {
+		switch {
+		case errors.Is(err, net.ErrClosed) || e.ctx.Err() != nil:
 			return err
+		case err != nil:
+			e.log.Warn("cannot accept a connection of another process", "err", err)
+			time.Sleep(acceptRetryDelay)
+			continue
 		}
 		e.wg.Go(func() { e.serve(conn, peer.New(conn)) })
 	}
