front/intake, node/entry: responses count as memory, and waiting requests don't give each other up

Cause: nothing bounded the responses that a process encodes together. With them counted, a second fault showed: a request that waits for memory but holds none was given up for others, which freed nothing. Ruled out: refusing a large response, as an operator needs it; a fixed number of such requests, as they differ by a factor of a thousand. Fix: lists, jobs, configurations and histories count what encoding takes, at most half of the memory of bodies, and wait for each other. Only requests that hold memory are given up for it, in the order in which they came to hold some; a request whose client has gone waits no longer. Conclusion: what a process reads and what it answers is one budget.

--- a/internal/front/intake/intake.go
+++ b/internal/front/intake/intake.go
@@ -38,9 +38,11 @@
 	waiting list.List
 	// requests is the number of requests without a complete response.
 	requests int
-	// arriving holds those of which the body is incomplete or that wait for memory, the oldest
-	// first.
+	// arriving holds those of which the body is incomplete, the oldest first.
 	arriving list.List
+	// holding holds the requests that may be given up for their memory, in the order in which they
+	// came to hold some: those of arriving, and complete ones that wait for more.
+	holding list.List
 	// used is the memory that requests hold, in bytes; abandoned is the part of it that is held by
 	// requests that were given up and have not ended yet.
 	used, abandoned int64
@@ -80,8 +82,8 @@
 		}
 		defer in.end(req)
 		defer req.limitFlush(in.Limits.orDefaults().BodyTimeout)
+		r = r.WithContext(withRequest(r.Context(), req))
 		if req.hasBody {
-			r = r.WithContext(withRequest(r.Context(), req))
 			r.Body = &body{r.Body, req}
 		}
 		h.ServeHTTP(&response{w, req, in.Limits.orDefaults().BodyTimeout}, r)
@@ -107,12 +109,13 @@
 	now, limits := time.Now(), in.Limits.orDefaults()
 	req := &request{
 		in: in, conn: connOf(r.Context()), control: http.NewResponseController(w), multiplexed: r.ProtoMajor > 1,
-		hasBody: r.Body != nil && r.Body != http.NoBody && r.ContentLength != 0, deadline: now.Add(limits.BodyTimeout), progress: now,
+		hasBody: r.Body != nil && r.Body != http.NoBody && r.ContentLength != 0, left: r.Context().Done(),
+		deadline: now.Add(limits.BodyTimeout), progress: now,
 	}
 	in.mu.Lock()
 	var victim *request
 	if in.requests >= limits.Requests {
-		if victim = in.stalestRequest(nil); victim == nil {
+		if victim = stalestRequest(&in.arriving, nil); victim == nil {
 			in.mu.Unlock()
 			in.counts.add(requestRefused)
 			return nil
@@ -140,7 +143,7 @@
 		in.touch(req.conn)
 	}
 	if req.hasBody {
-		req.element = in.arriving.PushBack(req)
+		req.arriving = in.arriving.PushBack(req)
 		return
 	}
 	in.serve(req)
@@ -151,10 +154,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.requests--
-	if req.element != nil {
-		in.arriving.Remove(req.element)
-		req.element = nil
-	}
+	in.unlist(req)
 	in.used -= req.held
 	if req.stop.closed {
 		in.abandoned -= req.held
--- a/internal/front/intake/intake_test.go
+++ b/internal/front/intake/intake_test.go
@@ -29,8 +29,9 @@
 	// release if hold is set.
 	arrived, release chan struct{}
 	hold             bool
-	// reserve is what each request counts besides its body, in bytes.
-	reserve int64
+	// reserve is what each request counts besides its body, response what its response counts, in
+	// bytes.
+	reserve, response int64
 }
 
 func startServer(limits intake.Limits) *server {
@@ -52,6 +53,9 @@
 	if d, err := time.ParseDuration(r.Header.Get("Timeout")); err == nil {
 		intake.SetDeadline(r.Context(), time.Now().Add(d))
 	}
+	if s.response > 0 && intake.ReserveResponse(r.Context(), s.response) != nil {
+		return
+	}
 	data, err := intake.ReadAll(w, r, 1<<20)
 	if err == nil {
 		s.arrived <- struct{}{}
@@ -220,6 +224,37 @@
 		Eventually(func() float64 { return s.gauge("ebonyarch_intake_memory_bytes") }).Should(BeZero())
 	})
 
+	It("gives up no request that holds no memory for that of others", func() {
+		s := startServer(intake.Limits{Memory: 8000})
+		for range 20 {
+			s.dial(request(3000, ""))
+		}
+		Eventually(func() float64 { return s.gauge("ebonyarch_intake_requests") }).Should(BeEquivalentTo(20))
+		for range 4 {
+			s.dial(request(3000, strings.Repeat("x", 1000)))
+		}
+		Eventually(func() float64 { return s.gauge("ebonyarch_intake_memory_bytes") }).Should(BeEquivalentTo(8000))
+		Expect(s.post(strings.Repeat("x", 500))).To(Equal(http.StatusOK))
+		Expect(s.dropped("bodyDropped")).To(Equal(1))
+	})
+
+	It("lets responses wait for each other that together take more than all may", func() {
+		s := startServer(intake.Limits{Memory: 8000})
+		s.response = 100_000
+		s.hold = true
+		for range 3 {
+			s.dial("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		}
+		Eventually(s.arrived).Should(Receive())
+		Eventually(s.arrived).Should(Receive())
+		Eventually(func() float64 { return s.gauge("ebonyarch_intake_requests") }).Should(BeEquivalentTo(3))
+		Consistently(s.arrived, "50ms").ShouldNot(Receive())
+		Expect(s.gauge("ebonyarch_intake_memory_bytes")).To(BeEquivalentTo(8000))
+		close(s.release)
+		Eventually(s.arrived).Should(Receive())
+		Expect(s.dropped("bodyDropped")).To(BeZero())
+	})
+
 	It("does not limit the time of a request once its body has arrived", func() {
 		s := startServer(intake.Limits{BodyTimeout: 20 * time.Millisecond})
 		s.hold = true
--- a/internal/front/intake/memory.go
+++ b/internal/front/intake/memory.go
@@ -5,27 +5,30 @@
 	"time"
 )
 
+// maxHeld returns the memory that one request may hold, in bytes.
+func (in *Intake) maxHeld() int64 { return in.Limits.orDefaults().Memory / 2 }
+
 // reserve counts n more bytes for a request. If they are not free, it gives up the stalest
-// requests that are incomplete or wait for memory themselves, and waits until enough is released.
+// requests of those that hold memory and are incomplete or wait for more, and waits until enough is
+// released.
 func (in *Intake) reserve(req *request, n int64) error {
 	limit := in.Limits.orDefaults().Memory
 	in.mu.Lock()
+	defer in.mu.Unlock()
 	req.progress = time.Now()
-	defer in.stopWaiting(req)
 	for {
 		switch {
 		case req.stop.closed:
 			return errDropped
-		case req.held+n > limit/2:
+		case req.held+n > in.maxHeld():
 			in.counts.add(bodyTooLarge)
 			return errTooLarge
 		case in.used+n <= limit:
-			in.used += n
-			req.held += n
+			in.grant(req, n)
 			return nil
 		}
-		if req.element == nil {
-			req.element, req.waits = in.arriving.PushBack(req), true
+		if req.holding == nil && req.held > 0 {
+			req.holding = in.holding.PushBack(req)
 		}
 		victims := in.makeRoom(req, n, limit)
 		if in.freed == nil {
@@ -36,23 +39,41 @@
 		for _, v := range victims {
 			v.abort()
 		}
-		inTime := waitUntil(deadline, freed, stopped)
+		inTime := waitUntil(deadline, freed, stopped, req.left)
 		in.mu.Lock()
 		if !inTime {
+			if req.arriving == nil {
+				in.unlist(req)
+			}
 			in.counts.add(memoryTimedOut)
 			return errNoMemory
 		}
 	}
 }
 
-// stopWaiting undoes what reserve has done to a complete request while it waited. It releases mu.
-func (in *Intake) stopWaiting(req *request) {
-	if req.waits && req.element != nil {
-		in.arriving.Remove(req.element)
-		req.element = nil
+// grant counts n free bytes for a request. Only an incomplete one may be given up for them. The
+// caller holds mu.
+func (in *Intake) grant(req *request, n int64) {
+	in.used += n
+	req.held += n
+	switch {
+	case req.arriving != nil && req.holding == nil:
+		req.holding = in.holding.PushBack(req)
+	case req.arriving == nil && req.holding != nil:
+		in.unlist(req)
+	}
+}
+
+// unlist removes a request from those that may be given up. The caller holds mu.
+func (in *Intake) unlist(req *request) {
+	if req.arriving != nil {
+		in.arriving.Remove(req.arriving)
+		req.arriving = nil
+	}
+	if req.holding != nil {
+		in.holding.Remove(req.holding)
+		req.holding = nil
 	}
-	req.waits = false
-	in.mu.Unlock()
 }
 
 // shrink lowers the memory that counts for a request to n bytes.
@@ -78,25 +99,28 @@
 	}
 }
 
-// waitUntil waits for one of two channels, and reports false if the deadline passes before.
-func waitUntil(deadline time.Time, a, b <-chan struct{}) bool {
+// waitUntil waits for one of two channels, and reports false if the deadline passes or the client
+// leaves before.
+func waitUntil(deadline time.Time, a, b, left <-chan struct{}) bool {
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	select {
 	case <-a:
 	case <-b:
+	case <-left:
+		return false
 	case <-timer.C:
 		return false
 	}
 	return true
 }
 
-// makeRoom gives up incomplete requests until n bytes for req will be free or there is no further
-// one, and returns those that are to be aborted. The caller holds mu.
+// makeRoom gives up requests until n bytes for req will be free or there is no further one, and
+// returns those that are to be aborted. The caller holds mu.
 func (in *Intake) makeRoom(req *request, n, limit int64) []*request {
 	var victims []*request
 	for in.used-in.abandoned+n > limit {
-		v := in.stalestRequest(req)
+		v := stalestRequest(&in.holding, req.holding)
 		if v == nil {
 			break
 		}
@@ -106,25 +130,19 @@
 	return victims
 }
 
-// stalestRequest returns the incomplete request, other than skip, that is to be given up first,
-// nil if there is none. The caller holds mu.
-func (in *Intake) stalestRequest(skip *request) *request {
-	var skipped *list.Element
-	if skip != nil {
-		skipped = skip.element
-	}
-	e := stalest(&in.arriving, skipped, func(r *request) time.Time { return r.progress })
+// stalestRequest returns the request of a list that is to be given up first, nil if there is none.
+// skip is left out.
+func stalestRequest(l *list.List, skip *list.Element) *request {
+	e := stalest(l, skip, func(r *request) time.Time { return r.progress })
 	if e == nil {
 		return nil
 	}
 	return e.Value.(*request)
 }
 
-// abandon gives up an incomplete request. The caller holds mu, and calls abort once it has
-// released it.
+// abandon gives up a request. The caller holds mu, and calls abort once it has released it.
 func (in *Intake) abandon(req *request, why cause) {
-	in.arriving.Remove(req.element)
-	req.element = nil
+	in.unlist(req)
 	req.stop.close()
 	in.abandoned += req.held
 	in.counts.add(why)
--- a/internal/front/intake/request.go
+++ b/internal/front/intake/request.go
@@ -21,13 +21,14 @@
 	// multiplexed is set if the connection carries other requests at the same time.
 	multiplexed bool
 	hasBody     bool
+	// left is closed when the client has gone, or the request has ended.
+	left <-chan struct{}
 
 	// The fields below are guarded by the mutex of in.
 
-	// element is the request's place in Intake.arriving, nil if it is not there.
-	element *list.Element
-	// waits is set while the complete request waits for memory.
-	waits bool
+	// arriving is the request's place in Intake.arriving, holding that in Intake.holding; they are
+	// nil if it is not there.
+	arriving, holding *list.Element
 	// serving is set once the body is complete.
 	serving bool
 	// deadline is when the body must have arrived.
@@ -68,7 +69,7 @@
 	return context.WithValue(ctx, requestKey{}, req)
 }
 
-// requestOf returns the request that a context belongs to, nil if it has no body or no Intake.
+// requestOf returns the request that a context belongs to, nil if it has no Intake.
 func requestOf(ctx context.Context) *request {
 	req, _ := ctx.Value(requestKey{}).(*request)
 	return req
@@ -85,7 +86,7 @@
 // SetDeadline shortens the time within which the body of a request must arrive. ctx is that of the
 // request.
 func SetDeadline(ctx context.Context, t time.Time) {
-	if req := requestOf(ctx); req != nil {
+	if req := requestOf(ctx); req != nil && req.hasBody {
 		req.limitTime(t)
 	}
 }
@@ -99,6 +100,15 @@
 	return nil
 }
 
+// ReserveResponse is like Reserve, but for a response that takes n bytes while it is encoded. One that
+// takes more than a request may is not refused: it counts as much as one may.
+func ReserveResponse(ctx context.Context, n int64) error {
+	if req := requestOf(ctx); req != nil {
+		return req.in.reserve(req, min(n, req.in.maxHeld()))
+	}
+	return nil
+}
+
 // Shrink lowers what counts for a request to n bytes, if it is more. ctx is that of the request.
 func Shrink(ctx context.Context, n int64) {
 	if req := requestOf(ctx); req != nil {
@@ -138,7 +148,9 @@
 		return
 	}
 	w.Header().Set("Connection", "close")
-	SetDeadline(r.Context(), time.Now().Add(lingerTime))
+	if req := requestOf(r.Context()); req != nil && req.hasBody {
+		req.limitTime(time.Now().Add(lingerTime))
+	}
 }
 
 // limitTime sets the time until which the body may arrive, unless it is earlier already. Only the
@@ -208,9 +220,8 @@
 func (in *Intake) complete(req *request) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if req.element != nil {
-		in.arriving.Remove(req.element)
-		req.element = nil
+	if req.arriving != nil {
+		in.unlist(req)
 		in.serve(req)
 	}
 }
--- a/internal/node/entry/config.go
+++ b/internal/node/entry/config.go
@@ -58,6 +58,10 @@
 		e.reject(w, err)
 		return
 	}
+	if err := e.reserve(r.Context(), func() int64 { return e.historySize(mux.Vars(r)["team"], 1) }); err != nil {
+		e.reject(w, err)
+		return
+	}
 	body, revision, err := e.lookupConfig(mux.Vars(r)["team"])
 	if err != nil {
 		e.reject(w, err)
@@ -197,6 +201,10 @@
 		return
 	}
 	team := mux.Vars(r)["team"]
+	if err := e.reserve(r.Context(), func() int64 { return e.historySize(team, configCopies) }); err != nil {
+		e.reject(w, err)
+		return
+	}
 	changes := []view.Change{}
 	for _, c := range e.history(team) {
 		changes = append(changes, view.Change{
@@ -213,6 +221,22 @@
 	}{changes})
 }
 
+// configCopies is how many copies of a configuration are made while a response with it is encoded.
+const configCopies = 4
+
+// historySize returns what copies of a team's configurations take, in bytes. The caller holds mu.
+func (e *Entry) historySize(team string, copies int64) int64 {
+	t := e.core.Fold().Team(team)
+	if t == nil {
+		return 0
+	}
+	n := int64(0)
+	for _, c := range t.History {
+		n += int64(len(c.GetBody()))
+	}
+	return n * copies
+}
+
 func (e *Entry) history(team string) []*schema.ConfigChange {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/node/entry/query.go
+++ b/internal/node/entry/query.go
@@ -9,6 +9,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/ebonyarch/ebonyarch/internal/base/codes"
+	"github.com/ebonyarch/ebonyarch/internal/front/intake"
 	"github.com/ebonyarch/ebonyarch/internal/node/admin"
 	"github.com/ebonyarch/ebonyarch/internal/node/view"
 	"github.com/ebonyarch/ebonyarch/internal/state/fold"
@@ -19,6 +20,10 @@
 		e.reject(w, err)
 		return
 	}
+	if err := e.reserve(r.Context(), func() int64 { return int64(len(e.core.Fold().Jobs(mux.Vars(r)["team"]))) * jobViewMemory }); err != nil {
+		e.reject(w, err)
+		return
+	}
 	e.mu.Lock()
 	views := []view.Job{}
 	for _, j := range e.core.Fold().Jobs(mux.Vars(r)["team"]) {
@@ -30,8 +35,24 @@
 	}{views})
 }
 
+// What a job and a task take in a response while it is encoded, in bytes.
+const jobViewMemory, taskViewMemory = 2 << 10, 1 << 10
+
+// reserve counts the memory of a response, which size tells in bytes, for a request. size is called
+// with mu held.
+func (e *Entry) reserve(ctx context.Context, size func() int64) error {
+	e.mu.Lock()
+	n := size()
+	e.mu.Unlock()
+	return intake.ReserveResponse(ctx, n)
+}
+
 func (e *Entry) getJob(w http.ResponseWriter, r *http.Request) {
 	vars := mux.Vars(r)
+	if err := e.reserve(r.Context(), func() int64 { return e.jobViewSize(vars["job"]) }); err != nil {
+		e.reject(w, err)
+		return
+	}
 	found, err := e.findJob(r.Context(), vars["team"], vars["job"])
 	if err != nil {
 		e.reject(w, err)
@@ -40,6 +61,15 @@
 	admin.WriteJSON(w, http.StatusOK, found)
 }
 
+// jobViewSize returns what a job takes in a response, in bytes. The caller holds mu.
+func (e *Entry) jobViewSize(id string) int64 {
+	j := e.core.Fold().Job(id)
+	if j == nil {
+		return 0
+	}
+	return jobViewMemory + int64(len(j.Tasks))*taskViewMemory
+}
+
 // findJob returns a job of a team. A job that has ended changes no more, so it is
 // returned without a read barrier; any other answer needs one.
 func (e *Entry) findJob(ctx context.Context, team, id string) (view.Job, error) {
--- a/internal/proof/crowd/own_test.go
+++ b/internal/proof/crowd/own_test.go
@@ -15,6 +15,8 @@
 	entry, agent                *process
 	callers, peers, admin       netip.AddrPort
 	agentPeers, agentAdmin, log netip.AddrPort
+	// revision is one below that of the latest configuration.
+	revision int
 }
 
 const (
