conf/proc: few requests for monitoring are carried out at the same time

Found by reading: each request for the state of a process encodes all of it, and 128 connections for monitoring could ask at once. Fix: an eighth of the connections for monitoring may have requests in progress, 16 by default. A stalled one makes room for a new one, as for callers. Ruled out: counting what the state takes, which differs by process. Before: no limit but that of connections (by reading, no crowd shows it). Conclusion: monitoring is bounded too.

--- a/internal/conf/proc/limits.go
+++ b/internal/conf/proc/limits.go
@@ -77,9 +77,14 @@
 	return peers
 }
 
+// adminRequestDivisor is the divisor by which the connections for monitoring give the requests that
+// are carried out at the same time: each may show the state of the whole process.
+const adminRequestDivisor = 8
+
 // Admin returns the limits of an address for monitoring.
 func (l *Limits) Admin() intake.Limits {
 	admin := l.Callers()
 	admin.Connections = cmp.Or(l.AdminConnections, defaultAdminConnections)
+	admin.Requests = max(1, admin.Connections/adminRequestDivisor)
 	return admin
 }
--- a/internal/conf/proc/proc_test.go
+++ b/internal/conf/proc/proc_test.go
@@ -68,6 +68,7 @@
 		Expect(cfg.Limits.Callers().Connections).To(Equal(intake.DefaultConnections))
 		Expect(cfg.Limits.Peers().Connections).To(Equal(1024))
 		Expect(cfg.Limits.Admin().Connections).To(Equal(128))
+		Expect(cfg.Limits.Admin().Requests).To(Equal(16))
 		cfg, faults = proc.ParseJobEntry("e", []byte(base+`, "memory": "500MB", "jobMemory": "100MB", "maxRuns": 7,
 			"limits": {"connections": 1, "requests": 2, "peerConnections": 3, "adminConnections": 4, "bodyMemory": "5MB", "bodyTimeout": "6s"}}`))
 		Expect(faults).To(BeEmpty())
