--- a/review/_standin3/cases.go
+++ b/review/_standin3/cases.go
@@ -31,11 +31,12 @@
 	longTask  = 2700 * time.Millisecond
 )
 
-// Four of 27 workers are a share of 0.148.
+// Two of 24 workers are a share of 0.083. They fail what they start for greyFor.
 const (
-	gangWorkers = 27
-	greyWorkers = 4
+	gangWorkers = 24
+	greyWorkers = 2
 	greyStride  = 7
+	greyFor     = 6500 * time.Millisecond
 )
 
 // greyGang hands in a gang while some workers fail all that they start. A gang has failed once if a run of
@@ -48,11 +49,8 @@
 	defer s.close()
 	c := newClient(s, 1)
 	id := c.id()
-	s.fleet.mu.Lock()
-	for i := range greyWorkers {
-		s.workers[greyStride*i].grey = trouble
-	}
-	s.fleet.mu.Unlock()
+	s.setGrey(trouble)
+	time.AfterFunc(greyFor, func() { s.setGrey(false) })
 	const members = 20
 	s.fleet.set(id, 0, behaviour{work: longTask, gang: members})
 	job := step(members, 3000, 2000, longTask)
@@ -88,3 +86,12 @@
 	}
 	return held
 }
+
+// setGrey sets whether the workers of the disruption fail what they start.
+func (s *system) setGrey(grey bool) {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	for i := range greyWorkers {
+		s.workers[greyStride*i].grey = grey
+	}
+}
--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -22,6 +22,9 @@
 	cannotRun
 )
 
+// maxTime limits the time of a case.
+const maxTime = 115 * time.Second
+
 // cases holds the cases by name.
 var cases = map[string]func(rec *record, root string, trouble bool) verdict{
 	"fills": fills, "greygang": greyGang,
@@ -38,6 +41,11 @@
 		os.Exit(int(cannotRun))
 	}
 	rec := &record{f: f, began: time.Now()}
+	// The processes that were started end with this one.
+	time.AfterFunc(maxTime, func() {
+		say(rec, "the case cannot run: it took %s", maxTime)
+		os.Exit(int(cannotRun))
+	})
 	v := cases[os.Args[1]](rec, os.Args[2], os.Getenv("TROUBLE") != "0")
 	f.Close()
 	os.Exit(int(v))
--- a/review/_standin3/system.go
+++ b/review/_standin3/system.go
@@ -140,7 +140,8 @@
 	s.rec.add("operator writes configuration %d", version)
 }
 
-const maxAttempts = 4
+// maxAttempts is what the site has for some of its requests.
+const maxAttempts = 2
 
 func (s *system) seeds() []string {
 	var list []string
