run/entry, lead: steps of the event loop are measured, by kind

Cause: nothing told a leader whose placement passes take seconds from one that is dead.

Each step of the event loop is now timed by kind (message, tick, batch, stored, send, lead): a histogram, the longest one, and at most one log line a second for steps of 0.2 s and more. The leader counts the runs, tasks, stages and VMs that it looks at, which tells the cost of a step on any machine and without a clock in decision code.

No decision changes.

--- a/internal/jobs/lead/choose.go
+++ b/internal/jobs/lead/choose.go
@@ -22,6 +22,7 @@
 // chooseVM returns the index of the VM for a task, or a negative number. VMs whose
 // capacity is reserved for another stage are left out.
 func (p *pass) chooseVM(t *plan.Task) int {
+	p.l.work += uint64(len(p.placement))
 	i := plan.Choose(t, p.placement)
 	if i < 0 || !p.vms[i].reservedForOther(p.now, t.Key) {
 		return i
@@ -51,6 +52,7 @@
 	placement := placementOf(vms)
 	var chosen []*vm
 	for range n {
+		p.l.work += uint64(len(placement))
 		i := plan.Choose(t, placement)
 		if i < 0 {
 			break
--- a/internal/jobs/lead/headroom.go
+++ b/internal/jobs/lead/headroom.go
@@ -58,6 +58,7 @@
 // contributions returns what a VM's best-effort runs add to the utilization of a
 // long-running run, in the order of headroom.contributions.
 func (in *interference) contributions(v *vm, longRunning *run, cores map[runKey]float64, urgencyOf func(*run) urgency) []contribution {
+	in.work += uint64(len(v.runs))
 	var list []contribution
 	for key, r := range v.runs {
 		if !r.step.BestEffort || r.stopped {
@@ -66,6 +67,7 @@
 		weight := in.coefficient(longRunning.step.Image, r.step.Image) / v.cores()
 		list = append(list, contribution{r, weight * cores[key], weight * r.fullSpeedCores(cores[key]), urgencyOf(r)})
 	}
+	in.work += sortWork(len(list))
 	slices.SortFunc(list, func(a, b contribution) int {
 		if c := a.urgency.compare(b.urgency); c != 0 {
 			return c
--- a/internal/jobs/lead/interference.go
+++ b/internal/jobs/lead/interference.go
@@ -71,6 +71,8 @@
 	baseLoads map[plan.StageKey]*estimate
 	// minLatency is the lowest tail latency measured of each image, in milliseconds.
 	minLatency map[string]float64
+	// work is part of the result of Leader.Work.
+	work uint64
 }
 
 // imagePair holds the images of a long-running and a best-effort task.
@@ -239,6 +241,7 @@
 // currentUtilization returns the utilization of a long-running run with the present
 // best-effort runs beside it, each counted at full speed.
 func (in *interference) currentUtilization(v *vm, r *run) float64 {
+	in.work += uint64(len(v.runs))
 	utilization := in.baseLoad(r)
 	for _, other := range v.runs {
 		if other.step.BestEffort && !other.stopped {
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -10,6 +10,7 @@
 import (
 	"log/slog"
 	"maps"
+	"math/bits"
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
@@ -98,8 +99,10 @@
 	estimatesSavedAt time.Time
 	// placementDue is set when waiting tasks might be placed now.
 	placementDue bool
-	log          *slog.Logger
-	stats        Stats
+	// work counts the runs, tasks, stages and VMs that were looked at, each as often as it was.
+	work  uint64
+	log   *slog.Logger
+	stats Stats
 }
 
 // New returns the state of a leadership that begins at now with the jobs of the store.
@@ -187,6 +190,13 @@
 	}
 }
 
+// Work returns a count of the work done so far: how many runs, tasks, stages and VMs were looked at,
+// each as often as it was. It tells what a step costs on any machine.
+func (l *Leader) Work() uint64 { return l.work + l.interference.work }
+
+// sortWork returns the work of sorting n elements.
+func sortWork(n int) uint64 { return uint64(n * bits.Len(uint(n))) }
+
 // Disconnected must be called when a connection has ended.
 func (l *Leader) Disconnected(now time.Time, conn uint64) {
 	id, ok := l.vmByConn[conn]
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -98,6 +98,7 @@
 	unexpected := l.unexpectedStages()
 	for _, e := range l.table.Active() {
 		l.trackIdle(now, e)
+		l.work += uint64(len(e.Stages))
 		for i := range e.Stages {
 			st := &e.Stages[i]
 			if len(st.Waiting) == 0 || !e.Ready(now, st) {
@@ -157,6 +158,7 @@
 		p.placeGang(e, st, task)
 		return
 	}
+	p.l.work += uint64(len(p.placement))
 	ranking := plan.NewRanking(task, p.placement)
 	for len(st.Waiting) > 0 && p.starts < maxStarts {
 		index := p.nextWaiting(e, st)
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -108,6 +108,7 @@
 	present := make(map[runKey]bool, len(req.Runs))
 	unexpected := map[runKey]place.Resources{}
 	var stops []msgs.Stop
+	l.work += uint64(len(req.Runs))
 	for _, status := range req.Runs {
 		key := runKey{status.Task, status.Run}
 		present[key] = true
@@ -178,6 +179,7 @@
 		return
 	}
 	var last int64
+	l.work += uint64(len(r.Ends))
 	for _, e := range r.Ends {
 		l.noteRefusal(now, v, e)
 		l.endRun(now, v, runKey{e.Task, e.Run}, e.Outcome, e.Checkpoint, e.Reason)
@@ -286,6 +288,7 @@
 // that one of them reports is enough. That one may have been given up before.
 func (l *Leader) releaseGang(stage plan.StageKey, number uint32) {
 	for _, v := range l.vms {
+		l.work += uint64(len(v.runs))
 		for key, r := range v.runs {
 			if r.number == number && stageKey(r.ref) == stage {
 				v.remove(key)
--- a/internal/jobs/lead/stop.go
+++ b/internal/jobs/lead/stop.go
@@ -31,6 +31,7 @@
 
 // stopSurplus orders the stop of a job's runs that are no longer needed.
 func (l *Leader) stopSurplus(now time.Time, e *table.Entry) {
+	l.work += uint64(len(e.Tasks))
 	for _, p := range e.Surplus() {
 		l.stopRun(now, p.Run.VM, runKey{p.Ref.String(), p.Run.Number}, "no longer wanted")
 	}
--- a/internal/jobs/lead/throttle.go
+++ b/internal/jobs/lead/throttle.go
@@ -181,6 +181,7 @@
 	if v.overloaded(now) {
 		return 0
 	}
+	l.work += 2 * uint64(len(v.runs))
 	limits := map[*run]int{}
 	in := &l.interference
 	over := 0.0
--- a/internal/run/entry/callers.go
+++ b/internal/run/entry/callers.go
@@ -80,7 +80,9 @@
 	switch {
 	case e.leader != nil:
 		e.noteSuspended()
-		return func(r *msgs.JobRequest) { e.leader.Handle(time.Now(), localConn, &msgs.Message{JobRequest: r}) }
+		return func(r *msgs.JobRequest) {
+			e.timeStep(stepMessage, func() { e.leader.Handle(time.Now(), localConn, &msgs.Message{JobRequest: r}) })
+		}
 	case e.leaderConn != nil:
 		return func(r *msgs.JobRequest) { e.leaderConn.Send(&msgs.Message{JobRequest: r}) }
 	}
--- a/internal/run/entry/claim.go
+++ b/internal/run/entry/claim.go
@@ -134,7 +134,7 @@
 	c, err := e.claim(epoch)
 	e.metrics.claims.WithLabelValues(outcomeOf(err)).Inc()
 	if err == nil {
-		e.postAndWait(func() { e.startLeading(c) })
+		e.postAndWait(func() { e.timeStep(stepLead, func() { e.startLeading(c) }) })
 		return true
 	}
 	e.log.Warn("claim failed", "epoch", epoch+1, "err", err)
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -105,6 +105,10 @@
 	// storeFailedAt is when that last happened, zero if it never has.
 	storeFails    bool
 	storeFailedAt time.Time
+	// longestSteps holds the longest step of each kind, longStepLoggedAt is when a long step was last
+	// logged.
+	longestSteps     map[stepKind]time.Duration
+	longStepLoggedAt time.Time
 }
 
 // client is an agent or another entry that is connected to this leading entry.
@@ -228,12 +232,14 @@
 		return e.takeover.NextWakeup(now.Add(idleInterval))
 	}
 	e.noteSuspended()
-	e.leader.Tick(now)
-	if batch := e.leader.NextBatch(now); batch != nil {
-		e.append(batch)
-	}
+	e.timeStep(stepTick, func() { e.leader.Tick(now) })
+	e.timeStep(stepBatch, func() {
+		if batch := e.leader.NextBatch(now); batch != nil {
+			e.append(batch)
+		}
+	})
 	e.requestAdvice()
-	e.sendOutbound()
+	e.timeStep(stepSend, e.sendOutbound)
 	if e.sendPings(now) {
 		e.metrics.setStats(e.leader.Stats())
 	}
--- a/internal/run/entry/leading.go
+++ b/internal/run/entry/leading.go
@@ -148,7 +148,7 @@
 	case err != nil:
 		e.stopLeading(err.Error())
 	default:
-		l.Stored(time.Now())
+		e.timeStep(stepStored, func() { l.Stored(time.Now()) })
 	}
 }
 
--- a/internal/run/entry/metrics.go
+++ b/internal/run/entry/metrics.go
@@ -23,6 +23,10 @@
 	leading  prometheus.Gauge
 	// stats holds the counts of lead.Stats, which start at zero with each leadership.
 	stats *prometheus.GaugeVec
+	// steps holds the durations of the event loop's steps, longestStep the longest of each kind since
+	// the process began.
+	steps       *prometheus.HistogramVec
+	longestStep *prometheus.GaugeVec
 }
 
 func newMetrics() *metrics {
@@ -42,13 +46,19 @@
 		stats: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "ebonyarch_leadership_count", Help: "Decisions and writes of the current leadership, by kind.",
 		}, []string{"kind"}),
+		steps: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "ebonyarch_step_seconds", Help: "Duration of the steps of the event loop, for which all else waits.", Buckets: latencyBuckets,
+		}, []string{"kind"}),
+		longestStep: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "ebonyarch_longest_step_seconds", Help: "Longest step of the event loop since the process began.",
+		}, []string{"kind"}),
 	}
 }
 
 // Register adds the entry's metrics to a registry.
 func (e *Entry) Register(r *prometheus.Registry) {
 	m := e.metrics
-	r.MustRegister(m.requests, m.appends, m.claims, m.leading, m.stats)
+	r.MustRegister(m.requests, m.appends, m.claims, m.leading, m.stats, m.steps, m.longestStep)
 }
 
 // observeRequest records the latency of a request and the code of its response.
--- a/internal/run/entry/serve.go
+++ b/internal/run/entry/serve.go
@@ -79,7 +79,7 @@
 		c.leaving = m.Ping.Leaving
 	}
 	e.noteSuspended()
-	e.leader.Handle(time.Now(), id, m)
+	e.timeStep(stepMessage, func() { e.leader.Handle(time.Now(), id, m) })
 }
 
 // welcome answers the Hello of a peer and reports whether this entry leads, in which case
