lead, table: the ends of a wide job's runs cost what they are, not its square

Cause: once a job is over, each further end of a run listed all its runs that are no longer wanted, so that the ends of n tasks took n squared steps.

The runs that are no longer needed are now looked for once: those of the job when it ends, those of a task or gang when that is done. A step stops a bounded number of them, and the next ones go on (surplusJobs counts the searches). Whether a task waits follows from whether it had a run, without a search; the run of a gang that is done is found by its members; an ended job without runs isn't searched when it is dropped.

--- a/internal/jobs/lead/burst_test.go
+++ b/internal/jobs/lead/burst_test.go
@@ -169,9 +169,12 @@
 	h.settle()
 }
 
-// maxStepWork limits the work of a step. Other entries give up a leader that sends nothing for 0.8 s, it sends
-// something every 0.2 s, and it may have a ninth of a core.
-const maxStepWork = 200_000
+// Limits of the work of a step. Other entries give up a leader that sends nothing for 0.8 s, it sends something
+// every 0.2 s, and it may have a ninth of a core. The members of a gang are placed together.
+const (
+	maxStepWork = 200_000
+	maxGangWork = 800_000
+)
 
 var _ = Describe("The steps of a leader", func() {
 	// Passes took longer than other entries wait for their leader, for ever, as none of their results was
@@ -188,6 +191,29 @@
 		Entry("few large jobs", burst{vms: 4, servingJobs: 1, servingTasks: 6, jobs: 2, tasks: 2000}),
 		Entry("jobs of one task", burst{vms: 4, servingJobs: 48, servingTasks: 1, jobs: 2000, tasks: 1}),
 	)
+
+	// Each end of a run listed all runs of its job once that was over, so that the ends of a wide job took
+	// a leader longer than its leadership lasted, and the next one began with the same ends.
+	DescribeTable("stay short when a wide job is over", func(gang bool, end func(*burstHarness)) {
+		h := newBurst(burst{vms: 4, jobs: 1, tasks: 4000, gang: gang})
+		h.submitBurst()
+		Expect(h.started()).To(Equal(4000))
+		end(h)
+		h.settle()
+		Expect(h.started()).To(BeZero())
+		if gang {
+			Expect(h.longest["batch"]).To(BeNumerically("<", maxGangWork))
+			delete(h.longest, "batch")
+		}
+		Expect(h.longest).To(HaveEach(BeNumerically("<", maxStepWork)))
+	},
+		Entry("because it is cancelled", false, func(h *burstHarness) { h.cancelBurst() }),
+		Entry("because its tasks fail", false, func(h *burstHarness) { h.endAll(msgs.Failed) }),
+		Entry("because its gang is cancelled", true, func(h *burstHarness) { h.cancelBurst() }),
+		Entry("because its gang fails", true, func(h *burstHarness) { h.endAll(msgs.Failed) }),
+		Entry("because its tasks are done", false, func(h *burstHarness) { h.endAll(msgs.Done) }),
+		Entry("because its gang is done", true, func(h *burstHarness) { h.endAll(msgs.Done) }),
+	)
 })
 
 // cancelBurst cancels the jobs of the burst.
@@ -197,3 +223,18 @@
 		h.step("cancel", func() { h.request(msgs.Cancel, nil, id) })
 	}
 }
+
+// endAll lets all runs end, and those that take their place, until the jobs are over.
+func (h *burstHarness) endAll(outcome msgs.Outcome) {
+	for range 3 {
+		for n, runs := range h.runs {
+			var ends []msgs.RunEnd
+			for _, r := range runs {
+				ends = append(ends, msgs.RunEnd{Number: 1, Task: r.Task, Run: r.Run, Outcome: outcome})
+			}
+			h.runs[n] = nil
+			h.report(n, ends)
+		}
+		h.settle()
+	}
+}
--- a/internal/jobs/lead/flush.go
+++ b/internal/jobs/lead/flush.go
@@ -129,6 +129,9 @@
 // NextWakeup returns when the caller should call Tick and NextBatch again.
 func (l *Leader) NextWakeup(now time.Time) time.Time {
 	next := now.Add(tickInterval)
+	if len(l.surplus) > 0 {
+		return now
+	}
 	if l.inFlight == nil && (l.placementDue || l.table.Dirty() || len(l.heldForStore) > 0 || len(l.heldRequests) > 0) {
 		if due := l.flushedAt.Add(batchInterval); due.Before(next) {
 			next = due
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -101,6 +101,10 @@
 	round round
 	// placementDue is set when waiting tasks might be placed now.
 	placementDue bool
+	// surplus holds the searches for runs that are no longer needed that are under way; stoppedWork is
+	// their work in the present step.
+	surplus     []surplusSearch
+	stoppedWork uint64
 	// work counts the runs, tasks, stages and VMs that were looked at, each as often as it was.
 	work  uint64
 	log   *slog.Logger
@@ -217,6 +221,8 @@
 // ago and, if the store is slow, refuses the jobs that are in no batch yet and the requests whose
 // answer waits for the store.
 func (l *Leader) Tick(now time.Time) {
+	l.stoppedWork = 0
+	l.continueStops(now)
 	l.expireLeases(now)
 	if now.Sub(l.prunedAt) > time.Second {
 		l.prunedAt = now
--- a/internal/jobs/lead/report.go
+++ b/internal/jobs/lead/report.go
@@ -5,7 +5,7 @@
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
-	"github.com/ebonyarch/ebonyarch/internal/jobs/plan"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/table"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
 	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 )
@@ -236,6 +236,7 @@
 	if outcome != msgs.Lost {
 		l.noteStarted(now, v.info.ID, key, "ended")
 	}
+	before := l.endedBefore(ref, key.number, outcome)
 	if _, known := l.table.EndRun(now, ref, key.number, outcome, checkpoint); !known {
 		l.log.Info("ignored the end of a run that is not in the job table", "req", ref.Job, "task", key.task, "run", key.number, "vm", v.info.ID, "outcome", outcome, "epoch", l.epoch)
 		return
@@ -251,9 +252,7 @@
 	}
 	l.log.Info("run ended", "req", ref.Job, "task", key.task, "run", key.number, "vm", v.info.ID, "outcome", outcome,
 		"took", took, "reason", reason, "state", e.State, "epoch", l.epoch)
-	if outcome == msgs.Done && e.Job.Steps[ref.Step].Gang {
-		l.releaseGang(stageKey(ref), key.number)
-	}
+	l.releaseGang(before.members)
 	if r != nil {
 		expected := l.durations.expect(r.entry, r.ref.Step)
 		if r.restored {
@@ -269,7 +268,7 @@
 			l.durations.noteFailed(r.ref, v.info.ID)
 		}
 	}
-	l.stopSurplus(now, e)
+	l.stopNoLongerNeeded(now, e, ref, before)
 }
 
 // countEnd counts a run end by its outcome.
@@ -286,15 +285,50 @@
 	}
 }
 
+// ended says what had ended before the end of a run was processed.
+type ended struct {
+	// job and task are set if they had.
+	job, task bool
+	// members holds the runs of the gang that end with the run.
+	members []table.PlacedRun
+}
+
+// endedBefore returns what has ended before the end of a run of a task is processed.
+func (l *Leader) endedBefore(ref model.TaskRef, number uint32, outcome msgs.Outcome) ended {
+	e := l.table.Get(ref.Job)
+	if e == nil || e.Task(ref) == nil {
+		return ended{}
+	}
+	before := ended{job: e.State.Ended(), task: e.Task(ref).Done}
+	if st := e.Stage(ref); outcome == msgs.Done && e.StepOf(st).Gang && !before.task {
+		before.members = e.RunsOf(st, number)
+	}
+	return before
+}
+
+// stopNoLongerNeeded orders the stop of the runs that are no longer needed since a run of a task has
+// ended. before tells what had ended before that.
+func (l *Leader) stopNoLongerNeeded(now time.Time, e *table.Entry, ref model.TaskRef, before ended) {
+	st := e.Stage(ref)
+	switch {
+	case before.job:
+	case e.State.Ended():
+		l.stopSurplus(now, e)
+	case before.task || !e.Task(ref).Done:
+	case e.StepOf(st).Gang:
+		l.stopSurplusOf(now, e, st.First, st.First+e.StepOf(st).Tasks)
+	default:
+		l.stopSurplusOf(now, e, st.First+ref.Index, st.First+ref.Index+1)
+	}
+}
+
 // releaseGang releases the resources of all members of a gang's run that is done, since the end
 // that one of them reports is enough. That one may have been given up before.
-func (l *Leader) releaseGang(stage plan.StageKey, number uint32) {
-	for _, v := range l.vms {
-		l.work += uint64(len(v.runs))
-		for key, r := range v.runs {
-			if r.number == number && stageKey(r.ref) == stage {
-				v.remove(key)
-			}
+func (l *Leader) releaseGang(members []table.PlacedRun) {
+	l.work += uint64(len(members))
+	for _, p := range members {
+		if v := l.vms[p.Run.VM]; v != nil {
+			v.remove(runKey{p.Ref.String(), p.Run.Number})
 		}
 	}
 }
--- a/internal/jobs/lead/stats.go
+++ b/internal/jobs/lead/stats.go
@@ -28,6 +28,8 @@
 	// CutPasses counts the placement passes that left stages to the next one, StagesLeft is how many
 	// the latest pass left.
 	CutPasses, StagesLeft uint64
+	// SurplusJobs is the number of searches for runs of jobs to stop that are under way.
+	SurplusJobs uint64
 	// RefusedFull counts those of the Refused jobs for which there was no memory, JobMemory is what
 	// the jobs take, in bytes.
 	RefusedFull, JobMemory uint64
@@ -36,7 +38,7 @@
 // Stats returns the counts so far.
 func (l *Leader) Stats() Stats {
 	s := l.stats
-	s.JobMemory = uint64(l.table.Memory())
+	s.JobMemory, s.SurplusJobs = uint64(l.table.Memory()), uint64(len(l.surplus))
 	return s
 }
 
--- a/internal/jobs/table/entry.go
+++ b/internal/jobs/table/entry.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -153,27 +154,41 @@
 
 // Runs returns all runs that may be present at workers.
 func (e *Entry) Runs() []PlacedRun {
-	return e.runs(func(*Task) bool { return true })
+	return e.runs(0, len(e.Tasks), func(*Task) bool { return true })
+}
+
+// RunsOf returns the runs of a stage's tasks that have the given number.
+func (e *Entry) RunsOf(st *Stage, number uint32) []PlacedRun {
+	list := e.runs(st.First, st.First+e.StepOf(st).Tasks, func(*Task) bool { return true })
+	return slices.DeleteFunc(list, func(p PlacedRun) bool { return p.Run.Number != number })
 }
 
 // Surplus returns the runs that are no longer needed, because the task is completed or
 // the job has ended.
-func (e *Entry) Surplus() []PlacedRun {
-	return e.runs(func(t *Task) bool { return t.Done || e.State.Ended() })
+func (e *Entry) Surplus() []PlacedRun { return e.SurplusOf(0, len(e.Tasks)) }
+
+// SurplusOf is Surplus for the tasks with indexes in Progress.Tasks from first to before end.
+func (e *Entry) SurplusOf(first, end int) []PlacedRun {
+	return e.runs(first, end, func(t *Task) bool { return t.Done || e.State.Ended() })
 }
 
-// runs returns the runs of the tasks for which match returns true.
-func (e *Entry) runs(match func(*Task) bool) []PlacedRun {
+// runs returns the runs of the tasks for which match returns true, of those with indexes in
+// Progress.Tasks from first to before end.
+func (e *Entry) runs(first, end int, match func(*Task) bool) []PlacedRun {
 	var list []PlacedRun
-	for i := range e.Stages {
+	i, found := slices.BinarySearchFunc(e.Stages, first, func(st Stage, first int) int { return cmp.Compare(st.First, first) })
+	if !found {
+		i = max(0, i-1) // the stage that first belongs to begins before it
+	}
+	for ; i < len(e.Stages) && e.Stages[i].First < end; i++ {
 		st := &e.Stages[i]
-		for index := range e.StepOf(st).Tasks {
-			t := &e.Tasks[st.First+index]
+		for n := max(st.First, first); n < min(st.First+e.StepOf(st).Tasks, end); n++ {
+			t := &e.Tasks[n]
 			if len(t.Runs) == 0 || !match(t) {
 				continue
 			}
 			for _, run := range t.Runs {
-				list = append(list, PlacedRun{e.Ref(st, index), run})
+				list = append(list, PlacedRun{e.Ref(st, n-st.First), run})
 			}
 		}
 	}
--- a/internal/jobs/table/runs.go
+++ b/internal/jobs/table/runs.go
@@ -18,7 +18,10 @@
 	run.Number = t.LastRun
 	t.Runs = append(t.Runs, run)
 	e.RunCount++
-	if i := slices.Index(st.Waiting, ref.Index); i >= 0 {
+	switch i := slices.Index(st.Waiting, ref.Index); {
+	case i == 0:
+		st.Waiting = st.Waiting[1:]
+	case i > 0:
 		st.Waiting = slices.Delete(st.Waiting, i, i+1)
 	}
 	tbl.markTask(e, st.First+ref.Index)
@@ -162,36 +165,36 @@
 	case outcome == msgs.Failed && !t.Done: // a copy may fail after another has completed the task
 		tbl.countFailure(now, e, st, t)
 	}
-	if !t.Done && len(t.Runs) == 0 && !slices.Contains(st.Waiting, ref.Index) {
-		st.Waiting = append(st.Waiting, ref.Index)
+	if !t.Done && len(t.Runs) == 0 {
+		st.Waiting = append(st.Waiting, ref.Index) // it was not in the list, as it had a run
 	}
 }
 
 // complete marks a task as completed by the run with the given number, and in a gang all
 // members. It completes the job if that was the last open task.
 func (tbl *Table) complete(now time.Time, e *Entry, st *Stage, index int, number uint32) {
-	members := []int{index}
-	if e.StepOf(st).Gang {
-		members = members[:0]
-		for i := range e.StepOf(st).Tasks {
-			members = append(members, i)
-		}
+	first, end := index, index+1
+	gang := e.StepOf(st).Gang
+	if gang {
+		first, end = 0, e.StepOf(st).Tasks
+		st.Waiting = nil
+	} else if i := slices.Index(st.Waiting, index); i >= 0 {
+		st.Waiting = slices.Delete(st.Waiting, i, i+1)
 	}
-	for _, i := range members {
+	for i := first; i < end; i++ {
 		t := &e.Tasks[st.First+i]
 		if t.Done {
 			continue
 		}
 		t.Done = true
 		tbl.markTask(e, st.First+i)
-		if len(members) > 1 {
+		if gang {
 			// Only one member of a gang reports its end. Later runs of the gang are still present.
 			kept := slices.DeleteFunc(t.Runs, func(r Run) bool { return r.Number == number })
 			e.RunCount -= len(t.Runs) - len(kept)
 			t.Runs = kept
 		}
 		st.Open--
-		st.Waiting = slices.DeleteFunc(st.Waiting, func(w int) bool { return w == i })
 	}
 	for i := range e.Stages {
 		if e.Stages[i].Open > 0 {
--- a/internal/jobs/table/table.go
+++ b/internal/jobs/table/table.go
@@ -167,7 +167,7 @@
 // left.
 func (tbl *Table) Purge(before time.Time) {
 	for id, e := range tbl.entries {
-		if e.State.Ended() && e.Ended.Before(before) && !e.dirty && len(e.Surplus()) == 0 {
+		if e.State.Ended() && e.Ended.Before(before) && !e.dirty && e.RunCount == 0 {
 			tbl.remove(id)
 			tbl.purged = append(tbl.purged, e.keys()...)
 		}
--- a/internal/run/entry/metrics.go
+++ b/internal/run/entry/metrics.go
@@ -85,7 +85,7 @@
 		"lostRefused": s.LostRefused, "lostWithVM": s.LostWithVM,
 		"otherEnds": s.OtherEnds, "batches": s.Batches, "records": s.Records, "bytesWritten": s.BytesWritten,
 		"rejected": s.Rejected, "unstorable": s.Unstorable, "crashes": s.Crashes, "givenUp": s.GivenUp,
-		"refusedFull": s.RefusedFull, "cutPasses": s.CutPasses, "stagesLeft": s.StagesLeft, "jobMemory": s.JobMemory,
+		"refusedFull": s.RefusedFull, "cutPasses": s.CutPasses, "stagesLeft": s.StagesLeft, "surplusJobs": s.SurplusJobs, "jobMemory": s.JobMemory,
 	} {
 		m.stats.WithLabelValues(kind).Set(float64(n))
 	}
