table: a gang's failure counts once for a run, whichever members fail

Cause: each member's end failed was counted at the gang's first member, whatever its run. Crashes were already counted once for a run.

Ruled out: the health of VMs.

The number of the latest run whose failure is counted is now stored, in a record of its own, so that earlier versions of the program read the progress as before and go on with its count. A run whose failure is counted is taken out of those that were given up, at all members, so that late ends count once as well, also after a later run has failed. If an earlier version has counted since, a present run of which a member has ended is taken as counted. Records that an earlier version left behind are deleted at load.

Single tasks stay as they are: "A start after max_attempts runs of the task have ended failed" counts runs, so that copies that fail count each.

--- a/internal/jobs/table/entry.go
+++ b/internal/jobs/table/entry.go
@@ -31,6 +31,9 @@
 	// crashes holds the crashes for which each task may be the cause, by its index in
 	// Progress.Tasks. It is stored as a record of its own.
 	crashes map[int][]Crash
+	// gangFailures tells which failures of gangs are counted, by the index of their first member in
+	// Progress.Tasks. It is stored as a record of its own.
+	gangFailures map[int]gangFailures
 	// parts is set once the tasks are stored in parts.
 	parts *parts
 	// withheld is set once the job was given up because the store does not take its progress. Then
--- a/internal/jobs/table/record.go
+++ b/internal/jobs/table/record.go
@@ -16,6 +16,8 @@
 	jobPrefix      = "job/"
 	progressPrefix = "progress/"
 	crashesPrefix  = "crashes/"
+	// gangFailuresPrefix is that of records of gangFailures.
+	gangFailuresPrefix = "failures/"
 )
 
 // errTooLarge means that the store cannot take the records of a job.
@@ -60,6 +62,13 @@
 		return nil, err
 	}
 	list = append(list, progress...)
+	if len(e.gangFailures) > 0 {
+		r, err := e.gangFailuresRecord(c.over)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, r)
+	}
 	if e.early {
 		record, err := e.earlyRecord()
 		if err != nil {
@@ -166,6 +175,8 @@
 	parts := newPartTable(records)
 	crashes, faults := decodeRecords[[]taskCrashes](records, crashesPrefix)
 	errs = append(errs, faults...)
+	failures, faults := decodeRecords[[]gangFailures](records, gangFailuresPrefix)
+	errs = append(errs, faults...)
 	for _, r := range records {
 		id, ok := strings.CutPrefix(r.Key, jobPrefix)
 		if !ok {
@@ -189,6 +200,7 @@
 			err = parts.restore(e, p.head)
 		}
 		e.restoreCrashes(crashes[id])
+		e.restoreGangFailures(failures[id])
 		switch {
 		case !readable:
 			e.Unreadable = true
@@ -200,7 +212,7 @@
 		e.Stored, e.InStore = e.State, true
 		tbl.insert(e)
 	}
-	tbl.purged = parts.unused(records, progress)
+	tbl.purged = append(parts.unused(records, progress), tbl.orphanedGangFailures(failures)...)
 	return tbl, append(errs, tbl.loadEarly(records)...)
 }
 
@@ -220,7 +232,7 @@
 		if !ok {
 			continue
 		}
-		if len(r.Value) == 0 && (prefix == crashesPrefix || prefix == earlyPrefix) {
+		if len(r.Value) == 0 && (prefix == crashesPrefix || prefix == gangFailuresPrefix || prefix == earlyPrefix) {
 			delete(values, id)
 			continue
 		}
--- a/internal/jobs/table/runs.go
+++ b/internal/jobs/table/runs.go
@@ -116,7 +116,7 @@
 	if checkpoint != "" && e.TakesCheckpoint(checkpoint) {
 		t.Checkpoint = checkpoint
 	}
-	if outcome == msgs.Lost {
+	if outcome == msgs.Lost && !e.gangRunCounted(ref, number) {
 		t.GivenUp = append(t.GivenUp, number)
 		t.GivenUp = t.GivenUp[max(0, len(t.GivenUp)-maxGivenUp):]
 	}
@@ -135,7 +135,7 @@
 	}
 	t.GivenUp = slices.Delete(t.GivenUp, i, i+1)
 	tbl.markTask(e, e.Stage(ref).First+ref.Index)
-	tbl.countFailure(now, e, e.Stage(ref), t)
+	tbl.countFailure(now, e, e.Stage(ref), t, number)
 	return true
 }
 
@@ -163,7 +163,7 @@
 	case outcome == msgs.Done && !step.LongRunning:
 		tbl.complete(now, e, st, ref.Index, number)
 	case outcome == msgs.Failed && !t.Done: // a copy may fail after another has completed the task
-		tbl.countFailure(now, e, st, t)
+		tbl.countFailure(now, e, st, t, number)
 	}
 	if !t.Done && len(t.Runs) == 0 {
 		st.Waiting = append(st.Waiting, ref.Index) // it was not in the list, as it had a run
@@ -204,12 +204,15 @@
 	tbl.finish(now, e, Completed, "")
 }
 
-// countFailure counts a failure of a task and fails the job if there were too many. The
-// failures of a gang's members are all counted at the first member, because a gang fails
-// as a whole. Failures of long-running tasks never fail the job.
-func (tbl *Table) countFailure(now time.Time, e *Entry, st *Stage, t *Task) {
+// countFailure counts the failure of a task's run and fails the job if there were too many. The failures
+// of a gang are counted at its first member, once for each run: a gang fails as a whole, whichever of its
+// members do. Failures of long-running tasks never fail the job.
+func (tbl *Table) countFailure(now time.Time, e *Entry, st *Stage, t *Task, number uint32) {
 	step := e.StepOf(st)
 	if step.Gang {
+		if !tbl.countGangRun(e, st, number) {
+			return
+		}
 		t = &e.Tasks[st.First]
 		tbl.markTask(e, st.First)
 	}
