run/entry, run/event: the outcome of an append is heard before messages that wait

The store was fast.

Cause: a busy leader is deposed by two timers, not one. Followers give up one that is silent for 0.8 s; and one that reports an append without an outcome for 0.6 s is replaced by an entry that reaches the store. The outcome waited behind 122 messages of agents in the event loop's queue.

Ruled out: the first timer (pings arrived all the while).

The queue is now a package of its own with a second class of functions that run first; outcomes of appends are in it. No other order changes.

--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/relay"
 	"github.com/ebonyarch/ebonyarch/internal/plat/port"
+	"github.com/ebonyarch/ebonyarch/internal/run/event"
 	"github.com/ebonyarch/ebonyarch/internal/run/peer"
 )
 
@@ -46,7 +47,7 @@
 	// advisor may be nil if no queue needs advice.
 	advisor port.Advisor
 	log     *slog.Logger
-	events  chan func()
+	events  *event.Queue
 	config  atomic.Pointer[model.Config]
 	// metrics is safe for concurrent use.
 	metrics *metrics
@@ -131,7 +132,7 @@
 func New(cfg proc.JobEntry, store Platform, advisor port.Advisor, log *slog.Logger) *Entry {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Entry{
-		cfg: cfg, store: store, advisor: advisor, log: log, metrics: newMetrics(), events: make(chan func(), eventQueueSize), ctx: ctx, cancel: cancel,
+		cfg: cfg, store: store, advisor: advisor, log: log, metrics: newMetrics(), events: event.New(eventQueueSize), ctx: ctx, cancel: cancel,
 		laterLeader: make(chan struct{}, 1), stopAppends: func() {}, conns: map[uint64]*client{},
 		entries: elect.MergeAddrs(nil, cfg.Peers, cfg.Seeds.WithPort(cfg.Peers.Port())...),
 	}
@@ -169,12 +170,7 @@
 }
 
 // post queues a function for the event loop.
-func (e *Entry) post(f func()) {
-	select {
-	case e.events <- f:
-	case <-e.ctx.Done():
-	}
-}
+func (e *Entry) post(f func()) { e.events.Post(e.ctx, f) }
 
 // postAndWait queues a function for the event loop and waits until it has run or the entry is
 // closed. It must not be called in the event loop, which would wait for itself.
@@ -195,13 +191,13 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		select {
-		case <-e.ctx.Done():
+		f, ok := e.events.Wait(e.ctx, timer.C)
+		if !ok {
 			return
-		case f := <-e.events:
+		}
+		if f != nil {
 			f()
 			e.runQueued()
-		case <-timer.C:
 		}
 		timer.Reset(max(time.Millisecond, time.Until(e.step(time.Now()))))
 	}
@@ -215,16 +211,12 @@
 // after maxQueuedTime.
 func (e *Entry) runQueued() {
 	startedAt := time.Now()
-	for range eventQueueSize {
-		if time.Since(startedAt) > maxQueuedTime {
-			return
-		}
-		select {
-		case f := <-e.events:
-			f()
-		default:
+	for time.Since(startedAt) <= maxQueuedTime {
+		f := e.events.Next()
+		if f == nil {
 			return
 		}
+		f()
 	}
 }
 
--- a/internal/run/entry/leading.go
+++ b/internal/run/entry/leading.go
@@ -134,7 +134,8 @@
 		startedAt := time.Now()
 		err := e.appendWithRetry(ctx, w)
 		e.metrics.appends.WithLabelValues(outcomeOf(err)).Observe(time.Since(startedAt).Seconds())
-		e.post(func() { e.batchAppended(l, err) })
+		// A leader that seems to wait for the store is replaced, so that the outcome must not wait itself.
+		e.events.PostFirst(e.ctx, func() { e.batchAppended(l, err) })
 	})
 }
 
--- a/internal/run/entry/steps.go
+++ b/internal/run/entry/steps.go
@@ -48,7 +48,7 @@
 	}
 	e.longStepLoggedAt = startedAt
 	e.log.Warn("a step of the event loop took long", "kind", string(kind), "took", took, "work", e.work()-work,
-		"queued", len(e.events), "leading", e.leader != nil, "epoch", e.epoch)
+		"queued", e.events.Len(), "leading", e.leader != nil, "epoch", e.epoch)
 }
 
 // work returns the leader's count of its work, 0 if this entry does not lead.
