--- a/internal/jobs/lead/burst_test.go
+++ b/internal/jobs/lead/burst_test.go
@@ -10,6 +10,7 @@
 	"github.com/ebonyarch/ebonyarch/internal/jobs/lead"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
 	"github.com/ebonyarch/ebonyarch/internal/jobs/msgs"
+	"github.com/ebonyarch/ebonyarch/internal/jobs/table"
 	"github.com/ebonyarch/ebonyarch/internal/sched/place"
 )
 
@@ -34,6 +35,8 @@
 	runs [][]msgs.RunStatus
 	// longest holds the work of the longest step of each kind.
 	longest map[string]uint64
+	// startedAt is when the latest order to start a run left.
+	startedAt time.Time
 	// slowest holds how long the slowest step of each kind took.
 	slowest map[string]time.Duration
 }
@@ -63,6 +66,9 @@
 			if len(o.Starts)+len(o.Stops) > 0 {
 				idle = 0
 			}
+			if len(o.Starts) > 0 {
+				h.startedAt = h.now
+			}
 			n := h.carryOut(o)
 			stops[n] = append(stops[n], o.Stops...)
 		}
@@ -130,6 +136,19 @@
 	return sum
 }
 
+// stored returns the number of runs of the burst that are in the store.
+func (h *burstHarness) stored() int {
+	tbl, faults := table.Load(h.records)
+	Expect(faults).To(BeEmpty())
+	sum := 0
+	for n := range h.jobs {
+		if e := tbl.Get(job(1000+n, h.bulkStep()).ID); e != nil {
+			sum += e.RunCount
+		}
+	}
+	return sum
+}
+
 // newBurst returns a leader whose serving tasks run.
 func newBurst(b burst) *burstHarness {
 	h := &burstHarness{harness: newHarness(), burst: b, runs: make([][]msgs.RunStatus, b.vms), longest: map[string]uint64{}, slowest: map[string]time.Duration{}}
@@ -181,8 +200,10 @@
 	// stored before the next leader began with the same work.
 	DescribeTable("stay short in a burst of best-effort tasks beside tasks with a latency target", func(b burst) {
 		h := newBurst(b)
+		submittedAt := h.now
 		h.submitBurst()
 		Expect(h.started()).To(Equal(b.servingJobs*b.servingTasks+b.jobs*b.tasks), "all that was accepted runs")
+		Expect(h.startedAt).To(BeTemporally("<", submittedAt.Add(time.Second)), "a pass follows at once on one that was cut short")
 		Expect(h.longest).To(HaveEach(BeNumerically("<", maxStepWork)))
 	},
 		Entry("24 jobs of 150 tasks", large),
@@ -192,6 +213,27 @@
 		Entry("jobs of one task", burst{vms: 4, servingJobs: 48, servingTasks: 1, jobs: 2000, tasks: 1}),
 	)
 
+	It("are stored one by one, so that leaders that last for one pass get through a burst", func() {
+		h := newBurst(large)
+		for n := range h.jobs {
+			h.submit(job(1000+n, h.bulkStep()))
+		}
+		Expect(h.nextBatch()).To(BeTrue())
+		h.confirmBatch()
+		placed := 0
+		for leaders := uint64(1); placed < h.jobs*h.tasks; leaders++ {
+			h.lead(epoch + leaders)
+			for n := range h.vms {
+				h.resize(n, true, burstCapacity, h.runs[n]...)
+			}
+			h.now = h.now.Add(20 * time.Millisecond)
+			h.nextBatch()
+			before := placed
+			placed = h.stored()
+			Expect(placed).To(BeNumerically(">", before), "leader %d", leaders)
+		}
+	})
+
 	// Each end of a run listed all runs of its job once that was over, so that the ends of a wide job took
 	// a leader longer than its leadership lasted, and the next one began with the same ends.
 	DescribeTable("stay short when a wide job is over", func(gang bool, end func(*burstHarness)) {
@@ -201,6 +243,7 @@
 		end(h)
 		h.settle()
 		Expect(h.started()).To(BeZero())
+		Expect(h.leader.Stats().SurplusJobs).To(BeZero(), "the runs to stop are looked for once")
 		if gang {
 			Expect(h.longest["batch"]).To(BeNumerically("<", maxGangWork))
 			delete(h.longest, "batch")
