lead: each pass makes progress, and the images beside a VM's tasks are bounded

A pass now starts a run or finishes with a stage in any case.

Also by reading: what best-effort runs add to serving ones took the product of both numbers of images, and a lease request estimated each pair.

--- a/internal/jobs/lead/interference.go
+++ b/internal/jobs/lead/interference.go
@@ -1,6 +1,9 @@
 package lead
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/ebonyarch/ebonyarch/internal/jobs/model"
@@ -67,6 +70,9 @@
 	// coefficients holds the utilization that a best-effort task using all of a VM's
 	// processors adds to a long-running task, by their images.
 	coefficients map[imagePair]*estimate
+	// pairsOf holds the images of the best-effort tasks for which coefficients has an estimate, by the image
+	// of the long-running ones.
+	pairsOf map[string][]string
 	// baseLoads holds the base loads of long-running steps.
 	baseLoads map[plan.StageKey]*estimate
 	// minLatency is the lowest tail latency measured of each image, in milliseconds.
@@ -98,14 +104,34 @@
 			v.bestEffortUse += coresUsed(status)
 		}
 	}
+	in.keepLargest(shares)
 	for _, status := range statuses {
 		r := v.runs[runKey{status.Task, status.Run}]
 		if r != nil && r.step.LatencyTarget > 0 && status.Measurement > 0 && r.warmedUp(now) {
+			in.work += uint64(len(shares))
 			in.updateEstimates(now, r, float64(status.Measurement), shares)
 		}
 	}
 }
 
+// maxShares is the number of images of best-effort tasks whose effect on long-running ones is estimated from
+// a lease request. Those that use least are left out.
+const maxShares = 32
+
+// keepLargest removes all but the maxShares largest shares.
+func (in *interference) keepLargest(shares map[string]float64) {
+	if len(shares) <= maxShares {
+		return
+	}
+	in.work += sortWork(len(shares))
+	images := slices.SortedFunc(maps.Keys(shares), func(a, b string) int {
+		return cmp.Or(cmp.Compare(shares[b], shares[a]), cmp.Compare(a, b))
+	})
+	for _, image := range images[maxShares:] {
+		delete(shares, image)
+	}
+}
+
 // warmedUp reports whether the latency of a long-running run is that of normal operation.
 func (r *run) warmedUp(now time.Time) bool { return r.restored || now.Sub(r.since) > latencyWarmup }
 
@@ -123,7 +149,7 @@
 		in.baseLoads = map[plan.StageKey]*estimate{}
 	}
 	if len(in.coefficients) > maxTracked {
-		in.coefficients = map[imagePair]*estimate{}
+		in.coefficients, in.pairsOf = map[imagePair]*estimate{}, map[string][]string{}
 	}
 	image := r.step.Image
 	if minLatency, ok := in.minLatency[image]; !ok || latency < minLatency {
@@ -167,7 +193,8 @@
 // initMaps makes the maps of a zero value.
 func (in *interference) initMaps() {
 	if in.minLatency == nil {
-		in.minLatency, in.coefficients, in.baseLoads = map[string]float64{}, map[imagePair]*estimate{}, map[plan.StageKey]*estimate{}
+		in.minLatency, in.baseLoads = map[string]float64{}, map[plan.StageKey]*estimate{}
+		in.coefficients, in.pairsOf = map[imagePair]*estimate{}, map[string][]string{}
 	}
 }
 
@@ -176,11 +203,19 @@
 	c := in.coefficients[pair]
 	if c == nil {
 		c = &estimate{mean: initialCoefficient, variance: initialCoefficientStdDev * initialCoefficientStdDev}
-		in.coefficients[pair] = c
+		in.addCoefficient(pair, c)
 	}
 	return c
 }
 
+// addCoefficient sets the estimate for a pair of images.
+func (in *interference) addCoefficient(pair imagePair, c *estimate) {
+	if in.coefficients[pair] == nil {
+		in.pairsOf[pair.longRunning] = append(in.pairsOf[pair.longRunning], pair.bestEffort)
+	}
+	in.coefficients[pair] = c
+}
+
 // idleLatency returns the assumed tail latency, in milliseconds, of a step's tasks without
 // load.
 func (in *interference) idleLatency(s *model.Step) float64 {
@@ -242,10 +277,7 @@
 	image := s.step.Image
 	added, known := v.fullLoads[image]
 	if !known {
-		in.work += uint64(len(v.bestEffortCPU))
-		for bestEffort, cpu := range v.bestEffortCPU {
-			added += in.coefficient(image, bestEffort) * float64(cpu) / 1000 / v.cores()
-		}
+		added = in.fullLoad(v, image)
 		if v.fullLoads == nil {
 			v.fullLoads = map[string]float64{}
 		}
@@ -254,6 +286,20 @@
 	return in.baseLoad(s.key) + added
 }
 
+// fullLoad returns what the best-effort runs of a VM add to the utilization of long-running tasks of an
+// image at full speed. Only pairs of images with an estimate are looked at one by one.
+func (in *interference) fullLoad(v *vm, image string) float64 {
+	measured := in.pairsOf[image]
+	in.work += uint64(len(measured) + 1)
+	load := initialCoefficient * float64(v.allBestEffortCPU)
+	for _, bestEffort := range measured {
+		if cpu := v.bestEffortCPU[bestEffort]; cpu > 0 {
+			load += (in.coefficient(image, bestEffort) - initialCoefficient) * float64(cpu)
+		}
+	}
+	return load / 1000 / v.cores()
+}
+
 // noteAssigned adds a best-effort task to those that currentUtilization counts.
 func (in *interference) noteAssigned(v *vm, bestEffort *model.Step) {
 	in.work += uint64(len(v.fullLoads))
--- a/internal/jobs/lead/learned.go
+++ b/internal/jobs/lead/learned.go
@@ -120,7 +120,7 @@
 	for _, pair := range m.Pairs {
 		if pair.Coefficient >= 0 && pair.Coefficient <= maxCoefficient && pair.Variance >= 0 {
 			variance := min(pair.Variance+inheritedStdDev*inheritedStdDev, initialCoefficientStdDev*initialCoefficientStdDev)
-			l.interference.coefficients[imagePair{pair.LongRunning, pair.BestEffort}] = &estimate{mean: pair.Coefficient, variance: variance, at: now}
+			l.interference.addCoefficient(imagePair{pair.LongRunning, pair.BestEffort}, &estimate{mean: pair.Coefficient, variance: variance, at: now})
 		}
 	}
 	for _, image := range m.MinLatencies {
--- a/internal/jobs/lead/pass.go
+++ b/internal/jobs/lead/pass.go
@@ -101,6 +101,7 @@
 		v.placement.Overloaded = v.overloaded(now)
 		v.placement.Quarantined = v.quarantined(now)
 		v.fullLoads = nil
+		l.work += uint64(len(v.targeted))
 		v.placement.InterferenceCost = func(bestEffort *model.Step) float64 { return l.interference.cost(v, bestEffort) }
 		// If the service's VMs are underused, throttled work is better than none.
 		v.placement.WouldOverload = func(bestEffort *model.Step) bool {
@@ -113,7 +114,8 @@
 	return p
 }
 
-// exhausted reports whether the pass leaves the rest to the next one.
+// exhausted reports whether the pass leaves the rest to the next one. Each pass starts a run or finishes
+// with a stage all the same.
 func (p *pass) exhausted() bool {
 	return p.starts >= maxStarts || p.l.Work()-p.began >= maxPassWork
 }
--- a/internal/jobs/lead/place.go
+++ b/internal/jobs/lead/place.go
@@ -22,7 +22,7 @@
 	p.l.work += uint64(len(p.placement))
 	ranking := plan.NewRanking(task, p.placement)
 	for len(st.Waiting) > 0 {
-		if p.exhausted() {
+		if p.starts > 0 && p.exhausted() {
 			return false
 		}
 		index := p.nextWaiting(e, st)
--- a/internal/jobs/lead/vm.go
+++ b/internal/jobs/lead/vm.go
@@ -46,6 +46,8 @@
 	// bestEffortCPU holds the processors that best-effort runs request which are not to be stopped, by
 	// image, in thousandths of a processor.
 	bestEffortCPU map[string]int64
+	// allBestEffortCPU is their sum.
+	allBestEffortCPU int64
 	// fullLoads holds what these runs add to the utilization of long-running tasks at full speed, by
 	// the image of the latter. It is valid during a placement pass, and empty if it must be computed.
 	fullLoads map[string]float64
@@ -202,6 +204,7 @@
 		return
 	}
 	v.bestEffortCPU[r.step.Image] += n * r.step.Size.CPU
+	v.allBestEffortCPU += n * r.step.Size.CPU
 	if v.bestEffortCPU[r.step.Image] == 0 {
 		delete(v.bestEffortCPU, r.step.Image)
 	}
