lead: a pass that goes on looks at no job that is gone

If a job had been refused meanwhile, as the store was slow, the process ended with a nil pointer; if one had been cancelled, a suspect of it could have started.

The new spec "go on with what is left if jobs are refused or cancelled between two passes" panicked before. Suspects are now looked for among the stages that may still start, and advice is asked for jobs that still run.

--- a/internal/jobs/lead/advice.go
+++ b/internal/jobs/lead/advice.go
@@ -121,7 +121,10 @@
 		return
 	}
 	// An earlier pass of the round may have noted stages that have ended since.
-	wanted := slices.DeleteFunc(l.round.adviceWanted, func(w adviceWanted) bool { return l.advice[w.task.Key] == nil })
+	wanted := slices.DeleteFunc(l.round.adviceWanted, func(w adviceWanted) bool {
+		e := l.table.Get(w.task.Key.Job)
+		return e == nil || e.State.Ended() || l.advice[w.task.Key] == nil
+	})
 	l.round.adviceWanted = wanted
 	begin := func(w adviceWanted) time.Time { return l.advice[w.task.Key].since.Add(-w.advantage) }
 	slices.SortStableFunc(wanted, func(a, b adviceWanted) int { return begin(a).Compare(begin(b)) })
--- a/internal/jobs/lead/burst_test.go
+++ b/internal/jobs/lead/burst_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -256,6 +257,27 @@
 		}
 	})
 
+	// A later pass of a round looked for suspects among jobs that were gone, and the leader's process ended.
+	It("go on with what is left if jobs are refused or cancelled between two passes", func() {
+		const jobs = 1000
+		h := newBurst(burst{vms: 4, jobs: jobs, tasks: 1})
+		for n := range jobs {
+			j := job(firstBurstJob+n, h.bulkStep(n))
+			j.Payload = strings.Repeat("x", 4000) // the first batch does not hold all
+			h.submit(j)
+		}
+		h.now = h.now.Add(20 * time.Millisecond)
+		Expect(h.nextBatch()).To(BeTrue())
+		Expect(h.leader.Stats().StagesLeft).To(BeNumerically(">", jobs/2))
+		h.now = h.now.Add(time.Second) // the store is slow
+		h.leader.Tick(h.now)
+		Expect(h.leader.Stats().Refused).To(BeNumerically(">", jobs/2))
+		h.request(msgs.Cancel, nil, job(firstBurstJob, h.bulkStep(0)).ID)
+		h.confirmBatch()
+		h.settle()
+		Expect(h.leader.Stats().StagesLeft).To(BeZero())
+	})
+
 	// Each end of a run listed all runs of its job once that was over, so that the ends of a wide job took
 	// a leader longer than its leadership lasted, and the next one began with the same ends.
 	DescribeTable("stay short when a wide job is over", func(gang bool, end func(*burstHarness)) {
--- a/internal/jobs/lead/quarantine.go
+++ b/internal/jobs/lead/quarantine.go
@@ -101,6 +101,9 @@
 	var list []suspect
 	p.l.work += uint64(len(stages))
 	for i := range stages {
+		if !p.mayStart(&stages[i]) {
+			continue
+		}
 		e := p.l.table.Get(stages[i].Key.Job)
 		if !e.HasCrashes() {
 			continue
